--- /dev/null
+++ b/include/heatherroute/time.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace heatherroute
+{
+
+/**
+ * The clock of the decision core.
+ *
+ * It never reads the machine's time: the embedding program passes every instant in, so a run can be repeated exactly.
+ * Instants are monotonic within one process and mean nothing in another one.
+ */
+struct core_clock
+{
+    using rep = std::int64_t;
+    using period = std::micro;
+    using duration = std::chrono::duration<rep, period>;
+    using time_point = std::chrono::time_point<core_clock>;
+    static constexpr bool is_steady = true;
+};
+
+using duration = core_clock::duration;
+using instant = core_clock::time_point;
+
+} // namespace heatherroute
--- /dev/null
+++ b/scripts/setup.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Installs what the build needs and builds everything into build/. Usage: scripts/setup.sh
+set -euo pipefail
+cd "$(dirname "$0")/.."
+packages=(g++ cmake ninja-build ccache clang-format clang-tidy git
+    libboost1.81-dev libcereal-dev libcxxopts-dev libeasyloggingpp-dev librapidcheck-dev
+    libyaml-cpp-dev libxxhash-dev libgtest-dev libbenchmark-dev)
+if ! dpkg -s "${packages[@]}" >/dev/null 2>&1; then
+    echo "setup: installing packages"
+    apt-get update -qq
+    DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${packages[@]}" >/dev/null
+fi
+cmake -S . -B build -G Ninja >/dev/null
+ninja -C build --quiet
