--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,489 @@
+#include "net/http_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cctype>
+#include <optional>
+
+namespace heatherroute::net
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace
+{
+
+bool equalsIgnoringCase(std::string_view a, std::string_view b) noexcept
+{
+    const auto lower = [](unsigned char c) { return std::tolower(c); };
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [&](char x, char y) { return lower(x) == lower(y); });
+}
+
+/// Maps a read error to the status that tells the peer what was wrong; 0 when no answer is of use.
+unsigned statusOfReadError(const beast::error_code &error) noexcept
+{
+    if (error == http::error::header_limit) {
+        return 431;
+    }
+    if (error == http::error::body_limit) {
+        return 413;
+    }
+    if (error == beast::error::timeout) {
+        return 408;
+    }
+    if (error == http::error::end_of_stream || error == asio::error::connection_reset || error == asio::error::operation_aborted) {
+        return 0;
+    }
+    return 400;
+}
+
+http_request takeRequest(http::request<http::string_body> &&message, const std::string &remoteAddress)
+{
+    http_request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.remoteAddress = remoteAddress;
+    for (const auto &field : message) {
+        request.fields.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+/// Tells whether a readable socket has reached its end, without taking data from it.
+bool peerHasClosed(tcp::socket &socket) noexcept
+{
+    char byte = 0;
+    const auto count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (count > 0) {
+        return false;
+    }
+    return count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+constexpr std::size_t kFirstReadBytes = 4096;
+
+/// Ends a read that takes too long but leaves the connection open, so that the peer can be told.
+class read_deadline
+{
+public:
+    explicit read_deadline(tcp::socket &socket)
+        : m_socket(socket)
+        , m_timer(socket.get_executor())
+        , m_passed(std::make_shared<bool>(false))
+    { }
+
+    ~read_deadline()
+    {
+        disarm();
+    }
+
+    read_deadline(const read_deadline &) = delete;
+    read_deadline &operator=(const read_deadline &) = delete;
+
+    void arm(std::chrono::milliseconds timeout)
+    {
+        m_timer.expires_after(timeout);
+        m_timer.async_wait([socket = &m_socket, armed = std::weak_ptr<bool>(m_passed)](const beast::error_code &error) {
+            const auto passed = armed.lock();
+            if (error || !passed) {
+                return;
+            }
+            *passed = true;
+            beast::error_code ignored;
+            socket->cancel(ignored);
+        });
+    }
+
+    void disarm()
+    {
+        m_timer.cancel();
+    }
+
+    bool hasPassed() const noexcept
+    {
+        return *m_passed;
+    }
+
+private:
+    tcp::socket &m_socket;
+    asio::steady_timer m_timer;
+    std::shared_ptr<bool> m_passed;
+};
+
+/// Watches a connection for its end while an answer is being made.
+struct close_watch
+{
+    bool active = true;
+    bool closed = false;
+    std::function<void()> hook;
+
+    void markClosed()
+    {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        if (hook) {
+            hook();
+        }
+    }
+};
+
+class responder : public http_responder
+{
+public:
+    responder(beast::tcp_stream &stream, const http_limits &limits, bool keepAlive, std::shared_ptr<close_watch> watch)
+        : m_stream(stream)
+        , m_limits(limits)
+        , m_keepAlive(keepAlive)
+        , m_watch(std::move(watch))
+    { }
+
+    asio::awaitable<bool> send(http_answer answer) override
+    {
+        http::response<http::string_body> message{static_cast<http::status>(answer.status), 11};
+        setHead(message, answer);
+        message.body() = std::move(answer.body);
+        message.prepare_payload();
+        m_sent = true;
+        m_complete = true;
+        m_stream.expires_after(m_limits.writeTimeout);
+        beast::error_code error;
+        co_await http::async_write(m_stream, message, asio::redirect_error(asio::use_awaitable, error));
+        co_return finish(error);
+    }
+
+    asio::awaitable<bool> beginStream(http_answer head) override
+    {
+        http::response<http::empty_body> message{static_cast<http::status>(head.status), 11};
+        setHead(message, head);
+        message.chunked(true);
+        http::response_serializer<http::empty_body> serializer{message};
+        m_sent = true;
+        m_stream.expires_after(m_limits.writeTimeout);
+        beast::error_code error;
+        co_await http::async_write_header(m_stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+        co_return finish(error);
+    }
+
+    asio::awaitable<bool> write(std::string data) override
+    {
+        if (data.empty()) {
+            co_return !isClosed();
+        }
+        m_stream.expires_after(m_limits.writeTimeout);
+        beast::error_code error;
+        co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(data)), asio::redirect_error(asio::use_awaitable, error));
+        co_return finish(error);
+    }
+
+    asio::awaitable<bool> endStream() override
+    {
+        m_stream.expires_after(m_limits.writeTimeout);
+        beast::error_code error;
+        co_await asio::async_write(m_stream, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, error));
+        m_complete = !error;
+        co_return finish(error);
+    }
+
+    void onClosed(std::function<void()> hook) override
+    {
+        m_watch->hook = std::move(hook);
+    }
+
+    bool isClosed() const noexcept override
+    {
+        return m_watch->closed;
+    }
+
+    bool wasSent() const noexcept
+    {
+        return m_sent;
+    }
+
+    bool mayReuseConnection() const noexcept
+    {
+        return m_complete && m_keepAlive && !isClosed();
+    }
+
+private:
+    template<typename Message>
+    void setHead(Message &message, const http_answer &answer)
+    {
+        message.set(http::field::content_type, answer.contentType);
+        for (const http_field &field : answer.fields) {
+            message.set(field.name, field.value);
+        }
+        message.keep_alive(m_keepAlive);
+    }
+
+    bool finish(const beast::error_code &error)
+    {
+        m_stream.expires_never();
+        if (error) {
+            m_watch->markClosed();
+        }
+        return !error;
+    }
+
+    beast::tcp_stream &m_stream;
+    const http_limits &m_limits;
+    bool m_keepAlive;
+    std::shared_ptr<close_watch> m_watch;
+    bool m_sent = false;
+    bool m_complete = false;
+};
+
+asio::awaitable<void> watchForClose(tcp::socket &socket, std::shared_ptr<close_watch> watch)
+{
+    beast::error_code error;
+    co_await socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+    if (watch->active && !error && peerHasClosed(socket)) {
+        watch->markClosed();
+    }
+}
+
+} // namespace
+
+std::string_view http_request::header(std::string_view name) const noexcept
+{
+    for (const http_field &field : fields) {
+        if (equalsIgnoringCase(field.name, name)) {
+            return field.value;
+        }
+    }
+    return {};
+}
+
+std::string_view http_request::path() const noexcept
+{
+    const std::string_view whole = target;
+    return whole.substr(0, whole.find('?'));
+}
+
+std::string_view http_request::query(std::string_view name) const noexcept
+{
+    const std::string_view whole = target;
+    const auto start = whole.find('?');
+    std::string_view rest = start == std::string_view::npos ? std::string_view{} : whole.substr(start + 1);
+    while (!rest.empty()) {
+        const auto end = rest.find('&');
+        const std::string_view pair = rest.substr(0, end);
+        const auto equals = pair.find('=');
+        if (pair.substr(0, equals) == name) {
+            return equals == std::string_view::npos ? std::string_view{} : pair.substr(equals + 1);
+        }
+        rest = end == std::string_view::npos ? std::string_view{} : rest.substr(end + 1);
+    }
+    return {};
+}
+
+class http_server::impl : public std::enable_shared_from_this<http_server::impl>
+{
+public:
+    impl(asio::io_context &context, const http_limits &limits, http_handler handler, http_bad_request_handler badRequest)
+        : m_context(context)
+        , m_acceptor(context)
+        , m_limits(limits)
+        , m_handler(std::move(handler))
+        , m_badRequest(std::move(badRequest))
+    { }
+
+    bool listen(const tcp::endpoint &endpoint, last_reason *reason)
+    {
+        beast::error_code error;
+        m_acceptor.open(endpoint.protocol(), error);
+        if (!error) {
+            m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+        }
+        if (!error) {
+            m_acceptor.bind(endpoint, error);
+        }
+        if (!error) {
+            m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+        }
+        if (error) {
+            setReason(reason, "cannot listen on " + endpoint.address().to_string() + ":" + std::to_string(endpoint.port()) + ": " + error.message());
+            return false;
+        }
+        asio::co_spawn(m_context, accept(shared_from_this()), asio::detached);
+        return true;
+    }
+
+    tcp::endpoint endpoint() const
+    {
+        return m_acceptor.local_endpoint();
+    }
+
+    std::size_t connectionCount() const noexcept
+    {
+        return m_connections;
+    }
+
+    void stopAccepting()
+    {
+        beast::error_code ignored;
+        m_acceptor.close(ignored);
+    }
+
+private:
+    static asio::awaitable<void> accept(std::shared_ptr<impl> self)
+    {
+        while (self->m_acceptor.is_open()) {
+            beast::error_code error;
+            tcp::socket socket = co_await self->m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+            if (error) {
+                continue;
+            }
+            if (self->m_connections >= self->m_limits.maxConnections) {
+                socket.close(error);
+                continue;
+            }
+            socket.set_option(tcp::no_delay(true), error);
+            asio::co_spawn(self->m_context, serve(self, std::move(socket)), asio::detached);
+        }
+    }
+
+    static asio::awaitable<void> serve(std::shared_ptr<impl> self, tcp::socket socket)
+    {
+        ++self->m_connections;
+        beast::error_code error;
+        const tcp::endpoint remote = socket.remote_endpoint(error);
+        const std::string remoteAddress = error ? std::string{} : remote.address().to_string();
+        beast::tcp_stream stream(std::move(socket));
+        beast::flat_buffer buffer;
+        bool goOn = true;
+        while (goOn && self->m_acceptor.is_open()) {
+            goOn = co_await self->serveOne(stream, buffer, remoteAddress);
+        }
+        stream.socket().shutdown(tcp::socket::shutdown_send, error);
+        --self->m_connections;
+    }
+
+    asio::awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer, const std::string &remoteAddress)
+    {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
+        parser.body_limit(m_limits.maxBodyBytes);
+        beast::error_code error;
+        read_deadline deadline(stream.socket());
+        if (buffer.size() == 0) {
+            deadline.arm(m_limits.idleTimeout);
+            const std::size_t count = co_await stream.async_read_some(buffer.prepare(kFirstReadBytes), asio::redirect_error(asio::use_awaitable, error));
+            buffer.commit(count);
+            if (error) {
+                co_return false;
+            }
+        }
+        deadline.arm(m_limits.headerTimeout);
+        co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (!error) {
+            co_await acceptExpectation(stream, parser, error);
+        }
+        if (!error) {
+            deadline.arm(m_limits.bodyTimeout);
+            co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        }
+        deadline.disarm();
+        if (error) {
+            co_await refuse(stream, deadline.hasPassed() ? beast::error_code(beast::error::timeout) : error);
+            co_return false;
+        }
+        co_return co_await answer(stream, parser.release(), remoteAddress);
+    }
+
+    /// Invites the body of a request that asked first.
+    asio::awaitable<void> acceptExpectation(beast::tcp_stream &stream, http::request_parser<http::string_body> &parser, beast::error_code &error)
+    {
+        if (!equalsIgnoringCase(parser.get()[http::field::expect], "100-continue")) {
+            co_return;
+        }
+        http::response<http::empty_body> goOn{http::status::continue_, 11};
+        co_await http::async_write(stream, goOn, asio::redirect_error(asio::use_awaitable, error));
+    }
+
+    asio::awaitable<void> refuse(beast::tcp_stream &stream, const beast::error_code &error)
+    {
+        const unsigned status = statusOfReadError(error);
+        if (status == 0 || !stream.socket().is_open()) {
+            co_return;
+        }
+        auto watch = std::make_shared<close_watch>();
+        responder out(stream, m_limits, false, watch);
+        co_await out.send(m_badRequest(status, error.message()));
+    }
+
+    asio::awaitable<bool> answer(beast::tcp_stream &stream, http::request<http::string_body> message, const std::string &remoteAddress)
+    {
+        auto watch = std::make_shared<close_watch>();
+        responder out(stream, m_limits, message.keep_alive(), watch);
+        asio::co_spawn(m_context, watchForClose(stream.socket(), watch), asio::detached);
+        co_await m_handler(takeRequest(std::move(message), remoteAddress), out);
+        watch->active = false;
+        beast::error_code ignored;
+        stream.socket().cancel(ignored);
+        co_return out.wasSent() && out.mayReuseConnection();
+    }
+
+    asio::io_context &m_context;
+    tcp::acceptor m_acceptor;
+    http_limits m_limits;
+    http_handler m_handler;
+    http_bad_request_handler m_badRequest;
+    std::size_t m_connections = 0;
+};
+
+std::unique_ptr<http_server> http_server::make(asio::io_context &context,
+                                               const tcp::endpoint &endpoint,
+                                               const http_limits &limits,
+                                               http_handler handler,
+                                               http_bad_request_handler badRequest,
+                                               last_reason *reason)
+{
+    auto implementation = std::make_shared<impl>(context, limits, std::move(handler), std::move(badRequest));
+    if (!implementation->listen(endpoint, reason)) {
+        return nullptr;
+    }
+    return std::unique_ptr<http_server>(new http_server(std::move(implementation)));
+}
+
+http_server::http_server(std::shared_ptr<impl> implementation)
+    : m_impl(std::move(implementation))
+{ }
+
+http_server::~http_server()
+{
+    m_impl->stopAccepting();
+}
+
+tcp::endpoint http_server::endpoint() const
+{
+    return m_impl->endpoint();
+}
+
+std::size_t http_server::connectionCount() const noexcept
+{
+    return m_impl->connectionCount();
+}
+
+void http_server::stopAccepting()
+{
+    m_impl->stopAccepting();
+}
+
+} // namespace heatherroute::net
--- /dev/null
+++ b/src/net/json_source.cpp
@@ -0,0 +1,2 @@
+// Boost.JSON is compiled in this one place because its sources are slow to build.
+#include <boost/json/src.hpp>
