Decision core: generations and service calls as a state machine without I/O

Events in, actions out; time, identity and the random seed are arguments. Decode memory is taken before the prefill starts. Every attempt has an id of its own, so late answers of superseded attempts are dropped; cancels repeat until confirmed.

--- /dev/null
+++ b/include/heatherroute/core_event.h
@@ -0,0 +1,184 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "heatherroute/inventory.h"
+#include "heatherroute/time.h"
+#include "heatherroute/verdict.h"
+
+namespace heatherroute
+{
+
+/**
+ * What the decision core is told.
+ *
+ * Events are plain values; whoever embeds the core (the daemon's threads, a bench, a test) makes them from sockets, timers
+ * or a script. Safe to copy and move between threads.
+ */
+
+/// A request of a caller, unique within one process.
+struct caller_id
+{
+    std::uint64_t value = 0;
+    auto operator<=>(const caller_id &) const = default;
+};
+
+/// One try of something on one upstream, unique within one process. A new try gets a new id, so late answers are told apart.
+struct attempt_id
+{
+    std::uint64_t value = 0;
+    auto operator<=>(const attempt_id &) const = default;
+};
+
+/// What the headers of a caller's request say about it, of whatever kind it is.
+struct request_traits
+{
+    std::string requestName; ///< Echoed to the caller and written to logs.
+    std::string team;
+    std::optional<priority_class> priority;
+    std::optional<duration> deadline; ///< Relative to its arrival.
+    std::string idempotencyKey;
+    std::string ticket;
+    bool operator==(const request_traits &) const = default;
+};
+
+/// A caller asks for a generation.
+struct generation_requested
+{
+    caller_id caller;
+    request_traits traits;
+    std::string model;
+    std::string prompt;
+    std::uint32_t maxTokens = 0;
+};
+
+/// A caller calls a plain service.
+struct service_requested
+{
+    caller_id caller;
+    request_traits traits;
+    std::string service;
+    std::string method;
+    std::string path; ///< Below the service's route, with its query; starts with `/`.
+    std::string contentType;
+    std::string body;
+};
+
+/// A caller asks which entries to use.
+struct entries_requested
+{
+    caller_id caller;
+    std::string zone; ///< The caller's availability zone when it names one.
+};
+
+/// A caller has closed, stopped reading, or gone silent.
+struct caller_gone
+{
+    caller_id caller;
+};
+
+/// A prefill engine has computed a KV cache.
+struct prefill_finished
+{
+    attempt_id attempt;
+    std::string kvId;
+    std::uint32_t promptTokens = 0;
+    std::uint32_t cachedTokens = 0;
+    duration lifetime{}; ///< How long the engine keeps the KV cache.
+};
+
+/// Tokens of a generation, in order, the first at @c offset.
+struct tokens_received
+{
+    attempt_id attempt;
+    std::uint32_t offset = 0;
+    std::vector<std::string> texts;
+};
+
+/// A decode engine says that a generation is complete.
+struct decode_finished
+{
+    attempt_id attempt;
+    std::string reason; ///< "stop" or "length".
+    std::uint32_t tokens = 0; ///< Of the whole generation.
+};
+
+/// A plain service has answered.
+struct service_answered
+{
+    attempt_id attempt;
+    unsigned status = 0;
+    std::string contentType;
+    std::string body;
+};
+
+/// Why an attempt failed.
+enum class attempt_failure {
+    Unreachable, ///< No connection.
+    ConnectionLost, ///< The connection ended early or went silent.
+    Refused, ///< The upstream answered that it takes no work.
+    NoCapacity, ///< No slot or no memory.
+    KvGone, ///< The KV cache to import has been dropped.
+    TransferStalled, ///< The KV cache could not be moved.
+    UnknownRequest, ///< Nothing to resume.
+    Rejected, ///< The upstream finds the request itself invalid.
+};
+
+/// An attempt has ended without its result.
+struct attempt_failed
+{
+    attempt_id attempt;
+    attempt_failure failure = attempt_failure::ConnectionLost;
+    verdict outcome = verdict::MayHaveRun;
+    std::string reason;
+};
+
+/// The outcome of a cancel order; @c done is false when it has to be sent again.
+struct cancel_finished
+{
+    attempt_id attempt;
+    bool done = false;
+};
+
+/// An operator or a signal asks for a graceful shutdown; a second one ends it at once.
+struct stop_requested
+{ };
+
+/// Time has passed. Sent every few milliseconds; carries the core's timers.
+struct tick
+{ };
+
+/// An operator asks for the state dump.
+struct dump_requested
+{
+    caller_id caller;
+};
+
+/// An operator asks which entry owns an upstream.
+struct owner_requested
+{
+    caller_id caller;
+    std::string upstreamName;
+};
+
+using core_event = std::variant<tick,
+                                generation_requested,
+                                service_requested,
+                                entries_requested,
+                                caller_gone,
+                                prefill_finished,
+                                tokens_received,
+                                decode_finished,
+                                service_answered,
+                                attempt_failed,
+                                cancel_finished,
+                                stop_requested,
+                                dump_requested,
+                                owner_requested>;
+
+} // namespace heatherroute
--- /dev/null
+++ b/src/core/cancel_queue.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "core/core_context.h"
+#include "core/deadline_queue.h"
+
+namespace heatherroute
+{
+
+/**
+ * Repeats cancel orders until the engine has confirmed them, so that a lost order leaves no engine memory held.
+ *
+ * An order is given up after kGiveUpAfter, when the deadline that every engine request carries has freed the memory or the
+ * engine is gone. Not thread safe.
+ */
+class cancel_queue
+{
+public:
+    explicit cancel_queue(core_context &context);
+
+    /// Orders the engine at @p address to free what it holds for @p engineRequest.
+    void cancel(const std::string &address, const std::string &engineRequest);
+    /// Takes the outcome of an order in.
+    void onFinished(const cancel_finished &event);
+    /// Sends due orders again.
+    void onTick();
+    /// The number of unconfirmed orders.
+    std::size_t size() const noexcept;
+
+private:
+    struct pending
+    {
+        std::string address;
+        std::string engineRequest;
+        instant giveUp;
+        duration backoff;
+    };
+
+    void send(attempt_id attempt, const pending &order);
+
+    core_context &m_context;
+    std::map<attempt_id, pending> m_pending;
+    deadline_queue<attempt_id> m_retries;
+};
+
+} // namespace heatherroute
--- /dev/null
+++ b/src/core/core_context.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "heatherroute/core_action.h"
+#include "heatherroute/router_core.h"
+
+namespace heatherroute
+{
+
+/**
+ * What every module of the core shares while one event is handled: the instant, the actions so far, identity, randomness.
+ *
+ * Not thread safe.
+ */
+class core_context
+{
+public:
+    explicit core_context(core_options options)
+        : m_options(std::move(options))
+        , m_random(m_options.seed)
+    { }
+
+    const core_options &options() const noexcept
+    {
+        return m_options;
+    }
+
+    instant now() const noexcept
+    {
+        return m_now;
+    }
+
+    /// Starts the handling of one event.
+    void begin(instant now)
+    {
+        m_now = now;
+        m_actions.clear();
+    }
+
+    void emit(core_action action)
+    {
+        m_actions.push_back(std::move(action));
+    }
+
+    void log(log_severity severity, std::string message, std::vector<std::pair<std::string, std::string>> fields)
+    {
+        emit(write_log{severity, std::move(message), std::move(fields)});
+    }
+
+    /// Ends the handling of one event.
+    std::vector<core_action> takeActions()
+    {
+        return std::move(m_actions);
+    }
+
+    attempt_id nextAttempt() noexcept
+    {
+        return attempt_id{++m_attempts};
+    }
+
+    /// The id under which an engine knows @p attempt; unique over all entries and their restarts.
+    std::string engineRequest(attempt_id attempt) const
+    {
+        return m_options.entryName + "." + std::to_string(m_options.incarnation) + "." + std::to_string(attempt.value);
+    }
+
+    std::mt19937_64 &random() noexcept
+    {
+        return m_random;
+    }
+
+private:
+    core_options m_options;
+    std::mt19937_64 m_random;
+    instant m_now{};
+    std::vector<core_action> m_actions;
+    std::uint64_t m_attempts = 0;
+};
+
+} // namespace heatherroute
--- /dev/null
+++ b/src/core/generation_flow.cpp
@@ -0,0 +1,429 @@
+#include "core/generation_flow.h"
+
+#include <algorithm>
+#include <sstream>
+
+#include "heatherroute/assert.h"
+
+namespace heatherroute
+{
+
+namespace
+{
+
+constexpr unsigned kMaxTries = 5;
+constexpr duration kRetryAfterFull = std::chrono::seconds(1);
+constexpr duration kPrefillTimeout = std::chrono::seconds(30);
+constexpr std::uint32_t kMaxOutputTokens = 32'768;
+
+/// The number of blank-separated words, which is the number of tokens an engine counts.
+std::uint32_t countTokens(const std::string &text)
+{
+    std::uint32_t count = 0;
+    bool inWord = false;
+    for (const char c : text) {
+        const bool blank = c == ' ' || c == '\n' || c == '\t' || c == '\r';
+        if (!blank && !inWord) {
+            ++count;
+        }
+        inWord = !blank;
+    }
+    return count;
+}
+
+std::uint32_t piecesFor(std::uint32_t tokens, std::uint32_t pieceTokens)
+{
+    const std::uint32_t size = std::max<std::uint32_t>(pieceTokens, 1);
+    return (tokens + size - 1) / size;
+}
+
+bool contains(const std::vector<std::string> &names, const std::string &name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+} // namespace
+
+generation_flow::generation_flow(core_context &context, upstream_table &upstreams, cancel_queue &cancels)
+    : m_context(context)
+    , m_upstreams(upstreams)
+    , m_cancels(cancels)
+{ }
+
+void generation_flow::onRequest(generation_requested request)
+{
+    const caller_id caller = request.caller;
+    const std::string refusal = refusalOf(request);
+    if (!refusal.empty()) {
+        refuse(caller, 400, "invalid_request", refusal, std::nullopt);
+        return;
+    }
+    if (!m_upstreams.serves(upstream_kind::DecodeEngine, request.model)) {
+        refuse(caller, 404, "unknown_model", "no upstream serves this model", std::nullopt);
+        return;
+    }
+    generation work;
+    work.deadline = m_context.now() + request.traits.deadline.value_or(m_context.options().defaultDeadline);
+    work.request = std::move(request);
+    if (!place(work)) {
+        refuse(caller, 503, "no_capacity", "no engine has room now", kRetryAfterFull);
+        return;
+    }
+    generation &stored = m_generations.emplace(caller, std::move(work)).first->second;
+    startPrefill(stored);
+}
+
+std::string generation_flow::refusalOf(const generation_requested &request) const
+{
+    if (request.maxTokens == 0 || request.maxTokens > kMaxOutputTokens) {
+        return "max_tokens must be from 1 to " + std::to_string(kMaxOutputTokens);
+    }
+    if (request.prompt.empty()) {
+        return "prompt must not be empty";
+    }
+    return {};
+}
+
+const upstream_table::entry *generation_flow::choose(upstream_kind kind, const generation &work, std::uint32_t pieces)
+{
+    const upstream_table::entry *best = nullptr;
+    for (const upstream_table::entry *candidate : m_upstreams.candidates(kind, work.request.model)) {
+        const bool full = candidate->used.slots >= candidate->config.slots || candidate->used.pieces + pieces > candidate->config.pieces;
+        const bool limited = kind == upstream_kind::DecodeEngine;
+        if ((limited && full) || contains(work.avoid, candidate->config.name)) {
+            continue;
+        }
+        if (best == nullptr || candidate->used.slots < best->used.slots) {
+            best = candidate;
+        }
+    }
+    return best;
+}
+
+bool generation_flow::place(generation &work)
+{
+    const auto decodes = m_upstreams.candidates(upstream_kind::DecodeEngine, work.request.model);
+    if (decodes.empty()) {
+        return false;
+    }
+    const std::uint32_t tokens = countTokens(work.request.prompt) + work.request.maxTokens;
+    const std::uint32_t pieces = piecesFor(tokens, decodes.front()->config.pieceTokens);
+    const upstream_table::entry *decode = choose(upstream_kind::DecodeEngine, work, pieces);
+    const upstream_table::entry *prefill = choose(upstream_kind::PrefillEngine, work, 0);
+    if (decode == nullptr || prefill == nullptr) {
+        return false;
+    }
+    work.decodeName = decode->config.name;
+    work.decodeAddress = decode->config.address;
+    work.pieces = pieces;
+    work.prefillName = prefill->config.name;
+    work.prefillAddress = prefill->config.address;
+    m_upstreams.take(work.decodeName, work.pieces);
+    m_upstreams.take(work.prefillName, 0);
+    return true;
+}
+
+void generation_flow::startPrefill(generation &work)
+{
+    work.phase = generation_phase::Prefilling;
+    ++work.tries;
+    setAttempt(work);
+    work.engineRequest = m_context.engineRequest(work.attempt);
+    work.prefillRequest = work.engineRequest;
+    m_context.emit(start_prefill{work.attempt,
+                                 work.prefillAddress,
+                                 work.engineRequest,
+                                 work.request.model,
+                                 work.request.prompt,
+                                 work.generated,
+                                 work.request.maxTokens,
+                                 work.request.traits.priority.value_or(priority_class::Interactive),
+                                 work.deadline - m_context.now()});
+    armTimer(work);
+}
+
+void generation_flow::onPrefillFinished(const prefill_finished &event)
+{
+    generation *work = findByAttempt(event.attempt);
+    if (work == nullptr) {
+        return;
+    }
+    work->outcome = combine(work->outcome, verdict::MayHaveRun);
+    work->kvId = event.kvId;
+    work->kvExpires = m_context.now() + event.lifetime;
+    m_attempts.erase(event.attempt);
+    startDecode(*work);
+}
+
+void generation_flow::startDecode(generation &work)
+{
+    work.phase = generation_phase::Decoding;
+    work.resumed = false;
+    setAttempt(work);
+    work.engineRequest = m_context.engineRequest(work.attempt);
+    m_context.emit(start_decode{work.attempt,
+                                work.decodeAddress,
+                                work.engineRequest,
+                                work.request.model,
+                                work.request.prompt,
+                                work.prefillAddress,
+                                work.kvId,
+                                work.delivered,
+                                work.request.maxTokens,
+                                work.request.traits.priority.value_or(priority_class::Interactive),
+                                work.deadline - m_context.now()});
+    armTimer(work);
+}
+
+void generation_flow::onTokens(const tokens_received &event)
+{
+    generation *work = findByAttempt(event.attempt);
+    if (work == nullptr) {
+        return;
+    }
+    releasePrefill(*work);
+    work->resumed = false;
+    work->outcome = verdict::MayHaveRun;
+    if (event.offset > work->delivered) {
+        tryAgain(*work, "tokens are missing");
+        return;
+    }
+    const std::size_t known = work->delivered - event.offset;
+    if (known < event.texts.size()) {
+        deliver_tokens delivery{work->request.caller, work->delivered, {event.texts.begin() + static_cast<std::ptrdiff_t>(known), event.texts.end()}};
+        for (const std::string &text : delivery.texts) {
+            work->generated += text;
+        }
+        work->delivered += static_cast<std::uint32_t>(delivery.texts.size());
+        HR_INVARIANT("every answer whole", delivery.offset + delivery.texts.size() == work->delivered);
+        m_context.emit(std::move(delivery));
+    }
+    armTimer(*work);
+}
+
+void generation_flow::onDecodeFinished(const decode_finished &event)
+{
+    generation *work = findByAttempt(event.attempt);
+    if (work == nullptr) {
+        return;
+    }
+    if (event.tokens != work->delivered) {
+        tryAgain(*work, "the stream ended before its last token");
+        return;
+    }
+    m_context.log(log_severity::Info,
+                  "generation finished",
+                  {{"request", work->request.traits.requestName},
+                   {"upstream", work->decodeName},
+                   {"tokens", std::to_string(event.tokens)},
+                   {"tries", std::to_string(work->tries)},
+                   {"verdict", std::string(toString(verdict::Ran))}});
+    m_context.emit(finish_generation{work->request.caller, event.reason, event.tokens});
+    work->engineRequest.clear();
+    finish(*work);
+}
+
+bool generation_flow::onAttemptFailed(const attempt_failed &event)
+{
+    generation *work = findByAttempt(event.attempt);
+    if (work == nullptr) {
+        return false;
+    }
+    work->outcome = combine(work->outcome, event.outcome);
+    m_attempts.erase(event.attempt);
+    const std::string &engine = work->phase == generation_phase::Decoding ? work->decodeName : work->prefillName;
+    m_context.log(
+        log_severity::Warning,
+        "attempt failed",
+        {{"request", work->request.traits.requestName}, {"upstream", engine}, {"reason", event.reason}, {"verdict", std::string(toString(event.outcome))}});
+    if (event.failure == attempt_failure::Rejected) {
+        fail(*work, 400, "rejected_by_engine", event.reason);
+        return true;
+    }
+    const bool decoding = work->phase == generation_phase::Decoding;
+    if (decoding && event.failure == attempt_failure::ConnectionLost && !work->resumed) {
+        resumeDecode(*work);
+        return true;
+    }
+    const bool kvUsable = event.failure == attempt_failure::NoCapacity || event.failure == attempt_failure::Unreachable
+                          || event.failure == attempt_failure::Refused || event.failure == attempt_failure::TransferStalled;
+    if (decoding && work->delivered == 0 && kvUsable && moveDecode(*work)) {
+        return true;
+    }
+    tryAgain(*work, event.reason);
+    return true;
+}
+
+bool generation_flow::moveDecode(generation &work)
+{
+    if (m_context.now() >= work.kvExpires || work.tries >= kMaxTries || work.prefillName.empty()) {
+        return false;
+    }
+    work.avoid.push_back(work.decodeName);
+    const upstream_table::entry *decode = choose(upstream_kind::DecodeEngine, work, work.pieces);
+    if (decode == nullptr) {
+        return false;
+    }
+    ++work.tries;
+    const std::uint32_t pieces = work.pieces;
+    releaseDecode(work);
+    work.decodeName = decode->config.name;
+    work.decodeAddress = decode->config.address;
+    work.pieces = pieces;
+    m_upstreams.take(work.decodeName, pieces);
+    startDecode(work);
+    return true;
+}
+
+void generation_flow::resumeDecode(generation &work)
+{
+    setAttempt(work);
+    work.resumed = true;
+    m_context.emit(resume_decode{work.attempt, work.decodeAddress, work.engineRequest, work.delivered});
+    armTimer(work);
+}
+
+void generation_flow::tryAgain(generation &work, const std::string &why)
+{
+    const std::string failed = work.phase == generation_phase::Decoding ? work.decodeName : work.prefillName;
+    dropAttempt(work);
+    releaseAll(work);
+    if (!contains(work.avoid, failed)) {
+        work.avoid.push_back(failed);
+    }
+    if (work.tries >= kMaxTries) {
+        fail(work, 502, "upstreams_failed", why);
+        return;
+    }
+    if (!place(work)) {
+        fail(work, 503, "no_capacity", "no other engine has room: " + why);
+        return;
+    }
+    startPrefill(work);
+}
+
+void generation_flow::onCallerGone(caller_id caller)
+{
+    const auto found = m_generations.find(caller);
+    if (found == m_generations.end()) {
+        return;
+    }
+    m_context.log(log_severity::Info, "caller gone", {{"request", found->second.request.traits.requestName}});
+    finish(found->second);
+}
+
+void generation_flow::onTick()
+{
+    for (const caller_id caller : m_timers.takeDue(m_context.now())) {
+        onTimer(m_generations.at(caller));
+    }
+}
+
+void generation_flow::onTimer(generation &work)
+{
+    if (m_context.now() >= work.deadline) {
+        fail(work, 504, "deadline_exceeded", "the request's deadline has passed");
+        return;
+    }
+    m_context.log(log_severity::Warning,
+                  "no progress",
+                  {{"request", work.request.traits.requestName}, {"upstream", work.decodeName}, {"delivered", std::to_string(work.delivered)}});
+    if (work.phase == generation_phase::Decoding && !work.resumed) {
+        m_context.emit(abandon_attempt{work.attempt});
+        m_attempts.erase(work.attempt);
+        resumeDecode(work);
+        return;
+    }
+    tryAgain(work, "no progress");
+}
+
+void generation_flow::armTimer(const generation &work)
+{
+    const duration patience = work.phase == generation_phase::Prefilling ? kPrefillTimeout : m_context.options().streamStall;
+    m_timers.set(work.request.caller, std::min(work.deadline, m_context.now() + patience));
+}
+
+void generation_flow::setAttempt(generation &work)
+{
+    work.attempt = m_context.nextAttempt();
+    m_attempts[work.attempt] = work.request.caller;
+}
+
+void generation_flow::dropAttempt(generation &work)
+{
+    m_context.emit(abandon_attempt{work.attempt});
+    m_attempts.erase(work.attempt);
+}
+
+void generation_flow::releaseDecode(generation &work)
+{
+    if (work.decodeName.empty()) {
+        return;
+    }
+    if (work.phase == generation_phase::Decoding && !work.engineRequest.empty()) {
+        m_cancels.cancel(work.decodeAddress, work.engineRequest);
+    }
+    m_upstreams.giveBack(work.decodeName, work.pieces);
+    work.decodeName.clear();
+}
+
+void generation_flow::releasePrefill(generation &work)
+{
+    if (work.prefillName.empty()) {
+        return;
+    }
+    m_upstreams.giveBack(work.prefillName, 0);
+    work.prefillName.clear();
+}
+
+void generation_flow::releaseAll(generation &work)
+{
+    if (!work.prefillName.empty() && work.delivered == 0) {
+        m_cancels.cancel(work.prefillAddress, work.prefillRequest);
+    }
+    releasePrefill(work);
+    releaseDecode(work);
+}
+
+void generation_flow::finish(generation &work)
+{
+    const caller_id caller = work.request.caller;
+    dropAttempt(work);
+    releaseAll(work);
+    m_timers.erase(caller);
+    m_generations.erase(caller);
+}
+
+void generation_flow::fail(generation &work, unsigned status, const std::string &code, const std::string &message)
+{
+    m_context.log(log_severity::Warning,
+                  "generation failed",
+                  {{"request", work.request.traits.requestName}, {"code", code}, {"verdict", std::string(toString(work.outcome))}});
+    m_context.emit(fail_caller{work.request.caller, status, code, message, work.outcome, kRetryAfterFull});
+    finish(work);
+}
+
+void generation_flow::refuse(caller_id caller, unsigned status, const std::string &code, const std::string &message, std::optional<duration> retryAfter)
+{
+    m_context.emit(fail_caller{caller, status, code, message, verdict::NotRun, retryAfter});
+}
+
+void generation_flow::cutAll()
+{
+    while (!m_generations.empty()) {
+        fail(m_generations.begin()->second, 503, "entry_stopped", "the entry ends before the answer is complete");
+    }
+}
+
+std::size_t generation_flow::size() const noexcept
+{
+    return m_generations.size();
+}
+
+generation_flow::generation *generation_flow::findByAttempt(attempt_id attempt)
+{
+    const auto found = m_attempts.find(attempt);
+    return found == m_attempts.end() ? nullptr : &m_generations.at(found->second);
+}
+
+} // namespace heatherroute
--- /dev/null
+++ b/src/core/generation_flow.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/cancel_queue.h"
+#include "core/core_context.h"
+#include "core/deadline_queue.h"
+#include "core/upstream_table.h"
+
+namespace heatherroute
+{
+
+/// Where a generation stands.
+enum class generation_phase {
+    Prefilling, ///< Waits for a prefill engine; decode memory is reserved.
+    Decoding, ///< Reads a decode engine's stream.
+};
+
+/**
+ * Carries generations from the caller's request to the last token.
+ *
+ * Decode memory is reserved before the prefill starts, because a prefill's result lives under a second. A lost attempt is
+ * replaced: before the first token by a new one, after it by a resume on the same engine over a new connection or by a move
+ * to another engine. Every attempt has an id of its own, so what a superseded one still sends is dropped. Not thread safe.
+ */
+class generation_flow
+{
+public:
+    generation_flow(core_context &context, upstream_table &upstreams, cancel_queue &cancels);
+
+    void onRequest(generation_requested request);
+    void onCallerGone(caller_id caller);
+    void onPrefillFinished(const prefill_finished &event);
+    void onTokens(const tokens_received &event);
+    void onDecodeFinished(const decode_finished &event);
+    /// Returns false when the attempt is not one of a generation.
+    bool onAttemptFailed(const attempt_failed &event);
+    void onTick();
+    /// Ends every generation at once with an error to its caller.
+    void cutAll();
+
+    std::size_t size() const noexcept;
+
+private:
+    struct generation
+    {
+        generation_requested request;
+        instant deadline;
+        generation_phase phase = generation_phase::Prefilling;
+        attempt_id attempt;
+        std::string engineRequest; ///< Of the engine that works now.
+        std::string prefillName;
+        std::string prefillAddress;
+        std::string prefillRequest;
+        std::string kvId;
+        instant kvExpires;
+        std::string decodeName;
+        std::string decodeAddress;
+        std::uint32_t pieces = 0; ///< Reserved on the decode engine.
+        std::uint32_t delivered = 0; ///< Tokens handed to the caller.
+        std::string generated; ///< Their text, for a move to another engine.
+        std::vector<std::string> avoid; ///< Engines that failed this generation.
+        unsigned tries = 0;
+        bool resumed = false; ///< Whether the current engine has been resumed without a token since.
+        verdict outcome = verdict::NotRun;
+    };
+
+    std::string refusalOf(const generation_requested &request) const;
+    generation *findByAttempt(attempt_id attempt);
+    bool place(generation &work);
+    void startPrefill(generation &work);
+    void startDecode(generation &work);
+    bool moveDecode(generation &work);
+    void resumeDecode(generation &work);
+    void tryAgain(generation &work, const std::string &why);
+    void setAttempt(generation &work);
+    void dropAttempt(generation &work);
+    void releaseDecode(generation &work);
+    void releasePrefill(generation &work);
+    void releaseAll(generation &work);
+    void armTimer(const generation &work);
+    void onTimer(generation &work);
+    void fail(generation &work, unsigned status, const std::string &code, const std::string &message);
+    void refuse(caller_id caller, unsigned status, const std::string &code, const std::string &message, std::optional<duration> retryAfter);
+    void finish(generation &work);
+    const upstream_table::entry *choose(upstream_kind kind, const generation &work, std::uint32_t pieces);
+
+    core_context &m_context;
+    upstream_table &m_upstreams;
+    cancel_queue &m_cancels;
+    std::map<caller_id, generation> m_generations;
+    std::map<attempt_id, caller_id> m_attempts;
+    deadline_queue<caller_id> m_timers;
+};
+
+} // namespace heatherroute
--- /dev/null
+++ b/src/core/state_dump.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+#include "core/upstream_table.h"
+#include "heatherroute/router_core.h"
+
+namespace heatherroute
+{
+
+/// How much the core holds at one instant.
+struct core_counts
+{
+    std::size_t generations = 0;
+    std::size_t serviceCalls = 0;
+    std::size_t unconfirmedCancels = 0;
+    bool stopping = false;
+    bool operator==(const core_counts &) const = default;
+};
+
+/// The state dump as a JSON document.
+std::string dumpState(const core_options &options, const core_counts &counts, const upstream_table &upstreams);
+
+/// One upstream as a JSON document.
+std::string dumpUpstream(const upstream_table::entry &known);
+
+/// The answer to callers that ask which entries to use, as a JSON document.
+std::string dumpEntries(const core_options &options, bool stopping);
+
+} // namespace heatherroute
--- /dev/null
+++ b/src/core/upstream_table.cpp
@@ -0,0 +1,101 @@
+#include "core/upstream_table.h"
+
+#include <algorithm>
+
+#include "heatherroute/assert.h"
+
+namespace heatherroute
+{
+
+void upstream_table::upsert(const upstream &config)
+{
+    entry &known = m_entries[config.name];
+    if (!known.config.name.empty()) {
+        removeFromPool(known.config);
+    }
+    known.config = config;
+    known.inConfiguration = true;
+    std::vector<std::string> &pool = m_pools[{config.kind, config.modelOrService}];
+    pool.insert(std::lower_bound(pool.begin(), pool.end(), config.name), config.name);
+}
+
+void upstream_table::remove(const std::string &name)
+{
+    const auto found = m_entries.find(name);
+    if (found == m_entries.end()) {
+        return;
+    }
+    removeFromPool(found->second.config);
+    found->second.inConfiguration = false;
+    forgetIfUnused(name);
+}
+
+const upstream_table::entry *upstream_table::find(const std::string &name) const
+{
+    const auto found = m_entries.find(name);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+std::vector<const upstream_table::entry *> upstream_table::candidates(upstream_kind kind, const std::string &modelOrService) const
+{
+    std::vector<const entry *> result;
+    const auto pool = m_pools.find({kind, modelOrService});
+    if (pool == m_pools.end()) {
+        return result;
+    }
+    for (const std::string &name : pool->second) {
+        const entry &candidate = m_entries.at(name);
+        if (candidate.mayTakeWork()) {
+            result.push_back(&candidate);
+        }
+    }
+    return result;
+}
+
+bool upstream_table::serves(upstream_kind kind, const std::string &modelOrService) const
+{
+    const auto pool = m_pools.find({kind, modelOrService});
+    return pool != m_pools.end() && !pool->second.empty();
+}
+
+std::vector<const upstream_table::entry *> upstream_table::all() const
+{
+    std::vector<const entry *> result;
+    result.reserve(m_entries.size());
+    for (const auto &[name, known] : m_entries) {
+        result.push_back(&known);
+    }
+    return result;
+}
+
+void upstream_table::take(const std::string &name, std::uint32_t pieces)
+{
+    usage &used = m_entries.at(name).used;
+    ++used.slots;
+    used.pieces += pieces;
+}
+
+void upstream_table::giveBack(const std::string &name, std::uint32_t pieces)
+{
+    usage &used = m_entries.at(name).used;
+    HR_INVARIANT("no engine memory held for callers who are gone", used.slots > 0 && used.pieces >= pieces);
+    --used.slots;
+    used.pieces -= pieces;
+    forgetIfUnused(name);
+}
+
+void upstream_table::forgetIfUnused(const std::string &name)
+{
+    const auto found = m_entries.find(name);
+    if (!found->second.inConfiguration && found->second.used == usage{}) {
+        m_entries.erase(found);
+    }
+}
+
+void upstream_table::removeFromPool(const upstream &config)
+{
+    std::vector<std::string> &pool = m_pools[{config.kind, config.modelOrService}];
+    std::erase(pool, config.name);
+}
+
+} // namespace heatherroute
