--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -103,7 +103,7 @@
             }
             const std::string_view piece(chunk.data(), chunk.size() - parser.get().body().size);
             if (streamed && !m_cancelled && !piece.empty()) {
-                onBody(piece);
+                co_await onBody(piece);
             } else if (!streamed) {
                 answer.body.append(piece);
             }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -57,8 +57,8 @@
 class http_exchange : public std::enable_shared_from_this<http_exchange>
 {
 public:
-    /// Takes the bytes of a successful answer as they arrive.
-    using body_hook = std::function<void(std::string_view)>;
+    /// Takes the bytes of a successful answer as they arrive; the next are read when it has returned.
+    using body_hook = std::function<boost::asio::awaitable<void>(std::string_view)>;
 
     /// Prepares @p call on @p executor; nothing is sent before run().
     static std::shared_ptr<http_exchange> make(const boost::asio::any_io_executor &executor, http_call call);
--- /dev/null
+++ b/src/node/bounded_ring.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "heatherroute/assert.h"
+
+namespace heatherroute::node
+{
+
+/**
+ * A bounded queue between two threads.
+ *
+ * Exactly one thread pushes and exactly one pops; neither ever waits for the other. Source: Lamport, "Proving the
+ * Correctness of Multiprocess Programs" (1977), the single-producer single-consumer ring.
+ */
+template<typename T>
+class bounded_ring
+{
+public:
+    /// Precondition: @p capacity is at least 1.
+    explicit bounded_ring(std::size_t capacity)
+        : m_slots(capacity + 1)
+    {
+        HR_ASSERT(capacity >= 1);
+    }
+
+    /// Adds @p value, or returns false and leaves it untouched when the ring is full. Producer thread only.
+    bool tryPush(T &value)
+    {
+        const std::size_t tail = m_tail.load(std::memory_order_relaxed);
+        const std::size_t next = following(tail);
+        if (next == m_head.load(std::memory_order_acquire)) {
+            return false;
+        }
+        m_slots[tail] = std::move(value);
+        m_tail.store(next, std::memory_order_seq_cst);
+        return true;
+    }
+
+    /// Takes the oldest value; empty when there is none. Consumer thread only.
+    std::optional<T> tryPop()
+    {
+        const std::size_t head = m_head.load(std::memory_order_relaxed);
+        if (head == m_tail.load(std::memory_order_seq_cst)) {
+            return std::nullopt;
+        }
+        std::optional<T> value(std::move(*m_slots[head]));
+        m_slots[head].reset();
+        m_head.store(following(head), std::memory_order_release);
+        return value;
+    }
+
+private:
+    std::size_t following(std::size_t index) const noexcept
+    {
+        return index + 1 == m_slots.size() ? 0 : index + 1;
+    }
+
+    std::vector<std::optional<T>> m_slots;
+    alignas(64) std::atomic<std::size_t> m_head{0};
+    alignas(64) std::atomic<std::size_t> m_tail{0};
+};
+
+} // namespace heatherroute::node
--- /dev/null
+++ b/src/node/caller_duty.cpp
@@ -0,0 +1,287 @@
+#include "node/caller_duty.h"
+
+#include <string>
+
+#include "node/caller_answer.h"
+#include "node/session_table.h"
+
+namespace heatherroute::node
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::string_view kServicePrefix = "/svc/";
+constexpr unsigned kOk = 200;
+constexpr const char *kJson = "application/json";
+
+/// Splits "/svc/NAME/rest?query" into name and "/rest?query".
+void splitServiceTarget(const std::string &target, service_requested &call)
+{
+    const std::string rest = target.substr(kServicePrefix.size());
+    const auto end = rest.find_first_of("/?");
+    call.service = rest.substr(0, end);
+    call.path = end == std::string::npos ? "/" : rest.substr(end);
+    if (call.path.front() == '?') {
+        call.path.insert(0, "/");
+    }
+}
+
+fail_caller badRequest(unsigned status, std::string code, std::string message)
+{
+    return {{}, status, std::move(code), std::move(message), verdict::NotRun, std::nullopt};
+}
+
+} // namespace
+
+class caller_duty::impl
+{
+public:
+    impl(asio::io_context &context, const caller_limits &limits, channel<core_event> &toCore)
+        : m_sessions(context, kDuty)
+        , m_limits(limits)
+        , m_toCore(toCore)
+    { }
+
+    bool listen(asio::io_context &context, const asio::ip::tcp::endpoint &endpoint, last_reason *reason)
+    {
+        const auto handler = [this](net::http_request request, net::http_responder &out) { return serve(std::move(request), out); };
+        m_server = net::http_server::make(context, endpoint, m_limits.http, handler, unreadableAnswer, reason);
+        return m_server != nullptr;
+    }
+
+    asio::ip::tcp::endpoint endpoint() const
+    {
+        return m_server->endpoint();
+    }
+
+    void deliver(caller_id caller, core_action action)
+    {
+        const auto found = m_sessions.find(caller);
+        if (!found) {
+            return;
+        }
+        found->push(std::move(action));
+        if (found->queuedBytes() > m_limits.maxBufferedBytes) {
+            found->close();
+        }
+    }
+
+private:
+    /// One exchange: its session and what has been sent so far.
+    struct exchange
+    {
+        net::http_responder &out;
+        std::string requestName;
+        bool stream = false;
+        bool headSent = false;
+        std::string text;
+    };
+
+    asio::awaitable<void> serve(net::http_request request, net::http_responder &out)
+    {
+        const std::string_view path = request.path();
+        if (path == "/v1/completions") {
+            co_await serveCompletion(request, out);
+        } else if (path == "/v1/entry") {
+            co_await serveEntries(request, out);
+        } else if (path.starts_with(kServicePrefix)) {
+            co_await serveService(std::move(request), out);
+        } else {
+            co_await out.send(errorAnswer(badRequest(404, "unknown_path", "no such path")));
+        }
+    }
+
+    asio::awaitable<void> serveCompletion(const net::http_request &request, net::http_responder &out)
+    {
+        if (request.method != "POST") {
+            co_await out.send(errorAnswer(badRequest(405, "method_not_allowed", "completions take POST")));
+            co_return;
+        }
+        last_reason reason;
+        auto parsed = parseCompletion(request, &reason);
+        if (!parsed) {
+            co_await out.send(errorAnswer(badRequest(400, "invalid_request", reason.text())));
+            co_return;
+        }
+        exchange state{out, {}, parsed->stream, false, {}};
+        co_await exchangeWithCore(std::move(parsed->generation), state);
+    }
+
+    asio::awaitable<void> serveEntries(const net::http_request &request, net::http_responder &out)
+    {
+        entries_requested event;
+        event.zone = std::string(request.query("zone"));
+        exchange state{out, {}, false, false, {}};
+        co_await exchangeWithCore(std::move(event), state);
+    }
+
+    asio::awaitable<void> serveService(net::http_request request, net::http_responder &out)
+    {
+        last_reason reason;
+        auto traits = parseTraits(request, &reason);
+        if (!traits) {
+            co_await out.send(errorAnswer(badRequest(400, "invalid_request", reason.text())));
+            co_return;
+        }
+        service_requested event;
+        event.traits = std::move(*traits);
+        event.method = request.method;
+        splitServiceTarget(request.target, event);
+        event.contentType = std::string(request.header("Content-Type"));
+        event.body = std::move(request.body);
+        exchange state{out, {}, false, false, {}};
+        co_await exchangeWithCore(std::move(event), state);
+    }
+
+    static void nameRequest(request_traits &traits, caller_id id)
+    {
+        if (traits.requestName.empty()) {
+            traits.requestName = "r" + std::to_string(id.value & ((1ULL << session_table::kDutyShift) - 1));
+        }
+    }
+
+    template<typename Event>
+    asio::awaitable<void> exchangeWithCore(Event event, exchange &state)
+    {
+        const auto [id, own] = m_sessions.open();
+        event.caller = id;
+        if constexpr (requires { event.traits; }) {
+            nameRequest(event.traits, id);
+            state.requestName = event.traits.requestName;
+        }
+        state.out.onClosed([weak = std::weak_ptr<session>(own)] {
+            if (const auto alive = weak.lock()) {
+                alive->close();
+            }
+        });
+        co_await m_toCore.push(std::move(event));
+        bool goOn = true;
+        while (goOn) {
+            std::optional<core_action> action = co_await own->next();
+            goOn = action && co_await write(std::move(*action), state);
+        }
+        state.out.onClosed({});
+        if (own->isClosed() || state.out.isClosed()) {
+            co_await m_toCore.push(caller_gone{id});
+        }
+        m_sessions.close(id);
+    }
+
+    /// Writes one action; returns whether more follow.
+    asio::awaitable<bool> write(core_action action, exchange &state)
+    {
+        if (auto *tokens = std::get_if<deliver_tokens>(&action)) {
+            co_return co_await writeTokens(*tokens, state);
+        }
+        if (auto *end = std::get_if<finish_generation>(&action)) {
+            co_await writeEnd(*end, state);
+        } else if (auto *failure = std::get_if<fail_caller>(&action)) {
+            co_await writeFailure(*failure, state);
+        } else if (auto *answer = std::get_if<finish_service_call>(&action)) {
+            co_await sendWhole(state.out, answer->status, std::move(answer->contentType), std::move(answer->body));
+        } else if (auto *document = std::get_if<answer_document>(&action)) {
+            co_await sendWhole(state.out, document->status, kJson, std::move(document->body));
+        }
+        co_return false;
+    }
+
+    asio::awaitable<bool> writeTokens(const deliver_tokens &tokens, exchange &state)
+    {
+        std::string data;
+        std::uint32_t offset = tokens.offset;
+        for (const std::string &text : tokens.texts) {
+            if (state.stream) {
+                data += tokenEvent(state.requestName, offset, text);
+            } else {
+                state.text += text;
+            }
+            ++offset;
+        }
+        if (!state.stream) {
+            co_return true;
+        }
+        if (!co_await beginStream(state)) {
+            co_return false;
+        }
+        co_return co_await state.out.write(std::move(data));
+    }
+
+    asio::awaitable<void> writeEnd(const finish_generation &end, exchange &state)
+    {
+        if (!state.stream) {
+            co_await sendWhole(state.out, kOk, kJson, completionBody(state.requestName, state.text, end));
+            co_return;
+        }
+        if (co_await beginStream(state) && co_await state.out.write(finishEvents(state.requestName, end))) {
+            co_await state.out.endStream();
+        }
+    }
+
+    asio::awaitable<void> writeFailure(const fail_caller &failure, exchange &state)
+    {
+        if (!state.headSent) {
+            co_await state.out.send(errorAnswer(failure));
+            co_return;
+        }
+        if (co_await state.out.write(errorEvent(failure))) {
+            co_await state.out.endStream();
+        }
+    }
+
+    static asio::awaitable<void> sendWhole(net::http_responder &out, unsigned status, std::string contentType, std::string body)
+    {
+        net::http_answer answer;
+        answer.status = status;
+        answer.contentType = std::move(contentType);
+        answer.body = std::move(body);
+        co_await out.send(std::move(answer));
+    }
+
+    asio::awaitable<bool> beginStream(exchange &state)
+    {
+        if (state.headSent) {
+            co_return true;
+        }
+        state.headSent = true;
+        net::http_answer head;
+        head.contentType = "text/event-stream";
+        head.fields.push_back({"X-Request-Id", state.requestName});
+        co_return co_await state.out.beginStream(std::move(head));
+    }
+
+    session_table m_sessions;
+    caller_limits m_limits;
+    channel<core_event> &m_toCore;
+    std::unique_ptr<net::http_server> m_server;
+};
+
+std::unique_ptr<caller_duty> caller_duty::make(
+    asio::io_context &context, const asio::ip::tcp::endpoint &endpoint, const caller_limits &limits, channel<core_event> &toCore, last_reason *reason)
+{
+    auto implementation = std::make_unique<impl>(context, limits, toCore);
+    if (!implementation->listen(context, endpoint, reason)) {
+        return nullptr;
+    }
+    return std::unique_ptr<caller_duty>(new caller_duty(std::move(implementation)));
+}
+
+caller_duty::caller_duty(std::unique_ptr<impl> implementation)
+    : m_impl(std::move(implementation))
+{ }
+
+caller_duty::~caller_duty() = default;
+
+asio::ip::tcp::endpoint caller_duty::endpoint() const
+{
+    return m_impl->endpoint();
+}
+
+void caller_duty::deliver(caller_id caller, core_action action)
+{
+    m_impl->deliver(caller, std::move(action));
+}
+
+} // namespace heatherroute::node
--- /dev/null
+++ b/src/node/duty_thread.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <thread>
+
+namespace heatherroute::node
+{
+
+/**
+ * A thread that runs one duty's io_context.
+ *
+ * Objects on the context may be made before start() and destroyed after stop(). Not thread safe.
+ */
+class duty_thread
+{
+public:
+    duty_thread()
+        : m_context(1)
+        , m_guard(m_context.get_executor())
+    { }
+
+    ~duty_thread()
+    {
+        stop();
+    }
+
+    duty_thread(const duty_thread &) = delete;
+    duty_thread &operator=(const duty_thread &) = delete;
+
+    boost::asio::io_context &context() noexcept
+    {
+        return m_context;
+    }
+
+    void start()
+    {
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+
+    /// Ends the thread at once; what is pending on the context is not run.
+    void stop()
+    {
+        m_context.stop();
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+
+private:
+    boost::asio::io_context m_context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard;
+    std::thread m_thread;
+};
+
+} // namespace heatherroute::node
--- /dev/null
+++ b/src/node/upstream_duty.cpp
@@ -0,0 +1,249 @@
+#include "node/upstream_duty.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <map>
+#include <string>
+
+#include "net/event_stream.h"
+#include "net/http_client.h"
+#include "node/engine_messages.h"
+
+namespace heatherroute::node
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::size_t kMaxEventBytes = 64 * 1024;
+constexpr std::chrono::milliseconds kEngineSilence{60'000};
+constexpr std::chrono::milliseconds kCancelTimeout{2'000};
+constexpr unsigned kFirstErrorStatus = 300;
+
+/// Reads a decode stream's pieces into events for the core.
+class decode_reader
+{
+public:
+    decode_reader(attempt_id attempt, channel<core_event> &toCore)
+        : m_attempt(attempt)
+        , m_toCore(toCore)
+    { }
+
+    /// Takes one piece in; the tokens in it reach the core together.
+    asio::awaitable<void> feed(std::string_view piece)
+    {
+        tokens_received tokens;
+        tokens.attempt = m_attempt;
+        for (const std::string &data : m_parser.feed(piece)) {
+            takeEvent(data, tokens);
+        }
+        m_broken = m_broken || m_parser.pendingBytes() > kMaxEventBytes;
+        if (!tokens.texts.empty()) {
+            co_await m_toCore.push(std::move(tokens));
+        }
+        if (m_end && !m_endSent) {
+            m_endSent = true;
+            co_await m_toCore.push(*m_end);
+        }
+    }
+
+    bool endSent() const noexcept
+    {
+        return m_endSent;
+    }
+
+private:
+    void takeEvent(const std::string &data, tokens_received &tokens)
+    {
+        const auto event = parseDecodeEvent(data);
+        if (!event || m_broken || m_end) {
+            m_broken = m_broken || !event;
+            return;
+        }
+        if (event->done) {
+            m_end = decode_finished{m_attempt, event->reason, event->tokens};
+            return;
+        }
+        if (tokens.texts.empty()) {
+            tokens.offset = event->offset;
+        }
+        if (event->offset != tokens.offset + tokens.texts.size()) {
+            m_broken = true;
+            return;
+        }
+        tokens.texts.push_back(event->text);
+    }
+
+    attempt_id m_attempt;
+    channel<core_event> &m_toCore;
+    net::event_stream_parser m_parser;
+    std::optional<decode_finished> m_end;
+    bool m_endSent = false;
+    bool m_broken = false;
+};
+
+net::http_call engineCall(const asio::ip::tcp::endpoint &endpoint, std::string target, std::string body)
+{
+    net::http_call call;
+    call.endpoint = endpoint;
+    call.target = std::move(target);
+    call.body = std::move(body);
+    call.progressTimeout = kEngineSilence;
+    return call;
+}
+
+} // namespace
+
+class upstream_duty::impl
+{
+public:
+    impl(asio::io_context &context, channel<core_event> &toCore)
+        : m_context(context)
+        , m_toCore(toCore)
+    { }
+
+    void perform(const start_prefill &action)
+    {
+        start(action, engineCall({}, "/v1/prefill", prefillBody(action)), &impl::runPrefill);
+    }
+
+    void perform(const start_decode &action)
+    {
+        start(action, engineCall({}, "/v1/decode", decodeBody(action)), &impl::runDecode);
+    }
+
+    void perform(const resume_decode &action)
+    {
+        start(action, engineCall({}, "/v1/resume", resumeBody(action)), &impl::runDecode);
+    }
+
+    void perform(const start_service_call &action)
+    {
+        net::http_call call = engineCall({}, action.path, action.body);
+        call.method = action.method;
+        if (!action.contentType.empty()) {
+            call.contentType = action.contentType;
+        }
+        if (!action.idempotencyKey.empty()) {
+            call.fields.push_back({"Idempotency-Key", action.idempotencyKey});
+        }
+        start(action, std::move(call), &impl::runService);
+    }
+
+    void perform(const abandon_attempt &action)
+    {
+        const auto found = m_open.find(action.attempt);
+        if (found != m_open.end()) {
+            found->second->cancel();
+        }
+    }
+
+    void perform(const cancel_request &action)
+    {
+        const auto endpoint = net::parseEndpoint(action.address);
+        if (!endpoint) {
+            asio::co_spawn(m_context, m_toCore.push(cancel_finished{action.attempt, true}), asio::detached);
+            return;
+        }
+        net::http_call call = engineCall(*endpoint, "/v1/cancel", cancelBody(action));
+        call.progressTimeout = kCancelTimeout;
+        asio::co_spawn(m_context, runCancel(action.attempt, std::move(call)), asio::detached);
+    }
+
+    template<typename Other>
+    void perform(const Other &)
+    { }
+
+private:
+    using exchange_ptr = std::shared_ptr<net::http_exchange>;
+    using runner = asio::awaitable<void> (impl::*)(attempt_id, exchange_ptr);
+
+    template<typename Action>
+    void start(const Action &action, net::http_call call, runner run)
+    {
+        const auto endpoint = net::parseEndpoint(action.address);
+        if (!endpoint) {
+            const attempt_failed failure{action.attempt, attempt_failure::Unreachable, verdict::NotRun, "bad address"};
+            asio::co_spawn(m_context, m_toCore.push(failure), asio::detached);
+            return;
+        }
+        call.endpoint = *endpoint;
+        exchange_ptr exchange = net::http_exchange::make(m_context.get_executor(), std::move(call));
+        m_open.emplace(action.attempt, exchange);
+        asio::co_spawn(m_context, (this->*run)(action.attempt, std::move(exchange)), asio::detached);
+    }
+
+    asio::awaitable<void> runPrefill(attempt_id attempt, exchange_ptr exchange)
+    {
+        const net::http_result result = co_await exchange->run({});
+        m_open.erase(attempt);
+        const bool ok = result.answer && result.answer->status < kFirstErrorStatus;
+        const auto finished = ok ? parsePrefill(attempt, result.answer->body) : std::nullopt;
+        if (finished) {
+            co_await m_toCore.push(*finished);
+        } else {
+            co_await m_toCore.push(failureOf(attempt, result));
+        }
+    }
+
+    asio::awaitable<void> runDecode(attempt_id attempt, exchange_ptr exchange)
+    {
+        decode_reader reader(attempt, m_toCore);
+        const net::http_result result = co_await exchange->run([&reader](std::string_view piece) { return reader.feed(piece); });
+        m_open.erase(attempt);
+        if (reader.endSent()) {
+            co_return;
+        }
+        attempt_failed failure = failureOf(attempt, result);
+        if (result.answer && result.answer->status < kFirstErrorStatus) {
+            failure = {attempt, attempt_failure::ConnectionLost, verdict::MayHaveRun, "the stream ended early"};
+        }
+        co_await m_toCore.push(std::move(failure));
+    }
+
+    asio::awaitable<void> runService(attempt_id attempt, exchange_ptr exchange)
+    {
+        net::http_result result = co_await exchange->run({});
+        m_open.erase(attempt);
+        if (result.answer) {
+            service_answered answered{attempt, result.answer->status, result.answer->contentType, std::move(result.answer->body)};
+            co_await m_toCore.push(std::move(answered));
+        } else {
+            co_await m_toCore.push(failureOf(attempt, result));
+        }
+    }
+
+    asio::awaitable<void> runCancel(attempt_id attempt, net::http_call call)
+    {
+        const net::http_result result = co_await net::performCall(std::move(call));
+        const bool done = result.answer && result.answer->status < kFirstErrorStatus;
+        co_await m_toCore.push(cancel_finished{attempt, done});
+    }
+
+    asio::io_context &m_context;
+    channel<core_event> &m_toCore;
+    std::map<attempt_id, exchange_ptr> m_open;
+};
+
+upstream_duty::upstream_duty(asio::io_context &context, channel<core_event> &toCore)
+    : m_impl(std::make_unique<impl>(context, toCore))
+{ }
+
+upstream_duty::~upstream_duty() = default;
+
+bool upstream_duty::takes(const core_action &action) noexcept
+{
+    return std::holds_alternative<start_prefill>(action) || std::holds_alternative<start_decode>(action) || std::holds_alternative<resume_decode>(action)
+           || std::holds_alternative<start_service_call>(action) || std::holds_alternative<abandon_attempt>(action)
+           || std::holds_alternative<cancel_request>(action);
+}
+
+void upstream_duty::perform(core_action action)
+{
+    std::visit([this](const auto &typed) { m_impl->perform(typed); }, action);
+}
+
+} // namespace heatherroute::node
