Configuration records and acceptance as a function of the log's prefix

A revision that every change must match exactly would make unrelated publishers reject each other; one per half still does so within a half and has no answer for an upstream that changes hands. So a conflict is found per entity: a change is stale when something that it writes was written, or removed, after the revision it was worked out from. A publisher of a whole half can guard the half instead. Two entities may not share an address, and no change may take a group of upstreams below its capacity floor, since two changes that are each fine could do so together.

--- /dev/null
+++ b/src/core/config_hash.cpp
@@ -0,0 +1,126 @@
+#include "core/config_hash.h"
+
+#include <string>
+#include <type_traits>
+#include <xxhash.h>
+
+namespace heatherroute::detail
+{
+
+namespace
+{
+
+/// Joins fields so that no two different lists of fields give the same bytes.
+class field_bytes
+{
+public:
+    explicit field_bytes(char tag)
+    {
+        m_bytes.push_back(tag);
+    }
+
+    field_bytes &add(std::uint64_t number)
+    {
+        for (int shift = 0; shift < 64; shift += 8) {
+            m_bytes.push_back(static_cast<char>((number >> shift) & 0xffU));
+        }
+        return *this;
+    }
+
+    field_bytes &add(std::string_view text)
+    {
+        add(static_cast<std::uint64_t>(text.size()));
+        m_bytes.append(text);
+        return *this;
+    }
+
+    field_bytes &add(const std::vector<std::string> &list)
+    {
+        add(static_cast<std::uint64_t>(list.size()));
+        for (const std::string &text : list) {
+            add(std::string_view(text));
+        }
+        return *this;
+    }
+
+    field_bytes &add(const config_revision &revision)
+    {
+        return add(static_cast<std::uint64_t>(revision.has_value())).add(revision.value_or(0));
+    }
+
+    std::uint64_t hash() const
+    {
+        return XXH3_64bits(m_bytes.data(), m_bytes.size());
+    }
+
+private:
+    std::string m_bytes;
+};
+
+void addRule(field_bytes &bytes, const service_route &value)
+{
+    bytes.add(value.service).add(value.pathPrefix).add(value.idempotentMethods);
+}
+
+void addRule(field_bytes &bytes, const team_rule &value)
+{
+    bytes.add(value.name).add(value.weight).add(value.maxConcurrent);
+}
+
+void addRule(field_bytes &bytes, const model_rule &value)
+{
+    bytes.add(value.model).add(value.maxPromptTokens).add(value.maxOutputTokens).add(value.version).add(value.adapters);
+}
+
+void addRule(field_bytes &bytes, const capacity_floor &value)
+{
+    bytes.add(value.half).add(static_cast<std::uint64_t>(value.kind)).add(value.modelOrService).add(value.minActive);
+}
+
+void addRule(field_bytes &bytes, const priority_default &value)
+{
+    bytes.add(value.modelOrService).add(static_cast<std::uint64_t>(value.priority));
+}
+
+} // namespace
+
+std::uint64_t hashOf(const written_upstream &value)
+{
+    const upstream &u = value.value;
+    field_bytes bytes('u');
+    bytes.add(u.name).add(u.address).add(u.zone).add(u.half).add(static_cast<std::uint64_t>(u.kind)).add(u.modelOrService);
+    bytes.add(u.slots).add(u.pieces).add(u.pieceTokens).add(static_cast<std::uint64_t>(u.state)).add(static_cast<std::uint64_t>(u.checksFence));
+    return bytes.add(value.writtenAt).hash();
+}
+
+std::uint64_t hashOf(const written_rule &value)
+{
+    field_bytes bytes('r');
+    bytes.add(static_cast<std::uint64_t>(value.value.index()));
+    std::visit([&bytes](const auto &one) { addRule(bytes, one); }, value.value);
+    return bytes.add(value.writtenAt).hash();
+}
+
+std::uint64_t hashOf(const remembered_publish &value)
+{
+    field_bytes bytes('p');
+    bytes.add(value.publishId).add(value.result.offset).add(static_cast<std::uint64_t>(value.result.outcome)).add(value.result.detail);
+    return bytes.hash();
+}
+
+std::uint64_t hashOfRemoval(entity_kind kind, std::string_view key, log_offset offset)
+{
+    return field_bytes('x').add(static_cast<std::uint64_t>(kind)).add(key).add(offset).hash();
+}
+
+std::uint64_t hashOfHalf(std::string_view half, log_offset offset)
+{
+    return field_bytes('h').add(half).add(offset).hash();
+}
+
+std::uint64_t hashOfRevisions(const config_revision &revision, const config_revision &forgottenRemoval)
+{
+    return field_bytes('v').add(revision).add(forgottenRemoval).hash();
+}
+
+} // namespace heatherroute::detail
