--- a/include/heatherroute/core_action.h
+++ b/include/heatherroute/core_action.h
@@ -150,6 +150,19 @@
     int exitCode = 0;
 };
 
+/// Read the configuration stream of the platform's log, waiting a while for a record. Answered by exactly one of log_read,
+/// log_forgotten and log_unavailable.
+struct read_log
+{
+    log_offset from = 0;
+};
+
+/// Append one record to the configuration stream. Not answered: a record that matters shows when it is read.
+struct append_log
+{
+    std::string record;
+};
+
 using core_action = std::variant<start_prefill,
                                  start_decode,
                                  resume_decode,
@@ -162,6 +175,8 @@
                                  answer_document,
                                  fail_caller,
                                  write_log,
+                                 read_log,
+                                 append_log,
                                  stop_process>;
 
 } // namespace heatherroute
--- a/include/heatherroute/core_event.h
+++ b/include/heatherroute/core_event.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "heatherroute/config_replica.h"
 #include "heatherroute/inventory.h"
 #include "heatherroute/time.h"
 #include "heatherroute/verdict.h"
@@ -166,6 +167,25 @@
     std::string upstreamName;
 };
 
+/// The log has answered a read.
+struct log_read
+{
+    instant askedAt; ///< When the question was sent.
+    log_batch batch;
+};
+
+/// The log no longer holds the record that a read asked for.
+struct log_forgotten
+{
+    log_offset oldest = 0;
+};
+
+/// The log did not answer a read.
+struct log_unavailable
+{
+    std::string reason;
+};
+
 using core_event = std::variant<tick,
                                 generation_requested,
                                 service_requested,
@@ -179,6 +199,9 @@
                                 cancel_finished,
                                 stop_requested,
                                 dump_requested,
-                                owner_requested>;
+                                owner_requested,
+                                log_read,
+                                log_forgotten,
+                                log_unavailable>;
 
 } // namespace heatherroute
--- a/include/heatherroute/router_core.h
+++ b/include/heatherroute/router_core.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
+#include "heatherroute/config_replica.h"
 #include "heatherroute/core_action.h"
 #include "heatherroute/core_event.h"
-#include "heatherroute/inventory.h"
 #include "heatherroute/last_reason.h"
 #include "heatherroute/time.h"
 
@@ -27,6 +27,7 @@
     duration defaultDeadline = std::chrono::minutes(5); ///< Of requests that name none.
     duration streamStall = std::chrono::milliseconds(1'500); ///< Silence of a decode stream before its connection is doubted.
     duration stopLimit = std::chrono::minutes(10); ///< The longest graceful shutdown.
+    replica_settings configuration; ///< Of this entry's copy of the configuration.
     duration entryLifetime = std::chrono::seconds(30); ///< How long callers may keep the entry answer.
 };
 
--- /dev/null
+++ b/src/core/config_flow.cpp
@@ -0,0 +1,123 @@
+#include "core/config_flow.h"
+
+#include <algorithm>
+
+namespace heatherroute
+{
+
+namespace
+{
+
+constexpr duration kFirstBackoff = std::chrono::milliseconds(100);
+constexpr duration kMaxBackoff = std::chrono::seconds(2);
+
+} // namespace
+
+config_flow::config_flow(core_context &context, upstream_table &upstreams, std::unique_ptr<config_replica> replica)
+    : m_context(context)
+    , m_upstreams(upstreams)
+    , m_replica(std::move(replica))
+    , m_backoff(kFirstBackoff)
+{ }
+
+void config_flow::onLogRead(const log_read &event)
+{
+    m_reading = false;
+    m_backoff = kFirstBackoff;
+    perform(m_replica->onLogRead(event.askedAt, m_context.now(), event.batch));
+    readNext();
+}
+
+void config_flow::onLogForgotten(const log_forgotten &event)
+{
+    m_reading = false;
+    perform(m_replica->onLogForgotten(m_context.now(), event.oldest));
+    readLater();
+}
+
+void config_flow::onLogUnavailable(const log_unavailable &event)
+{
+    m_reading = false;
+    m_context.log(log_severity::Debug, "log unavailable", {{"reason", event.reason}});
+    readLater();
+}
+
+void config_flow::onTick()
+{
+    perform(m_replica->tick(m_context.now()));
+    if (!m_reading && m_context.now() >= m_readAt) {
+        readNext();
+    }
+}
+
+void config_flow::readNext()
+{
+    m_reading = true;
+    m_context.emit(read_log{m_replica->readFrom()});
+}
+
+void config_flow::readLater()
+{
+    std::uniform_int_distribution<duration::rep> jitter(0, m_backoff.count());
+    m_readAt = m_context.now() + m_backoff + duration(jitter(m_context.random()));
+    m_backoff = std::min(m_backoff * 2, kMaxBackoff);
+}
+
+void config_flow::perform(config_effects effects)
+{
+    for (config_effect &effect : effects) {
+        std::visit([this](auto &typed) { perform(typed); }, effect);
+    }
+}
+
+void config_flow::perform(publish_decided &effect)
+{
+    const bool accepted = effect.result.accepted == acceptance::Accepted;
+    m_context.log(log_severity::Info,
+                  "publication decided",
+                  {{"publish_id", effect.publishId},
+                   {"offset", std::to_string(effect.result.decision.offset)},
+                   {"accepted", accepted ? "true" : "false"},
+                   {"detail", effect.result.decision.detail}});
+    refresh(effect.result.changed);
+}
+
+void config_flow::perform(state_adopted &effect)
+{
+    refresh(effect.changed);
+}
+
+void config_flow::perform(append_snapshot &effect)
+{
+    m_context.emit(append_log{std::move(effect.record)});
+}
+
+void config_flow::perform(request_from_peer &)
+{ }
+
+void config_flow::perform(state_disagreement &effect)
+{
+    m_context.log(log_severity::Error, "configurations disagree", {{"peer", effect.peer}, {"next", std::to_string(effect.next)}});
+}
+
+void config_flow::refresh(const std::vector<entity_key> &changed)
+{
+    for (const entity_key &key : changed) {
+        if (key.kind == entity_kind::Upstream) {
+            refreshUpstream(key.name);
+        }
+    }
+}
+
+void config_flow::refreshUpstream(const std::string &name)
+{
+    const auto &upstreams = m_replica->state().upstreams();
+    const auto found = upstreams.find(name);
+    if (found == upstreams.end() || found->second.value.half != m_context.options().half) {
+        m_upstreams.remove(name);
+        return;
+    }
+    m_upstreams.upsert(found->second.value);
+}
+
+} // namespace heatherroute
--- /dev/null
+++ b/src/core/config_flow.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/core_context.h"
+#include "core/upstream_table.h"
+#include "heatherroute/config_replica.h"
+
+namespace heatherroute
+{
+
+/**
+ * Keeps this entry's copy of the configuration and carries its changes into the upstream table.
+ *
+ * Reads the platform's log without pause: one read is always outstanding or waits for its retry. Not thread safe.
+ */
+class config_flow
+{
+public:
+    /// Precondition: @p replica is not null.
+    config_flow(core_context &context, upstream_table &upstreams, std::unique_ptr<config_replica> replica);
+
+    void onLogRead(const log_read &event);
+    void onLogForgotten(const log_forgotten &event);
+    void onLogUnavailable(const log_unavailable &event);
+    void onTick();
+
+    /// The copy itself, for questions.
+    const config_replica &replica() const noexcept
+    {
+        return *m_replica;
+    }
+
+private:
+    void readNext();
+    void readLater();
+    void perform(config_effects effects);
+    void perform(publish_decided &effect);
+    void perform(state_adopted &effect);
+    void perform(append_snapshot &effect);
+    void perform(request_from_peer &effect);
+    void perform(state_disagreement &effect);
+    void refresh(const std::vector<entity_key> &changed);
+    void refreshUpstream(const std::string &name);
+
+    core_context &m_context;
+    upstream_table &m_upstreams;
+    std::unique_ptr<config_replica> m_replica;
+    bool m_reading = false;
+    instant m_readAt{};
+    duration m_backoff;
+};
+
+} // namespace heatherroute
--- a/src/core/router_core.cpp
+++ b/src/core/router_core.cpp
@@ -4,6 +4,7 @@
 #include <type_traits>
 
 #include "core/cancel_queue.h"
+#include "core/config_flow.h"
 #include "core/core_context.h"
 #include "core/generation_flow.h"
 #include "core/service_flow.h"
@@ -24,8 +25,9 @@
 class router_core::impl
 {
 public:
-    explicit impl(core_options options)
+    impl(core_options options, std::unique_ptr<config_replica> replica)
         : m_context(std::move(options))
+        , m_configuration(m_context, m_upstreams, std::move(replica))
         , m_cancels(m_context)
         , m_generations(m_context, m_upstreams, m_cancels)
         , m_services(m_context, m_upstreams, [this](const service_requested &request) { return isIdempotent(request); })
@@ -43,6 +45,7 @@
 private:
     void on(tick &)
     {
+        m_configuration.onTick();
         m_generations.onTick();
         m_services.onTick();
         m_cancels.onTick();
@@ -119,7 +122,9 @@
     void on(dump_requested &event)
     {
         const core_counts counts{m_generations.size(), m_services.size(), m_cancels.size(), m_stopping};
-        m_context.emit(answer_document{event.caller, 200, dumpState(m_context.options(), counts, m_upstreams)});
+        const config_replica &replica = m_configuration.replica();
+        const config_status status = config_status::make(replica, m_context.now());
+        m_context.emit(answer_document{event.caller, 200, dumpState(m_context.options(), counts, status, m_upstreams)});
     }
 
     void on(owner_requested &event)
@@ -132,8 +137,27 @@
         m_context.emit(answer_document{event.caller, 200, dumpUpstream(*known)});
     }
 
+    void on(log_read &event)
+    {
+        m_configuration.onLogRead(event);
+    }
+
+    void on(log_forgotten &event)
+    {
+        m_configuration.onLogForgotten(event);
+    }
+
+    void on(log_unavailable &event)
+    {
+        m_configuration.onLogUnavailable(event);
+    }
+
     bool admits(caller_id caller)
     {
+        if (m_configuration.replica().isCutOff(m_context.now())) {
+            m_context.emit(fail_caller{caller, 503, "configuration_unknown", "this entry cannot tell its configuration now", verdict::NotRun, kRetryAfterStop});
+            return false;
+        }
         if (m_stopping) {
             m_context.emit(fail_caller{caller, 503, "entry_stopping", "this entry takes no new work", verdict::NotRun, kRetryAfterStop});
             return false;
@@ -147,7 +171,18 @@
 
     bool isIdempotent(const service_requested &request) const
     {
-        return request.method == "GET" || request.method == "HEAD";
+        const service_route *best = nullptr;
+        for (const auto &[key, written] : m_configuration.replica().state().rules()) {
+            const auto *route = std::get_if<service_route>(&written.value);
+            const bool matches = route != nullptr && route->service == request.service && request.path.starts_with(route->pathPrefix);
+            if (matches && (best == nullptr || route->pathPrefix.size() > best->pathPrefix.size())) {
+                best = route;
+            }
+        }
+        if (best == nullptr) {
+            return false;
+        }
+        return std::binary_search(best->idempotentMethods.begin(), best->idempotentMethods.end(), request.method);
     }
 
     std::size_t inFlight() const noexcept
@@ -180,6 +215,7 @@
 
     core_context m_context;
     upstream_table m_upstreams;
+    config_flow m_configuration;
     cancel_queue m_cancels;
     generation_flow m_generations;
     service_flow m_services;
@@ -194,7 +230,11 @@
         setReason(reason, "an entry needs a name and a half");
         return nullptr;
     }
-    return std::unique_ptr<router_core>(new router_core(std::make_unique<impl>(std::move(options))));
+    auto replica = config_replica::make(options.configuration, options.seed, reason);
+    if (!replica) {
+        return nullptr;
+    }
+    return std::unique_ptr<router_core>(new router_core(std::make_unique<impl>(std::move(options), std::move(replica))));
 }
 
 router_core::router_core(std::unique_ptr<impl> implementation)
--- a/src/core/state_dump.cpp
+++ b/src/core/state_dump.cpp
@@ -24,9 +24,31 @@
             {"pieces_used", known.used.pieces}};
 }
 
+json::object configurationObject(const config_status &status)
+{
+    json::object result{{"next", status.next}, {"digest", status.digest}, {"established", status.established}, {"cut_off", status.cutOff}};
+    result["revision"] = status.revision ? json::value(*status.revision) : json::value(nullptr);
+    if (status.freshness) {
+        result["freshness_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(*status.freshness).count();
+    }
+    return result;
+}
+
 } // namespace
 
-std::string dumpState(const core_options &options, const core_counts &counts, const upstream_table &upstreams)
+config_status config_status::make(const config_replica &replica, instant now)
+{
+    config_status status;
+    status.next = replica.state().next();
+    status.revision = replica.state().revision();
+    status.digest = replica.state().digest();
+    status.established = replica.isEstablished();
+    status.cutOff = replica.isCutOff(now);
+    status.freshness = replica.freshness(now);
+    return status;
+}
+
+std::string dumpState(const core_options &options, const core_counts &counts, const config_status &configuration, const upstream_table &upstreams)
 {
     json::array list;
     for (const upstream_table::entry *known : upstreams.all()) {
@@ -40,6 +62,7 @@
                                 {"generations", counts.generations},
                                 {"service_calls", counts.serviceCalls},
                                 {"unconfirmed_cancels", counts.unconfirmedCancels},
+                                {"configuration", configurationObject(configuration)},
                                 {"upstreams", std::move(list)}};
     return json::serialize(document);
 }
--- a/src/core/state_dump.h
+++ b/src/core/state_dump.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <string>
 
 #include "core/upstream_table.h"
+#include "heatherroute/config_replica.h"
 #include "heatherroute/router_core.h"
 
 namespace heatherroute
@@ -19,8 +22,23 @@
     bool operator==(const core_counts &) const = default;
 };
 
+/// What the entry knows of the configuration.
+struct config_status
+{
+    log_offset next = 0; ///< The first record that is not applied.
+    config_revision revision;
+    std::uint64_t digest = 0;
+    bool established = false;
+    bool cutOff = true;
+    std::optional<duration> freshness;
+
+    /// The status of @p replica at @p now.
+    static config_status make(const config_replica &replica, instant now);
+    bool operator==(const config_status &) const = default;
+};
+
 /// The state dump as a JSON document.
-std::string dumpState(const core_options &options, const core_counts &counts, const upstream_table &upstreams);
+std::string dumpState(const core_options &options, const core_counts &counts, const config_status &configuration, const upstream_table &upstreams);
 
 /// One upstream as a JSON document.
 std::string dumpUpstream(const upstream_table::entry &known);
