Settings of an entry: strict reader, generated page, examples, log lines

An entry starts from one YAML file alone, so a mistake in it has to show before the entry runs, and all mistakes at once.

One table describes each key with type, range, default, unit and meaning; the reader, its messages and docs/SETTINGS.md are made from it, and a test holds the page to it. yaml-cpp keeps repeated keys and answers with the first, so mappings are walked entry by entry. Values are read as plain decimal digits and numeric addresses: quotes, signs and other bases are refused, since YAML readers differ in them. Relations between keys (cut-off above the poll wait, probe timeout below the interval) are checked unless one of the two was refused already. The cut-off is bounded by 9 s, since a node that can't hear of a handover must stop within seconds. Several documents in one file are refused rather than read in part.

Log lines are values, so the core can emit them. Values are escaped: a caller's request id can't forge a line or a field.

--- /dev/null
+++ b/src/settings/settings_table.cpp
@@ -0,0 +1,368 @@
+#include "settings/settings_table.h"
+
+#include "settings/settings_names.h"
+#include "settings/yaml_reader.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace heatherroute::detail
+{
+namespace
+{
+
+// A listening port of 0 lets the kernel choose; an address to connect to needs a real port.
+constexpr std::uint32_t kAnyPort = 0;
+constexpr std::uint32_t kRealPort = 1;
+constexpr std::uint64_t kMaxMilliseconds = 3'600'000;
+// An entry that can't hear of a handover must stop giving out work within seconds, so this bound is far lower.
+constexpr std::uint64_t kMaxCutOffMilliseconds = 9000;
+constexpr std::uint64_t kMaxSeconds = 86'400;
+constexpr std::uint64_t kMebibyte = 1'048'576;
+
+/// Range and default of a number.
+struct number_range
+{
+    std::uint64_t min = 0;
+    std::uint64_t max = 0;
+    std::uint64_t fallback = 0;
+};
+
+settings_key withDefault(settings_key key, std::string defaultText)
+{
+    key.presence = key_presence::Defaulted;
+    key.defaultText = std::move(defaultText);
+    return key;
+}
+
+// The `field` arguments below are functions from entry_values to a reference of the field that the key sets.
+
+template<typename Field>
+settings_key nameKey(const std::string &path, Field field, const std::string &doc)
+{
+    settings_key key;
+    key.path = path;
+    key.type = "text";
+    key.accepted = kNameAccepted;
+    key.doc = doc;
+    key.assign = [field](const YAML::Node &node, entry_values &values) {
+        const std::optional<std::string> text = parseName(node);
+        if (text) {
+            field(values) = *text;
+        }
+        return text.has_value();
+    };
+    return key;
+}
+
+std::string addressAccepted(std::uint32_t minPort)
+{
+    return "IP:port with a numeric address (IPv6 in brackets) and a port from " + std::to_string(minPort) + " to 65535";
+}
+
+template<typename Field>
+settings_key addressKey(const std::string &path, std::uint32_t minPort, Field field, const std::string &doc)
+{
+    settings_key key;
+    key.path = path;
+    key.type = "address";
+    key.accepted = addressAccepted(minPort);
+    key.doc = doc;
+    key.assign = [field, minPort](const YAML::Node &node, entry_values &values) {
+        const std::optional<std::string> text = parseAddress(node, minPort);
+        if (text) {
+            field(values) = *text;
+        }
+        return text.has_value();
+    };
+    return key;
+}
+
+template<typename Field>
+settings_key optionalAddressKey(const std::string &path, Field field, const std::string &instead, const std::string &doc)
+{
+    settings_key key = addressKey(path, kRealPort, field, doc);
+    key.presence = key_presence::Optional;
+    key.defaultText = instead;
+    return key;
+}
+
+std::string rangeAccepted(std::uint64_t min, std::uint64_t max)
+{
+    return "an integer from " + std::to_string(min) + " to " + std::to_string(max);
+}
+
+// Value is the type of the field: an unsigned integer or a std::chrono duration.
+template<typename Value, typename Field>
+settings_key numberKey(const std::string &path, const number_range &range, const std::string &unit, Field field, const std::string &doc)
+{
+    settings_key key;
+    key.path = path;
+    key.type = "integer";
+    key.accepted = rangeAccepted(range.min, range.max);
+    key.unit = unit;
+    key.doc = doc;
+    key.assign = [field, range](const YAML::Node &node, entry_values &values) {
+        const std::optional<std::uint64_t> number = parseInteger(node, range.min, range.max);
+        if (number) {
+            field(values) = Value(*number);
+        }
+        return number.has_value();
+    };
+    return withDefault(key, std::to_string(range.fallback));
+}
+
+template<typename Field>
+settings_key bytesKey(const std::string &path, const number_range &range, Field field, const std::string &doc)
+{
+    return numberKey<std::uint64_t>(path, range, "bytes", field, doc);
+}
+
+template<typename Field>
+settings_key countKey(const std::string &path, const number_range &range, Field field, const std::string &doc)
+{
+    return numberKey<std::uint32_t>(path, range, "", field, doc);
+}
+
+template<typename Field>
+settings_key millisecondsKey(const std::string &path, std::uint64_t min, std::uint64_t fallback, Field field, const std::string &doc)
+{
+    return numberKey<std::chrono::milliseconds>(path, {min, kMaxMilliseconds, fallback}, "ms", field, doc);
+}
+
+template<typename Field>
+settings_key secondsKey(const std::string &path, std::uint64_t fallback, Field field, const std::string &doc)
+{
+    return numberKey<std::chrono::seconds>(path, {1, kMaxSeconds, fallback}, "s", field, doc);
+}
+
+template<typename Enum, std::size_t Count, typename Field>
+settings_key choiceKey(const std::string &path, const enum_names<Enum, Count> &names, Enum fallback, Field field, const std::string &doc)
+{
+    settings_key key;
+    key.path = path;
+    key.type = "choice";
+    key.accepted = "one of " + joinWords({names.words.begin(), names.words.end()});
+    key.doc = doc;
+    key.assign = [field, names](const YAML::Node &node, entry_values &values) {
+        const std::optional<std::string> text = parseText(node);
+        const std::optional<Enum> value = text ? names.find(*text) : std::nullopt;
+        if (value) {
+            field(values) = *value;
+        }
+        return value.has_value();
+    };
+    return withDefault(key, std::string(names.nameOf(fallback)));
+}
+
+bool appendSeed(const YAML::Node &item, entry_values &values)
+{
+    const std::optional<std::string> address = parseAddress(item, kRealPort);
+    if (!address || std::find(values.seeds.begin(), values.seeds.end(), *address) != values.seeds.end()) {
+        return false;
+    }
+    values.seeds.push_back(*address);
+    return true;
+}
+
+settings_key seedsKey()
+{
+    settings_key key;
+    key.path = "seeds";
+    key.type = "list of addresses";
+    key.isList = true;
+    key.accepted = "a list of addresses without repetition, each " + addressAccepted(kRealPort);
+    key.doc = "Peer addresses of some other entries, asked first when the entry joins. Its own address may be among them.";
+    key.assign = appendSeed;
+    return withDefault(key, "[]");
+}
+
+settings_key seedKey()
+{
+    constexpr std::uint64_t kMax = std::numeric_limits<std::uint64_t>::max();
+    settings_key key = numberKey<std::uint64_t>(
+        "seed", {0, kMax, 0}, "", [](entry_values & v) -> auto & { return v.seed; }, "Seed of the entry's random choices, for runs that must repeat.");
+    key.presence = key_presence::Optional;
+    key.defaultText = "taken from the system";
+    return key;
+}
+
+using key_list = std::vector<settings_key>;
+
+void addIdentityKeys(key_list &keys)
+{
+    keys.push_back(nameKey(
+        "name", [](entry_values & v) -> auto & { return v.name; }, "Name of the entry, unique in the fleet."));
+    keys.push_back(nameKey(
+        "half", [](entry_values & v) -> auto & { return v.half; }, "Half of the fleet that the entry serves, as in the inventory."));
+    keys.push_back(nameKey(
+        "zone", [](entry_values & v) -> auto & { return v.zone; }, "Availability zone of the entry's VM."));
+    keys.push_back(nameKey(
+        "region", [](entry_values & v) -> auto & { return v.region; }, "Region of the availability zone."));
+}
+
+void addAddressKeys(key_list &keys)
+{
+    keys.push_back(addressKey(
+        "listen.callers", kAnyPort, [](entry_values & v) -> auto & { return v.listen.callers; }, "TCP address for callers."));
+    keys.push_back(addressKey(
+        "listen.operators", kAnyPort, [](entry_values & v) -> auto & { return v.listen.operators; }, "TCP address for operators: metrics, dumps, drain."));
+    keys.push_back(addressKey(
+        "listen.peers", kAnyPort, [](entry_values & v) -> auto & { return v.listen.peers; }, "Address for other entries, on UDP and TCP alike."));
+    keys.push_back(optionalAddressKey(
+        "advertise.callers",
+        [](entry_values & v) -> auto & { return v.advertise.callers; },
+        "the bound address of `listen.callers`",
+        "Address that callers are told to connect to."));
+    keys.push_back(optionalAddressKey(
+        "advertise.peers",
+        [](entry_values & v) -> auto & { return v.advertise.peers; },
+        "the bound address of `listen.peers`",
+        "Address that other entries are told to use."));
+    keys.push_back(addressKey(
+        "platform.log", kRealPort, [](entry_values & v) -> auto & { return v.platform.log; }, "Address of the platform's log service."));
+    keys.push_back(addressKey(
+        "platform.vms", kRealPort, [](entry_values & v) -> auto & { return v.platform.vms; }, "Address of the platform's list of VMs."));
+    keys.push_back(withDefault(nameKey(
+                                   "platform.config_stream",
+                                   [](entry_values & v) -> auto & { return v.platform.configStream; },
+                                   "Stream of the log that carries the configuration; the same for both halves."),
+                               "config"));
+    keys.push_back(seedsKey());
+}
+
+void addLimitKeys(key_list &keys)
+{
+    keys.push_back(bytesKey(
+        "limits.max_body_bytes",
+        {1024, 1024 * kMebibyte, 8 * kMebibyte},
+        [](entry_values & v) -> auto & { return v.limits.maxBodyBytes; },
+        "Largest body of a request; a larger one is refused with 413."));
+    keys.push_back(bytesKey(
+        "limits.max_header_bytes",
+        {1024, kMebibyte, 16384},
+        [](entry_values & v) -> auto & { return v.limits.maxHeaderBytes; },
+        "Largest header of a request; a larger one is refused with 431."));
+    keys.push_back(countKey(
+        "limits.max_requests",
+        {1, 1'000'000, 2048},
+        [](entry_values & v) -> auto & { return v.limits.maxRequests; },
+        "Requests that the entry holds at once, waiting ones included; more are refused as not run."));
+    keys.push_back(countKey(
+        "limits.max_requests_per_connection",
+        {1, 1'000'000, 1000},
+        [](entry_values & v) -> auto & { return v.limits.maxRequestsPerConnection; },
+        "Requests served on one connection before it is closed."));
+    keys.push_back(bytesKey(
+        "limits.max_buffered_bytes_per_stream",
+        {4096, 64 * kMebibyte, 262'144},
+        [](entry_values & v) -> auto & { return v.limits.maxBufferedBytesPerStream; },
+        "Bytes of an answer kept for a caller that reads slowly; more ends the stream and cancels the request."));
+    keys.push_back(millisecondsKey(
+        "limits.header_timeout_ms", 10, 5000, [](entry_values & v) -> auto & { return v.limits.headerTimeout; }, "Time for a request's header to arrive."));
+    keys.push_back(millisecondsKey(
+        "limits.body_timeout_ms", 10, 20'000, [](entry_values & v) -> auto & { return v.limits.bodyTimeout; }, "Time for a request's body to arrive."));
+    keys.push_back(millisecondsKey(
+        "limits.idle_timeout_ms",
+        10,
+        60'000,
+        [](entry_values & v) -> auto & { return v.limits.idleTimeout; },
+        "Time that a connection without a request stays open."));
+}
+
+void addDecisionKeys(key_list &keys)
+{
+    keys.push_back(millisecondsKey(
+        "targets.first_token_ms", 1, 890, [](entry_values & v) -> auto & { return v.targets.firstToken; }, "Target time to the first token."));
+    keys.push_back(millisecondsKey(
+        "targets.token_interval_ms", 1, 42, [](entry_values & v) -> auto & { return v.targets.tokenInterval; }, "Target time between two tokens."));
+    keys.push_back(choiceKey(
+        "placement.policy",
+        kPlacementNames,
+        placement_policy::OwnerGrants,
+        [](entry_values & v) -> auto & { return v.placement; },
+        "How upstreams are chosen; all but `owner_grants` serve comparisons."));
+    keys.push_back(secondsKey(
+        "entry_answer.lifetime_s",
+        30,
+        [](entry_values & v) -> auto & { return v.entryAnswerLifetime; },
+        "How long a caller may keep the answer of `GET /v1/entry`."));
+    keys.push_back(secondsKey(
+        "stop.limit_s",
+        600,
+        [](entry_values & v) -> auto & { return v.stopLimit; },
+        "How long a planned stop waits for requests in flight before it cuts them off and says which."));
+}
+
+void addGroupKeys(key_list &keys)
+{
+    keys.push_back(millisecondsKey(
+        "membership.probe_interval_ms", 10, 1000, [](entry_values & v) -> auto & { return v.membership.probeInterval; }, "Time between two probes of peers."));
+    keys.push_back(millisecondsKey(
+        "membership.probe_timeout_ms",
+        5,
+        300,
+        [](entry_values & v) -> auto & { return v.membership.probeTimeout; },
+        "Time for an answer to a direct probe before other entries are asked to probe; less than the probe interval."));
+    keys.push_back(countKey(
+        "membership.indirect_probes",
+        {0, 16, 3},
+        [](entry_values & v) -> auto & { return v.membership.indirectProbes; },
+        "Entries that are asked to probe a silent peer."));
+    keys.push_back(millisecondsKey(
+        "membership.suspicion_timeout_ms",
+        20,
+        3000,
+        [](entry_values & v) -> auto & { return v.membership.suspicionTimeout; },
+        "Time that a suspected peer has to refute it before it counts as dead; at least the probe interval."));
+    keys.push_back(millisecondsKey(
+        "config.poll_wait_ms", 1, 1000, [](entry_values & v) -> auto & { return v.config.pollWait; }, "Longest wait of one read of the configuration stream."));
+    keys.push_back(numberKey<std::chrono::milliseconds>(
+        "config.cut_off_after_ms",
+        {100, kMaxCutOffMilliseconds, 4000},
+        "ms",
+        [](entry_values & v) -> auto & { return v.config.cutOffAfter; },
+        "After this time without news from both the log and the peers the entry gives out no new work; more than the poll wait."));
+}
+
+void addLogKeys(key_list &keys)
+{
+    keys.push_back(choiceKey(
+        "log.level",
+        kLogLevelNames,
+        log_level::Info,
+        [](entry_values & v) -> auto & { return v.log.level; },
+        "Least severity of the lines written; can be changed at run time."));
+    keys.push_back(choiceKey(
+        "log.format", kLogFormatNames, log_format::KeyValue, [](entry_values & v) -> auto & { return v.log.format; }, "Form of a line."));
+}
+
+key_list makeTable()
+{
+    key_list keys;
+    addIdentityKeys(keys);
+    addAddressKeys(keys);
+    addLimitKeys(keys);
+    addDecisionKeys(keys);
+    addGroupKeys(keys);
+    addLogKeys(keys);
+    keys.push_back(seedKey());
+    return keys;
+}
+
+} // namespace
+
+const std::vector<settings_key> &settingsTable()
+{
+    static const key_list table = makeTable();
+    return table;
+}
+
+std::string_view groupOf(std::string_view path)
+{
+    const std::size_t dot = path.find('.');
+    return dot == std::string_view::npos ? std::string_view() : path.substr(0, dot);
+}
+
+} // namespace heatherroute::detail
--- /dev/null
+++ b/src/telemetry/log.cpp
@@ -0,0 +1,88 @@
+#include "telemetry/log.h"
+
+#include <easylogging++.h>
+
+#include <atomic>
+#include <cstdio>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace heatherroute
+{
+namespace
+{
+
+constexpr const char *kLoggerName = "heatherroute";
+constexpr const char *kWriterName = "standard error";
+constexpr const char *kDefaultWriterName = "DefaultLogDispatchCallback";
+
+std::atomic<log_level> currentLevel = log_level::Info;
+std::atomic<log_format> currentFormat = log_format::KeyValue;
+
+/// Replaces easylogging++'s own writer, which uses standard output and files.
+class standard_error_writer : public el::LogDispatchCallback
+{
+protected:
+    void handle(const el::LogDispatchData *data) override
+    {
+        // One call per line: standard error is unbuffered, so lines of several threads don't mix.
+        const std::string text = data->logMessage()->message() + '\n';
+        std::fwrite(text.data(), 1, text.size(), stderr);
+    }
+};
+
+// Levels are filtered before easylogging++ sees a line, so its own configuration admits all of them.
+void configureLibrary()
+{
+    el::Configurations configurations;
+    configurations.setToDefault();
+    configurations.setGlobally(el::ConfigurationType::ToFile, "false");
+    configurations.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
+    el::Loggers::setDefaultConfigurations(configurations, true);
+    el::Loggers::getLogger(kLoggerName)->configure(configurations);
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(kDefaultWriterName);
+    el::Helpers::installLogDispatchCallback<standard_error_writer>(kWriterName);
+}
+
+} // namespace
+
+void configureLogging(const log_settings &settings)
+{
+    currentFormat = settings.format;
+    currentLevel = settings.level;
+    configureLibrary();
+}
+
+void setLogLevel(log_level level) noexcept
+{
+    currentLevel = level;
+}
+
+log_level currentLogLevel() noexcept
+{
+    return currentLevel;
+}
+
+void writeLog(const log_line &line)
+{
+    if (line.level < currentLevel) {
+        return;
+    }
+    const std::string text = formatLogLine(line, currentFormat, std::chrono::system_clock::now());
+    switch (line.level) {
+    case log_level::Debug:
+        CLOG(DEBUG, kLoggerName) << text;
+        break;
+    case log_level::Info:
+        CLOG(INFO, kLoggerName) << text;
+        break;
+    case log_level::Warning:
+        CLOG(WARNING, kLoggerName) << text;
+        break;
+    case log_level::Error:
+        CLOG(ERROR, kLoggerName) << text;
+        break;
+    }
+}
+
+} // namespace heatherroute
