--- /dev/null
+++ b/apps/heatherrouted.cpp
@@ -0,0 +1,87 @@
+#include <cxxopts.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "heatherroute/entry_node.h"
+#include "heatherroute/settings.h"
+#include "telemetry/log.h"
+
+namespace
+{
+
+using heatherroute::entry_settings;
+
+constexpr int kExitSuccess = 0;
+constexpr int kExitFailure = 1;
+constexpr int kExitFaulty = 2;
+
+std::optional<entry_settings> readSettings(const std::string &name)
+{
+    std::ifstream file(name, std::ios::binary);
+    if (!file) {
+        std::cerr << "heatherrouted: cannot read " << name << '\n';
+        return std::nullopt;
+    }
+    const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    std::vector<heatherroute::settings_problem> problems;
+    auto settings = entry_settings::make(text, name, &problems);
+    for (const heatherroute::settings_problem &problem : problems) {
+        std::cerr << toString(problem) << '\n';
+    }
+    return settings;
+}
+
+int serve(const entry_settings &settings)
+{
+    heatherroute::configureLogging(settings.log());
+    heatherroute::last_reason reason;
+    const auto node = heatherroute::entry_node::make(settings, &reason);
+    if (!node) {
+        std::cerr << "heatherrouted: " << reason.text() << '\n';
+        return kExitFailure;
+    }
+    std::cout << "listening " << node->callerAddress() << " operators " << node->operatorAddress() << std::endl;
+    return node->run();
+}
+
+int run(int argc, char **argv)
+{
+    cxxopts::Options options("heatherrouted", "An entry of heatherroute: routes callers' requests to prefill and decode engines and plain services.");
+    options.add_options()("h,help", "print this text")("version", "print the version")("settings", "the settings file (YAML)", cxxopts::value<std::string>())(
+        "check-settings", "check the settings file and end");
+    const cxxopts::ParseResult arguments = options.parse(argc, argv);
+    if (arguments.count("help") > 0) {
+        std::cout << options.help();
+        return kExitSuccess;
+    }
+    if (arguments.count("version") > 0) {
+        std::cout << "heatherrouted " << HEATHERROUTE_VERSION << '\n';
+        return kExitSuccess;
+    }
+    if (arguments.count("settings") == 0) {
+        std::cerr << "heatherrouted: --settings FILE is needed; see --help\n";
+        return kExitFailure;
+    }
+    const auto settings = readSettings(arguments["settings"].as<std::string>());
+    if (!settings) {
+        return kExitFaulty;
+    }
+    return arguments.count("check-settings") > 0 ? kExitSuccess : serve(*settings);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        return run(argc, argv);
+    } catch (const std::exception &error) {
+        std::cerr << "heatherrouted: " << error.what() << '\n';
+        return kExitFailure;
+    }
+}
--- a/include/heatherroute/core_action.h
+++ b/include/heatherroute/core_action.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "heatherroute/core_event.h"
+#include "heatherroute/log_line.h"
 
 namespace heatherroute
 {
@@ -128,22 +129,6 @@
     std::optional<duration> retryAfter;
 };
 
-/// How grave a log line is.
-enum class log_severity {
-    Debug,
-    Info,
-    Warning,
-    Error,
-};
-
-/// Write a structured log line.
-struct write_log
-{
-    log_severity severity = log_severity::Info;
-    std::string message;
-    std::vector<std::pair<std::string, std::string>> fields;
-};
-
 /// End the process.
 struct stop_process
 {
@@ -174,7 +159,7 @@
                                  finish_service_call,
                                  answer_document,
                                  fail_caller,
-                                 write_log,
+                                 log_line,
                                  read_log,
                                  append_log,
                                  stop_process>;
--- /dev/null
+++ b/include/heatherroute/entry_node.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "heatherroute/last_reason.h"
+#include "heatherroute/settings.h"
+
+namespace heatherroute
+{
+
+/**
+ * An entry: the decision core with its threads and sockets.
+ *
+ * The daemon is a thin program round it; others may embed it. Not thread safe, except where said.
+ */
+class entry_node
+{
+public:
+    /// Opens the sockets that @p settings name. On failure returns null and sets @p reason.
+    static std::unique_ptr<entry_node> make(const entry_settings &settings, last_reason *reason);
+    ~entry_node();
+    entry_node(const entry_node &) = delete;
+    entry_node &operator=(const entry_node &) = delete;
+
+    /// The address that callers use, as `IP:port`.
+    std::string callerAddress() const;
+    /// The address that operators use, as `IP:port`.
+    std::string operatorAddress() const;
+
+    /// Runs until a graceful shutdown has ended and returns the exit code. SIGTERM and SIGINT start the shutdown; a second one
+    /// ends it at once.
+    int run();
+
+private:
+    class impl;
+    explicit entry_node(std::unique_ptr<impl> implementation);
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace heatherroute
--- a/src/core/config_flow.cpp
+++ b/src/core/config_flow.cpp
@@ -38,7 +38,7 @@
 void config_flow::onLogUnavailable(const log_unavailable &event)
 {
     m_reading = false;
-    m_context.log(log_severity::Debug, "log unavailable", {{"reason", event.reason}});
+    m_context.log(log_level::Debug, "log_unavailable", {{"reason", event.reason}});
     readLater();
 }
 
@@ -73,8 +73,8 @@
 void config_flow::perform(publish_decided &effect)
 {
     const bool accepted = effect.result.accepted == acceptance::Accepted;
-    m_context.log(log_severity::Info,
-                  "publication decided",
+    m_context.log(log_level::Info,
+                  "publication_decided",
                   {{"publish_id", effect.publishId},
                    {"offset", std::to_string(effect.result.decision.offset)},
                    {"accepted", accepted ? "true" : "false"},
@@ -97,7 +97,7 @@
 
 void config_flow::perform(state_disagreement &effect)
 {
-    m_context.log(log_severity::Error, "configurations disagree", {{"peer", effect.peer}, {"next", std::to_string(effect.next)}});
+    m_context.log(log_level::Error, "configurations_disagree", {{"peer", effect.peer}, {"next", std::to_string(effect.next)}});
 }
 
 void config_flow::refresh(const std::vector<entity_key> &changed)
--- a/src/core/core_context.h
+++ b/src/core/core_context.h
@@ -47,9 +47,9 @@
         m_actions.push_back(std::move(action));
     }
 
-    void log(log_severity severity, std::string message, std::vector<std::pair<std::string, std::string>> fields)
+    void log(log_level level, std::string event, std::vector<log_field> fields)
     {
-        emit(write_log{severity, std::move(message), std::move(fields)});
+        emit(log_line{level, std::move(event), std::move(fields)});
     }
 
     /// Ends the handling of one event.
--- a/src/core/generation_flow.cpp
+++ b/src/core/generation_flow.cpp
@@ -211,13 +211,13 @@
         tryAgain(*work, "the stream ended before its last token");
         return;
     }
-    m_context.log(log_severity::Info,
-                  "generation finished",
-                  {{"request", work->request.traits.requestName},
-                   {"upstream", work->decodeName},
+    m_context.log(log_level::Info,
+                  "generation_finished",
+                  {requestIdField(work->request.traits.requestName),
+                   upstreamField(work->decodeName),
                    {"tokens", std::to_string(event.tokens)},
                    {"tries", std::to_string(work->tries)},
-                   {"verdict", std::string(toString(verdict::Ran))}});
+                   verdictField(verdict::Ran)});
     m_context.emit(finish_generation{work->request.caller, event.reason, event.tokens});
     work->engineRequest.clear();
     finish(*work);
@@ -232,10 +232,9 @@
     work->outcome = combine(work->outcome, event.outcome);
     m_attempts.erase(event.attempt);
     const std::string &engine = work->phase == generation_phase::Decoding ? work->decodeName : work->prefillName;
-    m_context.log(
-        log_severity::Warning,
-        "attempt failed",
-        {{"request", work->request.traits.requestName}, {"upstream", engine}, {"reason", event.reason}, {"verdict", std::string(toString(event.outcome))}});
+    m_context.log(log_level::Warning,
+                  "attempt failed",
+                  {requestIdField(work->request.traits.requestName), upstreamField(engine), {"reason", event.reason}, verdictField(event.outcome)});
     if (event.failure == attempt_failure::Rejected) {
         fail(*work, 400, "rejected_by_engine", event.reason);
         return true;
@@ -308,7 +307,7 @@
     if (found == m_generations.end()) {
         return;
     }
-    m_context.log(log_severity::Info, "caller gone", {{"request", found->second.request.traits.requestName}});
+    m_context.log(log_level::Info, "caller_gone", {requestIdField(found->second.request.traits.requestName)});
     finish(found->second);
 }
 
@@ -325,9 +324,9 @@
         fail(work, 504, "deadline_exceeded", "the request's deadline has passed");
         return;
     }
-    m_context.log(log_severity::Warning,
-                  "no progress",
-                  {{"request", work.request.traits.requestName}, {"upstream", work.decodeName}, {"delivered", std::to_string(work.delivered)}});
+    m_context.log(log_level::Warning,
+                  "no_progress",
+                  {requestIdField(work.request.traits.requestName), upstreamField(work.decodeName), {"delivered", std::to_string(work.delivered)}});
     if (work.phase == generation_phase::Decoding && !work.resumed) {
         m_context.emit(abandon_attempt{work.attempt});
         m_attempts.erase(work.attempt);
@@ -396,9 +395,7 @@
 
 void generation_flow::fail(generation &work, unsigned status, const std::string &code, const std::string &message)
 {
-    m_context.log(log_severity::Warning,
-                  "generation failed",
-                  {{"request", work.request.traits.requestName}, {"code", code}, {"verdict", std::string(toString(work.outcome))}});
+    m_context.log(log_level::Warning, "generation_failed", {requestIdField(work.request.traits.requestName), {"code", code}, verdictField(work.outcome)});
     m_context.emit(fail_caller{work.request.caller, status, code, message, work.outcome, kRetryAfterFull});
     finish(work);
 }
--- a/src/core/router_core.cpp
+++ b/src/core/router_core.cpp
@@ -116,7 +116,7 @@
         }
         m_stopping = true;
         m_stopBy = m_context.now() + m_context.options().stopLimit;
-        m_context.log(log_severity::Info, "stopping", {{"in_flight", std::to_string(inFlight())}});
+        m_context.log(log_level::Info, "stopping", {{"in_flight", std::to_string(inFlight())}});
     }
 
     void on(dump_requested &event)
@@ -192,7 +192,7 @@
 
     void cutAll(const std::string &why)
     {
-        m_context.log(log_severity::Warning, "requests cut", {{"count", std::to_string(inFlight())}, {"reason", why}});
+        m_context.log(log_level::Warning, "requests_cut", {{"count", std::to_string(inFlight())}, {"reason", why}});
         m_generations.cutAll();
         m_services.cutAll();
     }
@@ -209,7 +209,7 @@
             return;
         }
         m_ended = true;
-        m_context.log(log_severity::Info, "stopped", {});
+        m_context.log(log_level::Info, "stopped", {});
         m_context.emit(stop_process{0});
     }
 
--- a/src/core/service_flow.cpp
+++ b/src/core/service_flow.cpp
@@ -78,12 +78,12 @@
     if (work == nullptr) {
         return;
     }
-    m_context.log(log_severity::Info,
-                  "service call finished",
-                  {{"request", work->request.traits.requestName},
-                   {"upstream", work->upstreamName},
+    m_context.log(log_level::Info,
+                  "service_call_finished",
+                  {requestIdField(work->request.traits.requestName),
+                   upstreamField(work->upstreamName),
                    {"status", std::to_string(event.status)},
-                   {"verdict", std::string(toString(verdict::Ran))}});
+                   verdictField(verdict::Ran)});
     m_context.emit(finish_service_call{work->request.caller, event.status, std::move(event.contentType), std::move(event.body)});
     finish(*work);
 }
@@ -127,10 +127,9 @@
 
 void service_flow::fail(call &work, unsigned status, const std::string &code, const std::string &message)
 {
-    m_context.log(
-        log_severity::Warning,
-        "service call failed",
-        {{"request", work.request.traits.requestName}, {"upstream", work.upstreamName}, {"code", code}, {"verdict", std::string(toString(work.outcome))}});
+    m_context.log(log_level::Warning,
+                  "service call failed",
+                  {requestIdField(work.request.traits.requestName), upstreamField(work.upstreamName), {"code", code}, verdictField(work.outcome)});
     m_context.emit(fail_caller{work.request.caller, status, code, message, work.outcome, kRetryAfter});
     finish(work);
 }
--- /dev/null
+++ b/src/node/core_duty.cpp
@@ -0,0 +1,120 @@
+#include "node/core_duty.h"
+
+#include "node/core_time.h"
+
+namespace heatherroute::node
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds kTickInterval{10};
+/// Events taken from one input before the others have their turn.
+constexpr unsigned kEventsPerTurn = 64;
+
+} // namespace
+
+core_duty::core_duty(boost::asio::io_context &context, std::unique_ptr<router_core> core)
+    : m_tickTimer(context)
+    , m_retryTimer(context)
+    , m_context(context)
+    , m_core(std::move(core))
+{ }
+
+void core_duty::addInput(channel<core_event> &input)
+{
+    input.setConsumer(m_context, [this] { drain(); });
+    m_inputs.push_back(&input);
+}
+
+void core_duty::addOutput(channel<core_action> &target)
+{
+    m_outputs.push_back({&target, {}});
+}
+
+void core_duty::setRoute(route_hook route)
+{
+    m_route = std::move(route);
+}
+
+void core_duty::start()
+{
+    armTick();
+}
+
+void core_duty::drain()
+{
+    bool any = true;
+    while (any) {
+        any = false;
+        for (channel<core_event> *input : m_inputs) {
+            for (unsigned i = 0; i < kEventsPerTurn; ++i) {
+                if (!flush()) {
+                    armRetry();
+                    return;
+                }
+                std::optional<core_event> event = input->tryPop();
+                if (!event) {
+                    break;
+                }
+                any = true;
+                dispatch(std::move(*event));
+            }
+        }
+    }
+}
+
+bool core_duty::flush()
+{
+    for (output &out : m_outputs) {
+        while (!out.waiting.empty()) {
+            if (!out.target->tryPush(out.waiting.front())) {
+                return false;
+            }
+            out.waiting.pop_front();
+        }
+    }
+    return true;
+}
+
+void core_duty::dispatch(core_event event)
+{
+    for (core_action &action : m_core->handle(coreNow(), std::move(event))) {
+        const std::size_t index = m_route(action);
+        output &out = m_outputs.at(index);
+        if (!out.waiting.empty() || !out.target->tryPush(action)) {
+            out.waiting.push_back(std::move(action));
+        }
+    }
+}
+
+void core_duty::armTick()
+{
+    m_tickTimer.expires_after(kTickInterval);
+    m_tickTimer.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        if (flush()) {
+            dispatch(tick{});
+        }
+        armTick();
+    });
+}
+
+void core_duty::armRetry()
+{
+    if (m_retryArmed) {
+        return;
+    }
+    m_retryArmed = true;
+    m_retryTimer.expires_after(kFullChannelWait);
+    m_retryTimer.async_wait([this](const boost::system::error_code &error) {
+        m_retryArmed = false;
+        if (!error) {
+            drain();
+        }
+    });
+}
+
+} // namespace heatherroute::node
--- /dev/null
+++ b/src/node/entry_node.cpp
@@ -0,0 +1,294 @@
+#include "heatherroute/entry_node.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <random>
+
+#include "net/http_client.h"
+#include "node/caller_duty.h"
+#include "node/core_duty.h"
+#include "node/duty_thread.h"
+#include "node/operator_duty.h"
+#include "node/platform_duty.h"
+#include "node/session_table.h"
+#include "node/upstream_duty.h"
+#include "telemetry/log.h"
+
+namespace heatherroute
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::size_t kChannelCapacity = 4096;
+/// Time for the last answers to leave after the core has ended.
+constexpr std::chrono::milliseconds kFlushTime{200};
+
+std::string textOf(const asio::ip::tcp::endpoint &endpoint)
+{
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+/// The outputs of the core, in the order they are added.
+enum output_index : std::size_t {
+    CallerOutput,
+    UpstreamOutput,
+    PlatformOutput,
+    OperatorOutput,
+    MainOutput,
+};
+
+template<typename Action>
+constexpr bool kIsForCaller = requires(const Action &action)
+{
+    action.caller;
+};
+
+std::size_t outputOf(const core_action &action)
+{
+    if (node::upstream_duty::takes(action)) {
+        return UpstreamOutput;
+    }
+    if (node::platform_duty::takes(action)) {
+        return PlatformOutput;
+    }
+    return std::visit(
+        [](const auto &typed) -> std::size_t {
+            if constexpr (kIsForCaller<std::decay_t<decltype(typed)>>) {
+                return node::session_table::dutyOf(typed.caller) == node::operator_duty::kDuty ? OperatorOutput : CallerOutput;
+            } else {
+                return MainOutput;
+            }
+        },
+        action);
+}
+
+caller_id callerOf(const core_action &action)
+{
+    return std::visit(
+        [](const auto &typed) {
+            if constexpr (kIsForCaller<std::decay_t<decltype(typed)>>) {
+                return typed.caller;
+            } else {
+                return caller_id{};
+            }
+        },
+        action);
+}
+
+node::caller_limits callerLimitsOf(const limit_settings &settings)
+{
+    node::caller_limits limits;
+    limits.http.maxHeaderBytes = settings.maxHeaderBytes;
+    limits.http.maxBodyBytes = settings.maxBodyBytes;
+    limits.http.headerTimeout = settings.headerTimeout;
+    limits.http.bodyTimeout = settings.bodyTimeout;
+    limits.http.idleTimeout = settings.idleTimeout;
+    limits.maxBufferedBytes = settings.maxBufferedBytesPerStream;
+    return limits;
+}
+
+std::uint64_t randomNumber()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+core_options coreOptionsOf(const entry_settings &settings, const std::string &callerAddress)
+{
+    core_options options;
+    options.entryName = settings.name();
+    options.half = settings.half();
+    options.zone = settings.zone();
+    options.callerAddress = settings.advertise().callers.value_or(callerAddress);
+    options.incarnation = randomNumber();
+    options.seed = settings.seed().value_or(randomNumber());
+    options.maxRequests = settings.limits().maxRequests;
+    options.stopLimit = settings.stopLimit();
+    options.entryLifetime = settings.entryAnswerLifetime();
+    options.configuration.currency.bound = settings.config().cutOffAfter;
+    return options;
+}
+
+} // namespace
+
+class entry_node::impl
+{
+public:
+    impl()
+        : m_signals(m_main, SIGTERM, SIGINT)
+    { }
+
+    ~impl()
+    {
+        for (node::duty_thread *thread : {&m_coreThread, &m_callerThread, &m_upstreamThread, &m_platformThread, &m_operatorThread}) {
+            thread->stop();
+        }
+    }
+
+    impl(const impl &) = delete;
+    impl &operator=(const impl &) = delete;
+
+    bool open(const entry_settings &settings, last_reason *reason)
+    {
+        const auto callers = net::parseEndpoint(settings.listen().callers);
+        const auto operators = net::parseEndpoint(settings.listen().operators);
+        const auto log = net::parseEndpoint(settings.platform().log);
+        if (!callers || !operators || !log) {
+            setReason(reason, "listen.callers, listen.operators and platform.log must be IP:port");
+            return false;
+        }
+        m_callers = node::caller_duty::make(m_callerThread.context(), *callers, callerLimitsOf(settings.limits()), m_fromCallers, reason);
+        if (!m_callers) {
+            return false;
+        }
+        m_operators = node::operator_duty::make(m_operatorThread.context(), *operators, m_fromOperators, reason);
+        if (!m_operators) {
+            return false;
+        }
+        auto core = router_core::make(coreOptionsOf(settings, textOf(m_callers->endpoint())), reason);
+        if (!core) {
+            return false;
+        }
+        node::platform_options platform{*log, settings.platform().configStream};
+        platform.pollWait = settings.config().pollWait;
+        m_upstreams = std::make_unique<node::upstream_duty>(m_upstreamThread.context(), m_fromUpstreams);
+        m_platform = std::make_unique<node::platform_duty>(m_platformThread.context(), std::move(platform), m_fromPlatform);
+        m_core = std::make_unique<node::core_duty>(m_coreThread.context(), std::move(core));
+        connect();
+        return true;
+    }
+
+    int run()
+    {
+        awaitSignal();
+        m_core->start();
+        for (node::duty_thread *thread : {&m_coreThread, &m_callerThread, &m_upstreamThread, &m_platformThread, &m_operatorThread}) {
+            thread->start();
+        }
+        const auto guard = asio::make_work_guard(m_main);
+        m_main.run();
+        return m_exitCode;
+    }
+
+    std::string callerAddress() const
+    {
+        return textOf(m_callers->endpoint());
+    }
+
+    std::string operatorAddress() const
+    {
+        return textOf(m_operators->endpoint());
+    }
+
+private:
+    void connect()
+    {
+        for (node::channel<core_event> *input : {&m_fromCallers, &m_fromUpstreams, &m_fromPlatform, &m_fromOperators, &m_fromMain}) {
+            m_core->addInput(*input);
+        }
+        for (node::channel<core_action> *output : {&m_toCallers, &m_toUpstreams, &m_toPlatform, &m_toOperators, &m_toMain}) {
+            m_core->addOutput(*output);
+        }
+        m_core->setRoute(outputOf);
+        consume(m_toCallers, m_callerThread.context(), [this](core_action action) { m_callers->deliver(callerOf(action), std::move(action)); });
+        consume(m_toOperators, m_operatorThread.context(), [this](core_action action) { m_operators->deliver(callerOf(action), std::move(action)); });
+        consume(m_toUpstreams, m_upstreamThread.context(), [this](core_action action) { m_upstreams->perform(std::move(action)); });
+        consume(m_toPlatform, m_platformThread.context(), [this](core_action action) { m_platform->perform(std::move(action)); });
+        consume(m_toMain, m_main, [this](core_action action) { performMain(action); });
+    }
+
+    static void consume(node::channel<core_action> &output, asio::io_context &context, std::function<void(core_action)> perform)
+    {
+        output.setConsumer(context, [&output, perform = std::move(perform)] {
+            while (std::optional<core_action> action = output.tryPop()) {
+                perform(std::move(*action));
+            }
+        });
+    }
+
+    void performMain(const core_action &action)
+    {
+        if (const auto *line = std::get_if<log_line>(&action)) {
+            writeLog(*line);
+        } else if (const auto *stop = std::get_if<stop_process>(&action)) {
+            m_exitCode = stop->exitCode;
+            m_flushTimer.expires_after(kFlushTime);
+            m_flushTimer.async_wait([this](const boost::system::error_code &) { m_main.stop(); });
+        }
+    }
+
+    void awaitSignal()
+    {
+        m_signals.async_wait([this](const boost::system::error_code &error, int) {
+            if (error) {
+                return;
+            }
+            asio::co_spawn(m_main, m_fromMain.push(stop_requested{}), asio::detached);
+            awaitSignal();
+        });
+    }
+
+    node::channel<core_event> m_fromCallers{kChannelCapacity};
+    node::channel<core_event> m_fromUpstreams{kChannelCapacity};
+    node::channel<core_event> m_fromPlatform{kChannelCapacity};
+    node::channel<core_event> m_fromOperators{kChannelCapacity};
+    node::channel<core_event> m_fromMain{kChannelCapacity};
+    node::channel<core_action> m_toCallers{kChannelCapacity};
+    node::channel<core_action> m_toUpstreams{kChannelCapacity};
+    node::channel<core_action> m_toPlatform{kChannelCapacity};
+    node::channel<core_action> m_toOperators{kChannelCapacity};
+    node::channel<core_action> m_toMain{kChannelCapacity};
+
+    asio::io_context m_main{1};
+    asio::signal_set m_signals;
+    asio::steady_timer m_flushTimer{m_main};
+    int m_exitCode = 0;
+
+    node::duty_thread m_coreThread;
+    node::duty_thread m_callerThread;
+    node::duty_thread m_upstreamThread;
+    node::duty_thread m_platformThread;
+    node::duty_thread m_operatorThread;
+    std::unique_ptr<node::caller_duty> m_callers;
+    std::unique_ptr<node::upstream_duty> m_upstreams;
+    std::unique_ptr<node::platform_duty> m_platform;
+    std::unique_ptr<node::operator_duty> m_operators;
+    std::unique_ptr<node::core_duty> m_core;
+};
+
+std::unique_ptr<entry_node> entry_node::make(const entry_settings &settings, last_reason *reason)
+{
+    auto implementation = std::make_unique<impl>();
+    if (!implementation->open(settings, reason)) {
+        return nullptr;
+    }
+    return std::unique_ptr<entry_node>(new entry_node(std::move(implementation)));
+}
+
+entry_node::entry_node(std::unique_ptr<impl> implementation)
+    : m_impl(std::move(implementation))
+{ }
+
+entry_node::~entry_node() = default;
+
+std::string entry_node::callerAddress() const
+{
+    return m_impl->callerAddress();
+}
+
+std::string entry_node::operatorAddress() const
+{
+    return m_impl->operatorAddress();
+}
+
+int entry_node::run()
+{
+    return m_impl->run();
+}
+
+} // namespace heatherroute
--- /dev/null
+++ b/src/node/operator_duty.cpp
@@ -0,0 +1,168 @@
+#include "node/operator_duty.h"
+
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "node/caller_answer.h"
+#include "node/session_table.h"
+#include "telemetry/log.h"
+
+namespace heatherroute::node
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kMethodNotAllowed = 405;
+
+fail_caller failureOf(unsigned status, std::string code, std::string message)
+{
+    return {{}, status, std::move(code), std::move(message), verdict::NotRun, std::nullopt};
+}
+
+std::optional<log_level> parseLevel(std::string_view text)
+{
+    constexpr std::pair<std::string_view, log_level> kLevels[] = {
+        {"debug", log_level::Debug},
+        {"info", log_level::Info},
+        {"warning", log_level::Warning},
+        {"error", log_level::Error},
+    };
+    for (const auto &[name, level] : kLevels) {
+        if (name == text) {
+            return level;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+class operator_duty::impl
+{
+public:
+    impl(asio::io_context &context, channel<core_event> &toCore)
+        : m_sessions(context, kDuty)
+        , m_toCore(toCore)
+    { }
+
+    bool listen(asio::io_context &context, const asio::ip::tcp::endpoint &endpoint, last_reason *reason)
+    {
+        const auto handler = [this](net::http_request request, net::http_responder &out) { return serve(std::move(request), out); };
+        m_server = net::http_server::make(context, endpoint, net::http_limits{}, handler, unreadableAnswer, reason);
+        return m_server != nullptr;
+    }
+
+    asio::ip::tcp::endpoint endpoint() const
+    {
+        return m_server->endpoint();
+    }
+
+    void deliver(caller_id caller, core_action action)
+    {
+        const auto found = m_sessions.find(caller);
+        if (found) {
+            found->push(std::move(action));
+        }
+    }
+
+private:
+    asio::awaitable<void> serve(net::http_request request, net::http_responder &out)
+    {
+        const std::string_view path = request.path();
+        if (path == "/debug/state") {
+            co_await ask(dump_requested{}, out);
+        } else if (path == "/admin/where") {
+            co_await ask(owner_requested{{}, std::string(request.query("upstream"))}, out);
+        } else if (path == "/admin/drain" || path == "/admin/log-level") {
+            co_await change(request, out);
+        } else {
+            co_await out.send(errorAnswer(failureOf(kNotFound, "unknown_path", "no such path")));
+        }
+    }
+
+    asio::awaitable<void> change(const net::http_request &request, net::http_responder &out)
+    {
+        if (request.method != "POST") {
+            co_await out.send(errorAnswer(failureOf(kMethodNotAllowed, "method_not_allowed", "this path takes POST")));
+            co_return;
+        }
+        if (request.path() == "/admin/drain") {
+            co_await m_toCore.push(stop_requested{});
+        } else {
+            const auto level = parseLevel(request.query("level"));
+            if (!level) {
+                co_await out.send(errorAnswer(failureOf(kBadRequest, "invalid_request", "level must be debug, info, warning or error")));
+                co_return;
+            }
+            setLogLevel(*level);
+        }
+        net::http_answer done;
+        done.body = "{}";
+        co_await out.send(std::move(done));
+    }
+
+    template<typename Event>
+    asio::awaitable<void> ask(Event event, net::http_responder &out)
+    {
+        const auto [id, own] = m_sessions.open();
+        event.caller = id;
+        out.onClosed([weak = std::weak_ptr<session>(own)] {
+            if (const auto alive = weak.lock()) {
+                alive->close();
+            }
+        });
+        co_await m_toCore.push(std::move(event));
+        std::optional<core_action> action = co_await own->next();
+        m_sessions.close(id);
+        out.onClosed({});
+        if (!action) {
+            co_return;
+        }
+        if (auto *document = std::get_if<answer_document>(&*action)) {
+            net::http_answer answer;
+            answer.status = document->status;
+            answer.body = std::move(document->body);
+            co_await out.send(std::move(answer));
+        } else if (const auto *failure = std::get_if<fail_caller>(&*action)) {
+            co_await out.send(errorAnswer(*failure));
+        }
+    }
+
+    session_table m_sessions;
+    channel<core_event> &m_toCore;
+    std::unique_ptr<net::http_server> m_server;
+};
+
+std::unique_ptr<operator_duty>
+operator_duty::make(asio::io_context &context, const asio::ip::tcp::endpoint &endpoint, channel<core_event> &toCore, last_reason *reason)
+{
+    auto implementation = std::make_unique<impl>(context, toCore);
+    if (!implementation->listen(context, endpoint, reason)) {
+        return nullptr;
+    }
+    return std::unique_ptr<operator_duty>(new operator_duty(std::move(implementation)));
+}
+
+operator_duty::operator_duty(std::unique_ptr<impl> implementation)
+    : m_impl(std::move(implementation))
+{ }
+
+operator_duty::~operator_duty() = default;
+
+asio::ip::tcp::endpoint operator_duty::endpoint() const
+{
+    return m_impl->endpoint();
+}
+
+void operator_duty::deliver(caller_id caller, core_action action)
+{
+    m_impl->deliver(caller, std::move(action));
+}
+
+} // namespace heatherroute::node
--- /dev/null
+++ b/src/node/operator_duty.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <memory>
+
+#include "heatherroute/core_action.h"
+#include "heatherroute/core_event.h"
+#include "heatherroute/last_reason.h"
+#include "net/http_server.h"
+#include "node/channel.h"
+
+namespace heatherroute::node
+{
+
+/**
+ * Serves the operators' port: state dump, ownership, log level, graceful shutdown.
+ *
+ * Belongs to the thread that runs its io_context; make it before the thread starts and destroy it after the thread ended.
+ */
+class operator_duty
+{
+public:
+    /// Number of this duty in caller ids.
+    static constexpr std::uint8_t kDuty = 2;
+
+    /// Listens on @p endpoint. On failure returns null and sets @p reason.
+    static std::unique_ptr<operator_duty>
+    make(boost::asio::io_context &context, const boost::asio::ip::tcp::endpoint &endpoint, channel<core_event> &toCore, last_reason *reason);
+    ~operator_duty();
+    operator_duty(const operator_duty &) = delete;
+    operator_duty &operator=(const operator_duty &) = delete;
+
+    /// The address that is listened on.
+    boost::asio::ip::tcp::endpoint endpoint() const;
+    /// Hands @p action to the exchange it is for; dropped when that has ended.
+    void deliver(caller_id caller, core_action action);
+
+private:
+    class impl;
+    explicit operator_duty(std::unique_ptr<impl> implementation);
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace heatherroute::node
