--- /dev/null
+++ b/src/control/commands.cpp
@@ -0,0 +1,183 @@
+#include "control/commands.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <iomanip>
+#include <optional>
+#include <ostream>
+#include <thread>
+
+#include "control/blocking_call.h"
+#include "control/publisher.h"
+#include "node/core_time.h"
+
+namespace heatherroute::control
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds kPollInterval{20};
+constexpr std::chrono::milliseconds kEntryTimeout{2'000};
+constexpr unsigned kFirstErrorStatus = 300;
+
+std::optional<std::string> askEntry(const std::string &address, const std::string &method, const std::string &target)
+{
+    const auto endpoint = net::parseEndpoint(address);
+    if (!endpoint) {
+        return std::nullopt;
+    }
+    net::http_call call;
+    call.endpoint = *endpoint;
+    call.method = method;
+    call.target = target;
+    call.progressTimeout = kEntryTimeout;
+    net::http_result result = callAndWait(std::move(call));
+    if (!result.answer || result.answer->status >= kFirstErrorStatus) {
+        return std::nullopt;
+    }
+    return std::move(result.answer->body);
+}
+
+std::optional<json::object> stateOf(const std::string &address)
+{
+    const auto body = askEntry(address, "GET", "/debug/state");
+    if (!body) {
+        return std::nullopt;
+    }
+    json::error_code error;
+    json::value document = json::parse(*body, error);
+    if (error || !document.is_object()) {
+        return std::nullopt;
+    }
+    return std::move(document.get_object());
+}
+
+/// The first record that the entry has not applied; empty when it does not answer.
+std::optional<log_offset> appliedBelow(const std::string &address)
+{
+    const auto state = stateOf(address);
+    const json::value *configuration = state ? state->if_contains("configuration") : nullptr;
+    const json::value *next = configuration != nullptr && configuration->is_object() ? configuration->get_object().if_contains("next") : nullptr;
+    if (next == nullptr || !next->is_number()) {
+        return std::nullopt;
+    }
+    return next->to_number<log_offset>();
+}
+
+std::int64_t milliseconds(duration value)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+/// Waits until @p entries have applied the record at @p offset; prints each as it does.
+int awaitEntries(std::vector<std::string> entries, log_offset offset, instant since, std::chrono::milliseconds limit, std::ostream &out)
+{
+    while (!entries.empty() && node::coreNow() - since < limit) {
+        std::erase_if(entries, [&](const std::string &entry) {
+            const auto applied = appliedBelow(entry);
+            if (!applied || *applied <= offset) {
+                return false;
+            }
+            out << "  in force on " << entry << " after " << milliseconds(node::coreNow() - since) << " ms\n";
+            return true;
+        });
+        std::this_thread::sleep_for(kPollInterval);
+    }
+    for (const std::string &entry : entries) {
+        out << "  not in force on " << entry << " after " << milliseconds(limit) << " ms\n";
+    }
+    return entries.empty() ? kExitSuccess : kExitUnreachable;
+}
+
+std::string textOf(const json::object &object, std::string_view key)
+{
+    const json::value *member = object.if_contains(key);
+    if (member == nullptr) {
+        return "-";
+    }
+    return member->is_string() ? std::string(member->get_string()) : json::serialize(*member);
+}
+
+int forEachEntry(const std::vector<std::string> &entries, const std::string &method, const std::string &target, std::ostream &out)
+{
+    int code = kExitSuccess;
+    for (const std::string &entry : entries) {
+        const auto body = askEntry(entry, method, target);
+        out << entry << ": " << (body ? *body : std::string("no answer")) << '\n';
+        if (!body) {
+            code = kExitUnreachable;
+        }
+    }
+    return code;
+}
+
+} // namespace
+
+int publish(const publish_order &order, std::ostream &out)
+{
+    last_reason reason;
+    const auto reader = config_reader::make(order.location, &reason);
+    if (!reader) {
+        out << "cannot read the configuration: " << reason.text() << '\n';
+        return kExitUnreachable;
+    }
+    const config_change change = changeFor(reader->state(), {order.publishId, order.operatorName, order.half, order.wanted});
+    if (isEmpty(change)) {
+        out << "nothing to change: this is in force already\n";
+        return kExitSuccess;
+    }
+    const instant since = node::coreNow();
+    if (!reader->append(encodeRecord(change), &reason)) {
+        out << "the append was not confirmed (" << reason.text() << "); reading on to see whether it took effect\n";
+    }
+    const auto decided = reader->awaitDecision(order.publishId, order.limit, &reason);
+    if (!decided) {
+        out << "unknown outcome: " << reason.text() << "; publish again with --publish-id " << order.publishId << '\n';
+        return kExitUnreachable;
+    }
+    if (decided->outcome != change_outcome::Accepted) {
+        out << "rejected at offset " << decided->offset << ": " << decided->detail << '\n';
+        return kExitRejected;
+    }
+    out << "accepted at offset " << decided->offset << " after " << milliseconds(node::coreNow() - since) << " ms: " << change.upserts.size()
+        << " upstreams written, " << change.removals.size() << " removed, " << change.ruleUpserts.size() << " rules written\n";
+    return awaitEntries(order.entries, decided->offset, since, order.limit, out);
+}
+
+int printStatus(const std::vector<std::string> &entries, std::ostream &out)
+{
+    int code = kExitSuccess;
+    for (const std::string &entry : entries) {
+        const auto state = stateOf(entry);
+        if (!state) {
+            out << entry << " no answer\n";
+            code = kExitUnreachable;
+            continue;
+        }
+        out << entry << " entry=" << textOf(*state, "entry") << " half=" << textOf(*state, "half") << " zone=" << textOf(*state, "zone")
+            << " stopping=" << textOf(*state, "stopping") << " generations=" << textOf(*state, "generations")
+            << " service_calls=" << textOf(*state, "service_calls") << " configuration=" << textOf(*state, "configuration") << '\n';
+    }
+    return code;
+}
+
+int printDump(const std::vector<std::string> &entries, std::ostream &out)
+{
+    return forEachEntry(entries, "GET", "/debug/state", out);
+}
+
+int drain(const std::vector<std::string> &entries, std::ostream &out)
+{
+    return forEachEntry(entries, "POST", "/admin/drain", out);
+}
+
+int printOwner(const std::vector<std::string> &entries, const std::string &name, std::ostream &out)
+{
+    return forEachEntry(entries, "GET", "/admin/where?upstream=" + name, out);
+}
+
+} // namespace heatherroute::control
