--- /dev/null
+++ b/bench/heatherbench_commands.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace heatherroute::bench
+{
+
+/// Runs `heatherbench demo` with @p arguments; returns the exit code.
+int runDemo(const std::vector<std::string> &arguments, std::ostream &out);
+
+/// Runs `heatherbench relay` with @p arguments; returns the exit code.
+int runRelay(const std::vector<std::string> &arguments, std::ostream &out);
+
+} // namespace heatherroute::bench
--- /dev/null
+++ b/bench/heatherbench_relay.cpp
@@ -0,0 +1,165 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+
+#include <cxxopts.hpp>
+
+#include <fstream>
+#include <ostream>
+#include <sstream>
+
+#include <unistd.h>
+
+#include "heatherbench_client.h"
+#include "heatherbench_commands.h"
+
+namespace heatherroute::bench
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr double kMedian = 0.5;
+constexpr double kHigh = 0.95;
+constexpr double kMicrosecondsPerSecond = 1e6;
+constexpr std::size_t kUserTimeField = 14;
+
+/// Where the relay is measured.
+struct relay_setup
+{
+    asio::ip::tcp::endpoint entry;
+    asio::ip::tcp::endpoint prefill;
+    asio::ip::tcp::endpoint decode;
+    std::string model;
+    std::uint32_t rounds = 0;
+    std::uint32_t maxTokens = 0;
+    int entryPid = 0;
+};
+
+/// Samples of one way to the engines.
+struct relay_samples
+{
+    std::vector<std::chrono::microseconds> firstToken;
+    std::vector<std::chrono::microseconds> interval;
+    std::uint64_t tokens = 0;
+    std::uint32_t failed = 0;
+
+    void add(const completion_result &result)
+    {
+        if (!result.complete) {
+            ++failed;
+            return;
+        }
+        firstToken.push_back(result.firstToken);
+        interval.insert(interval.end(), result.intervals.begin(), result.intervals.end());
+        tokens += result.tokens;
+    }
+};
+
+/// CPU time that process @p pid has used; 0 when it can't be read.
+std::chrono::microseconds cpuOf(int pid)
+{
+    std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
+    std::string line;
+    std::getline(file, line);
+    std::istringstream fields(line.substr(std::min(line.size(), line.rfind(')') + 1)));
+    std::string field;
+    double ticks = 0;
+    for (std::size_t index = 3; fields >> field; ++index) {
+        if (index == kUserTimeField || index == kUserTimeField + 1) {
+            ticks += std::stod(field);
+        }
+    }
+    return std::chrono::microseconds(static_cast<std::int64_t>(ticks / static_cast<double>(sysconf(_SC_CLK_TCK)) * kMicrosecondsPerSecond));
+}
+
+completion_order orderOf(const relay_setup &setup, std::uint32_t round)
+{
+    completion_order order;
+    order.entry = setup.entry;
+    order.model = setup.model;
+    order.prompt = "relay " + std::to_string(round) + " measures the way through an entry";
+    order.maxTokens = setup.maxTokens;
+    return order;
+}
+
+/// Alternates the two ways, so that what the machine does meanwhile falls on both.
+asio::awaitable<void> measure(const relay_setup &setup, relay_samples &through, relay_samples &direct)
+{
+    for (std::uint32_t round = 0; round < setup.rounds; ++round) {
+        const completion_order order = orderOf(setup, round);
+        direct.add(co_await completeDirectly(setup.prefill, setup.decode, "relay-" + std::to_string(round), order));
+        through.add(co_await complete(order));
+    }
+}
+
+json::object summaryOf(const relay_samples &samples)
+{
+    return {{"first_token_us_p50", percentile(samples.firstToken, kMedian).count()},
+            {"first_token_us_p95", percentile(samples.firstToken, kHigh).count()},
+            {"interval_us_p50", percentile(samples.interval, kMedian).count()},
+            {"interval_us_p95", percentile(samples.interval, kHigh).count()},
+            {"tokens", samples.tokens},
+            {"failed", samples.failed}};
+}
+
+} // namespace
+
+int runRelay(const std::vector<std::string> &arguments, std::ostream &out)
+{
+    cxxopts::Options options("heatherbench relay", "What an entry adds to the time and CPU of a token, against a direct stream.");
+    auto add = options.add_options();
+    add("h,help", "print this text");
+    add("json", "print JSON (the only form)");
+    add("entry", "caller's address of the entry", cxxopts::value<std::string>());
+    add("entry-pid", "process id of the entry, for its CPU time", cxxopts::value<int>()->default_value("0"));
+    add("prefill", "address of a prefill engine", cxxopts::value<std::string>());
+    add("decode", "address of a decode engine", cxxopts::value<std::string>());
+    add("model", "model of the engines", cxxopts::value<std::string>()->default_value("assistant"));
+    add("rounds", "pairs of streams", cxxopts::value<std::uint32_t>()->default_value("40"));
+    add("max-tokens", "tokens of a stream", cxxopts::value<std::uint32_t>()->default_value("64"));
+    std::vector<const char *> words;
+    for (const std::string &argument : arguments) {
+        words.push_back(argument.c_str());
+    }
+    const cxxopts::ParseResult parsed = options.parse(static_cast<int>(words.size()), words.data());
+    if (parsed.count("help") > 0) {
+        out << options.help();
+        return 0;
+    }
+    const auto entry = net::parseEndpoint(parsed["entry"].as<std::string>());
+    const auto prefill = net::parseEndpoint(parsed["prefill"].as<std::string>());
+    const auto decode = net::parseEndpoint(parsed["decode"].as<std::string>());
+    if (!entry || !prefill || !decode) {
+        out << "--entry, --prefill and --decode must be IP:port\n";
+        return 1;
+    }
+    const relay_setup setup{*entry,
+                            *prefill,
+                            *decode,
+                            parsed["model"].as<std::string>(),
+                            parsed["rounds"].as<std::uint32_t>(),
+                            parsed["max-tokens"].as<std::uint32_t>(),
+                            parsed["entry-pid"].as<int>()};
+    relay_samples through;
+    relay_samples direct;
+    const auto cpuBefore = cpuOf(setup.entryPid);
+    const auto start = bench_clock::now();
+    asio::io_context context(1);
+    asio::co_spawn(context, measure(setup, through, direct), asio::detached);
+    context.run();
+    const double cpu = static_cast<double>((cpuOf(setup.entryPid) - cpuBefore).count());
+    json::object report{{"through_entry", summaryOf(through)}, {"direct", summaryOf(direct)}};
+    report["seconds"] = std::chrono::duration<double>(bench_clock::now() - start).count();
+    if (setup.entryPid != 0 && through.tokens > 0) {
+        report["entry_cpu_us_per_token"] = cpu / static_cast<double>(through.tokens);
+    }
+    out << json::serialize(report) << '\n';
+    return through.failed + direct.failed == 0 ? 0 : 1;
+}
+
+} // namespace heatherroute::bench
