--- /dev/null
+++ b/tests/standins/expected_text.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <xxhash.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace heatherroute::standins
+{
+
+/// The number of blank-separated words in @p text: the tokens that the stand-in engines count. Thread safe.
+inline std::size_t countTokens(std::string_view text)
+{
+    std::size_t count = 0;
+    bool inWord = false;
+    for (const char letter : text) {
+        const bool blank = letter == ' ' || letter == '\n' || letter == '\t' || letter == '\r';
+        count += !blank && !inWord ? 1 : 0;
+        inWord = !blank;
+    }
+    return count;
+}
+
+/**
+ * The answer that every stand-in engine gives to a prompt: a pure function of model, prompt and token limit.
+ *
+ * Tests and benches compute the whole answer with it, and engines continue each other's answers exactly. One prompt in
+ * four ends before its limit. Immutable; thread safe.
+ */
+class expected_answer
+{
+public:
+    /// @p maxTokens counts the whole answer, whatever part of it was already generated elsewhere.
+    expected_answer(std::string_view model, std::string_view prompt, std::size_t maxTokens)
+        : m_seed(XXH3_64bits_withSeed(prompt.data(), prompt.size(), XXH3_64bits(model.data(), model.size())))
+        , m_maxTokens(maxTokens)
+        , m_tokens(maxTokens)
+    {
+        if (m_seed % kEarlyStopOneIn == 0 && maxTokens > 1) {
+            m_tokens = maxTokens / 2 + (m_seed >> 8U) % (maxTokens - maxTokens / 2);
+        }
+    }
+
+    /// The number of tokens of the whole answer.
+    std::size_t tokens() const noexcept
+    {
+        return m_tokens;
+    }
+
+    /// Why the answer ends after tokens().
+    std::string_view finishReason() const noexcept
+    {
+        return m_tokens < m_maxTokens ? "stop" : "length";
+    }
+
+    /// The word at @p index with the blank that follows it.
+    std::string token(std::size_t index) const
+    {
+        std::uint64_t hash = XXH3_64bits_withSeed(&index, sizeof(index), m_seed);
+        std::string word(kShortestWord + hash % kWordLengths, 'a');
+        for (char &letter : word) {
+            hash /= kLetters;
+            letter = static_cast<char>('a' + hash % kLetters);
+        }
+        return word + ' ';
+    }
+
+    /// The tokens from @p from up to, but not including, @p to.
+    std::string text(std::size_t from, std::size_t to) const
+    {
+        std::string result;
+        for (std::size_t index = from; index < to && index < m_tokens; ++index) {
+            result += token(index);
+        }
+        return result;
+    }
+
+    /// The whole answer.
+    std::string text() const
+    {
+        return text(0, m_tokens);
+    }
+
+private:
+    static constexpr std::uint64_t kEarlyStopOneIn = 4;
+    static constexpr std::uint64_t kShortestWord = 3;
+    static constexpr std::uint64_t kWordLengths = 6;
+    static constexpr std::uint64_t kLetters = 26;
+
+    std::uint64_t m_seed;
+    std::size_t m_maxTokens;
+    std::size_t m_tokens;
+};
+
+} // namespace heatherroute::standins
