--- a/src/core/generation_flow.cpp
+++ b/src/core/generation_flow.cpp
@@ -129,7 +129,6 @@
     ++work.tries;
     setAttempt(work);
     work.engineRequest = m_context.engineRequest(work.attempt);
-    work.prefillRequest = work.engineRequest;
     m_context.emit(start_prefill{work.attempt,
                                  work.prefillAddress,
                                  work.engineRequest,
@@ -160,7 +159,6 @@
     work.phase = generation_phase::Decoding;
     work.resumed = false;
     setAttempt(work);
-    work.engineRequest = m_context.engineRequest(work.attempt);
     m_context.emit(start_decode{work.attempt,
                                 work.decodeAddress,
                                 work.engineRequest,
@@ -378,7 +376,7 @@
 void generation_flow::releaseAll(generation &work)
 {
     if (!work.prefillName.empty() && work.delivered == 0) {
-        m_cancels.cancel(work.prefillAddress, work.prefillRequest);
+        m_cancels.cancel(work.prefillAddress, work.engineRequest);
     }
     releasePrefill(work);
     releaseDecode(work);
--- a/src/core/generation_flow.h
+++ b/src/core/generation_flow.h
@@ -51,10 +51,9 @@
         instant deadline;
         generation_phase phase = generation_phase::Prefilling;
         attempt_id attempt;
-        std::string engineRequest; ///< Of the engine that works now.
+        std::string engineRequest; ///< Names one placement on both of its engines; a new placement gets a new one.
         std::string prefillName;
         std::string prefillAddress;
-        std::string prefillRequest;
         std::string kvId;
         instant kvExpires;
         std::string decodeName;
