--- a/apps/heatherctl.cpp
+++ b/apps/heatherctl.cpp
@@ -1,4 +1,5 @@
 #include "heatherroute/settings.h"
+#include "settings/inventory_file.h"
 
 #include <cxxopts.hpp>
 
@@ -33,7 +34,9 @@
 {
     std::cout << options.help({""}) << R"(
 Commands:
-  check FILE     check an entry's settings; prints every fault and ends with 2 if there is one
+  check FILE     check an inventory or an entry's settings without contact to any other process;
+                 prints every fault as file:line: key: what is accepted, and ends with 2 if there is one
+                 (a file with 'upstreams' or 'rules' at its top is an inventory)
   settings-doc   print the page that describes each setting
 
 Exit codes: 0 done, 1 wrong usage, 2 faults found
@@ -59,6 +62,17 @@
     return text;
 }
 
+std::vector<settings_problem> problemsOf(const std::string &text, const std::string &name)
+{
+    std::vector<settings_problem> problems;
+    if (heatherroute::looksLikeInventory(text)) {
+        heatherroute::readInventory(text, name, &problems);
+    } else {
+        heatherroute::entry_settings::make(text, name, &problems);
+    }
+    return problems;
+}
+
 int runCheck(const std::vector<std::string> &arguments)
 {
     if (arguments.size() != 1) {
@@ -69,8 +83,7 @@
     if (!text) {
         return usageError("can't read " + name);
     }
-    std::vector<settings_problem> problems;
-    heatherroute::entry_settings::make(*text, name, &problems);
+    const std::vector<settings_problem> problems = problemsOf(*text, name);
     for (const settings_problem &problem : problems) {
         std::cout << toString(problem) << '\n';
     }
--- /dev/null
+++ b/src/settings/enum_names.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+namespace heatherroute::detail
+{
+
+/**
+ * The names of an enumeration's values, in the order of the enumerators.
+ *
+ * Thread safe.
+ */
+template<typename Enum, std::size_t Count>
+struct enum_names
+{
+    std::array<std::string_view, Count> words;
+
+    constexpr std::string_view nameOf(Enum value) const noexcept
+    {
+        return words[static_cast<std::size_t>(value)];
+    }
+
+    constexpr std::optional<Enum> find(std::string_view text) const noexcept
+    {
+        for (std::size_t i = 0; i < Count; ++i) {
+            if (words[i] == text) {
+                return static_cast<Enum>(i);
+            }
+        }
+        return std::nullopt;
+    }
+};
+
+} // namespace heatherroute::detail
--- a/src/settings/inventory.cpp
+++ b/src/settings/inventory.cpp
@@ -1,28 +1,15 @@
 #include "heatherroute/inventory.h"
 
-#include <array>
-#include <cstddef>
+#include "settings/enum_names.h"
 
 namespace heatherroute
 {
 namespace
 {
 
-constexpr std::array<std::string_view, 3> kUpstreamKindNames = {"prefill_engine", "decode_engine", "plain_service"};
-constexpr std::array<std::string_view, 2> kUpstreamStateNames = {"active", "leaving"};
-constexpr std::array<std::string_view, 2> kPriorityClassNames = {"interactive", "batch"};
-
-// The names stand in the order of the enumerators, so the position is the value.
-template<typename Enum, std::size_t Count>
-std::optional<Enum> parseName(const std::array<std::string_view, Count> &names, std::string_view text) noexcept
-{
-    for (std::size_t i = 0; i < Count; ++i) {
-        if (names[i] == text) {
-            return static_cast<Enum>(i);
-        }
-    }
-    return std::nullopt;
-}
+constexpr detail::enum_names<upstream_kind, 3> kUpstreamKindNames = {{"prefill_engine", "decode_engine", "plain_service"}};
+constexpr detail::enum_names<upstream_state, 2> kUpstreamStateNames = {{"active", "leaving"}};
+constexpr detail::enum_names<priority_class, 2> kPriorityClassNames = {{"interactive", "batch"}};
 
 struct rule_key_builder
 {
@@ -52,32 +39,32 @@
 
 std::string_view toString(upstream_kind value) noexcept
 {
-    return kUpstreamKindNames[static_cast<std::size_t>(value)];
+    return kUpstreamKindNames.nameOf(value);
 }
 
 std::string_view toString(upstream_state value) noexcept
 {
-    return kUpstreamStateNames[static_cast<std::size_t>(value)];
+    return kUpstreamStateNames.nameOf(value);
 }
 
 std::string_view toString(priority_class value) noexcept
 {
-    return kPriorityClassNames[static_cast<std::size_t>(value)];
+    return kPriorityClassNames.nameOf(value);
 }
 
 std::optional<upstream_kind> parseUpstreamKind(std::string_view text) noexcept
 {
-    return parseName<upstream_kind>(kUpstreamKindNames, text);
+    return kUpstreamKindNames.find(text);
 }
 
 std::optional<upstream_state> parseUpstreamState(std::string_view text) noexcept
 {
-    return parseName<upstream_state>(kUpstreamStateNames, text);
+    return kUpstreamStateNames.find(text);
 }
 
 std::optional<priority_class> parsePriorityClass(std::string_view text) noexcept
 {
-    return parseName<priority_class>(kPriorityClassNames, text);
+    return kPriorityClassNames.find(text);
 }
 
 std::string ruleKey(const rule &value)
--- a/src/settings/settings_names.h
+++ b/src/settings/settings_names.h
@@ -1,41 +1,11 @@
 #pragma once
 
 #include "heatherroute/settings.h"
-
-#include <array>
-#include <cstddef>
-#include <optional>
-#include <string_view>
+#include "settings/enum_names.h"
 
 namespace heatherroute::detail
 {
 
-/**
- * The names of an enumeration's values, in the order of the enumerators.
- *
- * Thread safe.
- */
-template<typename Enum, std::size_t Count>
-struct enum_names
-{
-    std::array<std::string_view, Count> words;
-
-    constexpr std::string_view nameOf(Enum value) const noexcept
-    {
-        return words[static_cast<std::size_t>(value)];
-    }
-
-    constexpr std::optional<Enum> find(std::string_view text) const noexcept
-    {
-        for (std::size_t i = 0; i < Count; ++i) {
-            if (words[i] == text) {
-                return static_cast<Enum>(i);
-            }
-        }
-        return std::nullopt;
-    }
-};
-
 constexpr enum_names<placement_policy, 4> kPlacementNames = {{"random", "round_robin", "two_choices", "owner_grants"}};
 constexpr enum_names<log_level, 4> kLogLevelNames = {{"debug", "info", "warning", "error"}};
 constexpr enum_names<log_format, 2> kLogFormatNames = {{"keyvalue", "json"}};
--- a/src/settings/settings_table.cpp
+++ b/src/settings/settings_table.cpp
@@ -56,11 +56,6 @@
     return key;
 }
 
-std::string addressAccepted(std::uint32_t minPort)
-{
-    return "IP:port with a numeric address (IPv6 in brackets) and a port from " + std::to_string(minPort) + " to 65535";
-}
-
 template<typename Field>
 settings_key addressKey(const std::string &path, std::uint32_t minPort, Field field, const std::string &doc)
 {
@@ -88,11 +83,6 @@
     return key;
 }
 
-std::string rangeAccepted(std::uint64_t min, std::uint64_t max)
-{
-    return "an integer from " + std::to_string(min) + " to " + std::to_string(max);
-}
-
 // Value is the type of the field: an unsigned integer or a std::chrono duration.
 template<typename Value, typename Field>
 settings_key numberKey(const std::string &path, const number_range &range, const std::string &unit, Field field, const std::string &doc)
@@ -100,7 +90,7 @@
     settings_key key;
     key.path = path;
     key.type = "integer";
-    key.accepted = rangeAccepted(range.min, range.max);
+    key.accepted = integerAccepted(range.min, range.max);
     key.unit = unit;
     key.doc = doc;
     key.assign = [field, range](const YAML::Node &node, entry_values &values) {
--- a/src/settings/yaml_reader.cpp
+++ b/src/settings/yaml_reader.cpp
@@ -220,6 +220,16 @@
     return text;
 }
 
+std::string integerAccepted(std::uint64_t min, std::uint64_t max)
+{
+    return "an integer from " + std::to_string(min) + " to " + std::to_string(max);
+}
+
+std::string addressAccepted(std::uint32_t minPort)
+{
+    return "IP:port with a numeric address (IPv6 in brackets) and a port from " + std::to_string(minPort) + " to 65535";
+}
+
 std::string joinWords(const std::vector<std::string> &words)
 {
     std::string text;
--- a/src/settings/yaml_reader.h
+++ b/src/settings/yaml_reader.h
@@ -80,6 +80,12 @@
 /// What `parseName` accepts, for messages.
 constexpr std::string_view kNameAccepted = "a name of at most 64 letters, digits, '.', '_' or '-', the first a letter or digit";
 
+/// What `parseInteger` accepts, for messages.
+std::string integerAccepted(std::uint64_t min, std::uint64_t max);
+
+/// What `parseAddress` accepts, for messages.
+std::string addressAccepted(std::uint32_t minPort);
+
 /// @p words joined by ", ".
 std::string joinWords(const std::vector<std::string> &words);
 
