--- a/src/core/config_hash.cpp
+++ b/src/core/config_hash.cpp
@@ -1,5 +1,7 @@
 #include "core/config_hash.h"
 
+#include <array>
+#include <cstddef>
 #include <string>
 #include <type_traits>
 #include <xxhash.h>
@@ -16,14 +18,17 @@
 public:
     explicit field_bytes(char tag)
     {
+        m_bytes.reserve(kUsualBytes);
         m_bytes.push_back(tag);
     }
 
     field_bytes &add(std::uint64_t number)
     {
-        for (int shift = 0; shift < 64; shift += 8) {
-            m_bytes.push_back(static_cast<char>((number >> shift) & 0xffU));
+        std::array<char, sizeof(number)> bytes{};
+        for (std::size_t i = 0; i < bytes.size(); ++i) {
+            bytes[i] = static_cast<char>((number >> (8 * i)) & 0xffU);
         }
+        m_bytes.append(bytes.data(), bytes.size());
         return *this;
     }
 
@@ -43,17 +48,14 @@
         return *this;
     }
 
-    field_bytes &add(const config_revision &revision)
-    {
-        return add(static_cast<std::uint64_t>(revision.has_value())).add(revision.value_or(0));
-    }
-
     std::uint64_t hash() const
     {
         return XXH3_64bits(m_bytes.data(), m_bytes.size());
     }
 
 private:
+    static constexpr std::size_t kUsualBytes = 256;
+
     std::string m_bytes;
 };
 
@@ -120,7 +122,9 @@
 
 std::uint64_t hashOfRevisions(const config_revision &revision, const config_revision &forgottenRemoval)
 {
-    return field_bytes('v').add(revision).add(forgottenRemoval).hash();
+    const auto number = [](const config_revision &one) { return one ? *one + 1 : 0; };
+    const std::uint64_t first = XXH64(nullptr, 0, number(revision));
+    return XXH64(nullptr, 0, first + number(forgottenRemoval));
 }
 
 } // namespace heatherroute::detail
--- /dev/null
+++ b/src/core/config_replica_peers.cpp
@@ -0,0 +1,82 @@
+#include "heatherroute/config_replica.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace heatherroute
+{
+
+peer_transfer config_replica::answer(const peer_request &request) const
+{
+    peer_transfer transfer;
+    if (!m_isEstablished || (request.from >= m_state.next() && !request.whole)) {
+        return transfer;
+    }
+    if (request.whole || m_window.empty() || request.from < m_window.front().record.offset) {
+        transfer.snapshot = encodeRecord(m_state.snapshot());
+        return transfer;
+    }
+    const auto first = m_window.begin() + static_cast<std::ptrdiff_t>(request.from - m_window.front().record.offset);
+    transfer.records.reserve(static_cast<std::size_t>(m_window.end() - first));
+    std::transform(first, m_window.end(), std::back_inserter(transfer.records), [](const window_record &kept) { return kept.record; });
+    return transfer;
+}
+
+bool config_replica::isAhead(const peer_position &peer) const noexcept
+{
+    return !m_isEstablished || peer.next > m_state.next();
+}
+
+void config_replica::askPeer(instant now, config_effects &effects)
+{
+    const bool isLogEnough = m_isEstablished && !isScanning() && isLogHeard(now);
+    const bool isWaiting = m_peerAskedAt && now - *m_peerAskedAt < m_settings.peerRetry;
+    if (isLogEnough || isWaiting) {
+        return;
+    }
+    const auto isCandidate = [this](const auto &entry) { return isAhead(entry.second); };
+    // The next one in turn, so that a peer that doesn't answer isn't asked for ever.
+    auto found = std::find_if(m_peers.upper_bound(m_lastAskedPeer), m_peers.end(), isCandidate);
+    if (found == m_peers.end()) {
+        found = std::find_if(m_peers.begin(), m_peers.end(), isCandidate);
+    }
+    if (found == m_peers.end()) {
+        return;
+    }
+    m_peerAskedAt = now;
+    m_lastAskedPeer = found->first;
+    effects.emplace_back(request_from_peer{found->first, {m_state.next(), !m_isEstablished}});
+}
+
+void config_replica::checkAgreement(const std::string &peer, const peer_summary &summary, config_effects &effects)
+{
+    const std::optional<std::uint64_t> own = m_isEstablished ? digestAt(summary.next) : std::nullopt;
+    if (own && *own != summary.digest) {
+        ++m_counters.disagreements;
+        effects.emplace_back(state_disagreement{peer, summary.next});
+    }
+}
+
+void config_replica::keep(passed_record record, std::uint64_t digestBefore)
+{
+    m_windowBytes += record.text ? record.text->size() : 0;
+    m_window.push_back({std::move(record), digestBefore});
+    while (m_window.size() > m_settings.windowRecords || m_windowBytes > m_settings.windowBytes) {
+        const std::optional<std::string> &text = m_window.front().record.text;
+        m_windowBytes -= text ? text->size() : 0;
+        m_window.pop_front();
+    }
+}
+
+std::optional<std::uint64_t> config_replica::digestAt(log_offset next) const
+{
+    if (next == m_state.next()) {
+        return m_state.digest();
+    }
+    if (m_window.empty() || next < m_window.front().record.offset || next > m_state.next()) {
+        return std::nullopt;
+    }
+    return m_window[next - m_window.front().record.offset].digestBefore;
+}
+
+} // namespace heatherroute
