--- a/src/net/json_source.cpp
+++ b/src/net/json_source.cpp
@@ -1,2 +1,2 @@
-// Compiles Boost.JSON once for the whole library.
+// Boost.JSON is compiled in this one place because its sources are slow to build.
 #include <boost/json/src.hpp>
