--- /dev/null
+++ b/tests/support/process.cpp
@@ -0,0 +1,146 @@
+#include "support/process.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <csignal>
+#include <cstring>
+#include <sstream>
+#include <thread>
+
+extern char **environ;
+
+namespace heatherroute::support
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds kPollInterval{2};
+constexpr int kSignalExitBase = 128;
+
+} // namespace
+
+std::unique_ptr<child_process> child_process::make(const std::string &program, const std::vector<std::string> &arguments, last_reason *reason, bool quiet)
+{
+    file_pointer output(std::tmpfile());
+    if (!output) {
+        setReason(reason, std::string("no temporary file: ") + std::strerror(errno));
+        return nullptr;
+    }
+    std::vector<char *> words{const_cast<char *>(program.c_str())};
+    for (const auto &argument : arguments) {
+        words.push_back(const_cast<char *>(argument.c_str()));
+    }
+    words.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, fileno(output.get()), STDOUT_FILENO);
+    if (quiet) {
+        posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, "/dev/null", O_WRONLY, 0);
+    }
+    // The child gets none of the parent's blocked or ignored signals.
+    posix_spawnattr_t attributes;
+    posix_spawnattr_init(&attributes);
+    sigset_t none;
+    sigemptyset(&none);
+    sigset_t all;
+    sigfillset(&all);
+    posix_spawnattr_setsigmask(&attributes, &none);
+    posix_spawnattr_setsigdefault(&attributes, &all);
+    posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK | POSIX_SPAWN_SETSIGDEF);
+    pid_t pid = 0;
+    const int error = posix_spawnp(&pid, program.c_str(), &actions, &attributes, words.data(), environ);
+    posix_spawnattr_destroy(&attributes);
+    posix_spawn_file_actions_destroy(&actions);
+    if (error != 0) {
+        setReason(reason, "cannot start " + program + ": " + std::strerror(error));
+        return nullptr;
+    }
+    return std::unique_ptr<child_process>(new child_process(pid, std::move(output)));
+}
+
+child_process::child_process(pid_t pid, file_pointer output)
+    : m_pid(pid)
+    , m_output(std::move(output))
+{ }
+
+child_process::~child_process()
+{
+    if (!m_exitCode) {
+        signal(SIGKILL);
+        waitpid(m_pid, nullptr, 0);
+    }
+}
+
+std::optional<std::string> child_process::waitForLine(const std::string &prefix, std::chrono::milliseconds limit)
+{
+    const auto until = std::chrono::steady_clock::now() + limit;
+    while (true) {
+        const bool ended = waitForEnd(std::chrono::milliseconds(0)).has_value();
+        std::istringstream lines(output());
+        std::string line;
+        while (std::getline(lines, line)) {
+            const bool whole = !lines.eof();
+            if (whole && line.compare(0, prefix.size(), prefix) == 0) {
+                return line.substr(prefix.size());
+            }
+        }
+        if (ended || std::chrono::steady_clock::now() >= until) {
+            return std::nullopt;
+        }
+        std::this_thread::sleep_for(kPollInterval);
+    }
+}
+
+std::vector<std::string> child_process::waitUntilListening(std::chrono::milliseconds limit)
+{
+    std::vector<std::string> words;
+    std::istringstream line(waitForLine("listening ", limit).value_or(std::string()));
+    std::string word;
+    while (line >> word) {
+        words.push_back(word);
+    }
+    return words;
+}
+
+std::string child_process::output() const
+{
+    constexpr std::size_t kChunkBytes = 65536;
+    std::string text;
+    std::string chunk(kChunkBytes, '\0');
+    ssize_t size = 0;
+    while ((size = pread(fileno(m_output.get()), chunk.data(), chunk.size(), static_cast<off_t>(text.size()))) > 0) {
+        text.append(chunk, 0, static_cast<std::size_t>(size));
+    }
+    return text;
+}
+
+void child_process::signal(int signal)
+{
+    if (!m_exitCode) {
+        kill(m_pid, signal);
+    }
+}
+
+std::optional<int> child_process::waitForEnd(std::chrono::milliseconds limit)
+{
+    const auto until = std::chrono::steady_clock::now() + limit;
+    while (!m_exitCode) {
+        int status = 0;
+        if (waitpid(m_pid, &status, WNOHANG) == m_pid) {
+            m_exitCode = WIFSIGNALED(status) ? kSignalExitBase + WTERMSIG(status) : WEXITSTATUS(status);
+            break;
+        }
+        if (std::chrono::steady_clock::now() >= until) {
+            break;
+        }
+        std::this_thread::sleep_for(kPollInterval);
+    }
+    return m_exitCode;
+}
+
+} // namespace heatherroute::support
