--- a/src/net/json_source.cpp
+++ b/src/net/json_source.cpp
@@ -1,2 +1,2 @@
-// Boost.JSON is used header-only, so its definitions are compiled here, once for the whole library.
+// Boost.JSON is compiled in this one place because its sources are slow to build.
 #include <boost/json/src.hpp>
--- /dev/null
+++ b/src/node/platform_duty.cpp
@@ -0,0 +1,86 @@
+#include "node/platform_duty.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "net/http_client.h"
+#include "node/core_time.h"
+#include "node/log_answer.h"
+
+namespace heatherroute::node
+{
+
+namespace asio = boost::asio;
+
+class platform_duty::impl
+{
+public:
+    impl(asio::io_context &context, platform_options options, channel<core_event> &toCore)
+        : m_context(context)
+        , m_options(std::move(options))
+        , m_toCore(toCore)
+    { }
+
+    void perform(const read_log &action)
+    {
+        asio::co_spawn(m_context, runRead(action.from), asio::detached);
+    }
+
+    void perform(const append_log &action)
+    {
+        asio::co_spawn(m_context, runAppend(action.record), asio::detached);
+    }
+
+    template<typename Other>
+    void perform(const Other &)
+    { }
+
+private:
+    net::http_call callTo(std::string target) const
+    {
+        net::http_call call;
+        call.endpoint = m_options.log;
+        call.target = std::move(target);
+        call.progressTimeout = m_options.pollWait + m_options.timeout;
+        return call;
+    }
+
+    asio::awaitable<void> runRead(log_offset from)
+    {
+        net::http_call call = callTo(readTarget(m_options.configStream, from, m_options.pollWait));
+        call.method = "GET";
+        const instant askedAt = coreNow();
+        const net::http_result result = co_await net::performCall(std::move(call));
+        core_event event = readOutcome(askedAt, result);
+        co_await m_toCore.push(std::move(event));
+    }
+
+    asio::awaitable<void> runAppend(std::string record)
+    {
+        net::http_call call = callTo(appendTarget(m_options.configStream));
+        call.body = appendBody(record);
+        co_await net::performCall(std::move(call));
+    }
+
+    asio::io_context &m_context;
+    platform_options m_options;
+    channel<core_event> &m_toCore;
+};
+
+platform_duty::platform_duty(asio::io_context &context, platform_options options, channel<core_event> &toCore)
+    : m_impl(std::make_unique<impl>(context, std::move(options), toCore))
+{ }
+
+platform_duty::~platform_duty() = default;
+
+bool platform_duty::takes(const core_action &action) noexcept
+{
+    return std::holds_alternative<read_log>(action) || std::holds_alternative<append_log>(action);
+}
+
+void platform_duty::perform(core_action action)
+{
+    std::visit([this](const auto &typed) { m_impl->perform(typed); }, action);
+}
+
+} // namespace heatherroute::node
