The path end to end: an await stands alone in its statement

Cause of a crash after the last token: g++ 12 keeps no valid frame for temporaries when two awaits share one condition (seen in the frame of writeEnd). Ruled out by its trace: the session's and the server's lifetimes. Each await now has a statement of its own.

--- a/apps/heatherctl.cpp
+++ b/apps/heatherctl.cpp
@@ -1,12 +1,17 @@
+#include "control/commands.h"
 #include "heatherroute/settings.h"
+#include "net/http_client.h"
 #include "settings/inventory_file.h"
 
 #include <cxxopts.hpp>
 
+#include <algorithm>
 #include <fstream>
 #include <iostream>
 #include <iterator>
 #include <optional>
+#include <random>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -15,9 +20,9 @@
 
 using heatherroute::settings_problem;
 
-constexpr int kExitSuccess = 0;
-constexpr int kExitUsage = 1;
-constexpr int kExitFaulty = 2;
+using heatherroute::control::kExitFaulty;
+using heatherroute::control::kExitSuccess;
+using heatherroute::control::kExitUsage;
 
 cxxopts::Options makeOptions()
 {
@@ -25,6 +30,14 @@
     options.custom_help("COMMAND [ARGUMENT...] [OPTION...]");
     options.positional_help("");
     options.add_options()("h,help", "print this text")("version", "print the version");
+    auto add = options.add_options("publish and entries");
+    add("entries", "operators' addresses of entries, separated by commas", cxxopts::value<std::string>()->default_value(""));
+    add("log", "address of the platform's log", cxxopts::value<std::string>()->default_value(""));
+    add("stream", "name of the configuration stream", cxxopts::value<std::string>()->default_value("config"));
+    add("half", "the half that is published", cxxopts::value<std::string>()->default_value(""));
+    add("operator", "who publishes", cxxopts::value<std::string>()->default_value("operator"));
+    add("publish-id", "publish the same id again after an unknown outcome", cxxopts::value<std::string>()->default_value(""));
+    add("timeout-s", "longest wait for the outcome", cxxopts::value<unsigned>()->default_value("30"));
     options.add_options("hidden")("command", "", cxxopts::value<std::string>())("arguments", "", cxxopts::value<std::vector<std::string>>());
     options.parse_positional({"command", "arguments"});
     return options;
@@ -32,14 +45,19 @@
 
 void printHelp(const cxxopts::Options &options)
 {
-    std::cout << options.help({""}) << R"(
+    std::cout << options.help({"", "publish and entries"}) << R"(
 Commands:
   check FILE     check an inventory or an entry's settings without contact to any other process;
                  prints every fault as file:line: key: what is accepted, and ends with 2 if there is one
                  (a file with 'upstreams' or 'rules' at its top is an inventory)
+  publish FILE   publish the inventory of a half (--log, --half); prints the decision, then waits for --entries
+  status         print what each of --entries has applied and has in flight
+  dump           print the state dump of each of --entries
+  drain          ask each of --entries for a graceful shutdown
+  where NAME     print who owns the upstream NAME, as each of --entries sees it
   settings-doc   print the page that describes each setting
 
-Exit codes: 0 done, 1 wrong usage, 2 faults found
+Exit codes: 0 done, 1 wrong usage, 2 faults found, 3 publication rejected, 4 no answer in time
 )";
 }
 
@@ -90,8 +108,58 @@
     return problems.empty() ? kExitSuccess : kExitFaulty;
 }
 
-int runCommand(const std::string &command, const std::vector<std::string> &arguments)
+std::vector<std::string> entriesOf(const cxxopts::ParseResult &options)
 {
+    std::vector<std::string> entries;
+    std::istringstream list(options["entries"].as<std::string>());
+    std::string entry;
+    while (std::getline(list, entry, ',')) {
+        entries.push_back(entry);
+    }
+    return entries;
+}
+
+std::string newPublishId()
+{
+    std::random_device device;
+    std::ostringstream id;
+    id << std::hex << device() << device();
+    return id.str();
+}
+
+int runPublish(const std::vector<std::string> &arguments, const cxxopts::ParseResult &options)
+{
+    const auto log = heatherroute::net::parseEndpoint(options["log"].as<std::string>());
+    heatherroute::control::publish_order order;
+    order.half = options["half"].as<std::string>();
+    if (arguments.size() != 1 || !log || order.half.empty()) {
+        return usageError("publish takes one file, --log IP:port and --half NAME");
+    }
+    const std::optional<std::string> text = readFile(arguments.front());
+    if (!text) {
+        return usageError("can't read " + arguments.front());
+    }
+    std::vector<settings_problem> problems;
+    auto wanted = heatherroute::readInventory(*text, arguments.front(), &problems);
+    for (const settings_problem &problem : problems) {
+        std::cout << toString(problem) << '\n';
+    }
+    if (!wanted) {
+        return kExitFaulty;
+    }
+    const auto givenId = options["publish-id"].as<std::string>();
+    order.location = {*log, options["stream"].as<std::string>()};
+    order.wanted = std::move(*wanted);
+    order.operatorName = options["operator"].as<std::string>();
+    order.publishId = givenId.empty() ? newPublishId() : givenId;
+    order.entries = entriesOf(options);
+    order.limit = std::chrono::seconds(options["timeout-s"].as<unsigned>());
+    return heatherroute::control::publish(order, std::cout);
+}
+
+int runCommand(const std::string &command, const std::vector<std::string> &arguments, const cxxopts::ParseResult &options)
+{
+    const std::vector<std::string> entries = entriesOf(options);
     if (command == "check") {
         return runCheck(arguments);
     }
@@ -99,6 +167,24 @@
         std::cout << heatherroute::settingsDocument();
         return kExitSuccess;
     }
+    if (command == "publish") {
+        return runPublish(arguments, options);
+    }
+    if (entries.empty()) {
+        return usageError(command + " takes --entries IP:port[,IP:port...]");
+    }
+    if (command == "status") {
+        return heatherroute::control::printStatus(entries, std::cout);
+    }
+    if (command == "dump") {
+        return heatherroute::control::printDump(entries, std::cout);
+    }
+    if (command == "drain") {
+        return heatherroute::control::drain(entries, std::cout);
+    }
+    if (command == "where" && arguments.size() == 1) {
+        return heatherroute::control::printOwner(entries, arguments.front(), std::cout);
+    }
     return usageError("unknown command '" + command + "'");
 }
 
@@ -118,7 +204,7 @@
         return usageError("no command given");
     }
     const auto arguments = result.count("arguments") > 0 ? result["arguments"].as<std::vector<std::string>>() : std::vector<std::string>();
-    return runCommand(result["command"].as<std::string>(), arguments);
+    return runCommand(result["command"].as<std::string>(), arguments, result);
 }
 
 } // namespace
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -78,11 +78,13 @@
 for i in 1 2 3; do service red-pericial "${zones[$((i - 1))]}" directory "$i"; done
 cat >>"$work/inventory-da-nang.yaml" <<YAML
 rules:
-  - {rule: service_route, service: shop-portal, path_prefix: /, idempotent_methods: [GET]}
+  service_routes:
+    - {service: shop-portal, path_prefix: /, idempotent_methods: [GET]}
 YAML
 cat >>"$work/inventory-red-pericial.yaml" <<YAML
 rules:
-  - {rule: service_route, service: directory, path_prefix: /, idempotent_methods: [GET]}
+  service_routes:
+    - {service: directory, path_prefix: /, idempotent_methods: [GET]}
 YAML
 entry da-nang hai-chau 1; daNang=$address; daNangOperators=$operators
 entry red-pericial cdmx-a 1; red1=$address; red1Operators=$operators
--- a/src/node/caller_duty.cpp
+++ b/src/node/caller_duty.cpp
@@ -161,7 +161,10 @@
         bool goOn = true;
         while (goOn) {
             std::optional<core_action> action = co_await own->next();
-            goOn = action && co_await write(std::move(*action), state);
+            goOn = action.has_value();
+            if (goOn) {
+                goOn = co_await write(std::move(*action), state);
+            }
         }
         state.out.onClosed({});
         if (own->isClosed() || state.out.isClosed()) {
@@ -203,7 +206,8 @@
         if (!state.stream) {
             co_return true;
         }
-        if (!co_await beginStream(state)) {
+        const bool begun = co_await beginStream(state);
+        if (!begun) {
             co_return false;
         }
         co_return co_await state.out.write(std::move(data));
@@ -215,7 +219,13 @@
             co_await sendWhole(state.out, kOk, kJson, completionBody(state.requestName, state.text, end));
             co_return;
         }
-        if (co_await beginStream(state) && co_await state.out.write(finishEvents(state.requestName, end))) {
+        const bool begun = co_await beginStream(state);
+        if (!begun) {
+            co_return;
+        }
+        std::string events = finishEvents(state.requestName, end);
+        const bool written = co_await state.out.write(std::move(events));
+        if (written) {
             co_await state.out.endStream();
         }
     }
@@ -226,7 +236,9 @@
             co_await state.out.send(errorAnswer(failure));
             co_return;
         }
-        if (co_await state.out.write(errorEvent(failure))) {
+        std::string event = errorEvent(failure);
+        const bool written = co_await state.out.write(std::move(event));
+        if (written) {
             co_await state.out.endStream();
         }
     }
