--- a/apps/heatherctl.cpp
+++ b/apps/heatherctl.cpp
@@ -3,9 +3,10 @@
 
 #include <cxxopts.hpp>
 
+#include <array>
+#include <cstddef>
 #include <fstream>
 #include <iostream>
-#include <iterator>
 #include <optional>
 #include <string>
 #include <vector>
@@ -15,6 +16,7 @@
 
 using heatherroute::settings_problem;
 
+constexpr std::size_t kReadBytes = 65536;
 constexpr int kExitSuccess = 0;
 constexpr int kExitUsage = 1;
 constexpr int kExitFaulty = 2;
@@ -55,7 +57,11 @@
     if (!file) {
         return std::nullopt;
     }
-    std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    std::string text;
+    std::array<char, kReadBytes> part{};
+    while (file.read(part.data(), part.size()) || file.gcount() > 0) {
+        text.append(part.data(), static_cast<std::size_t>(file.gcount()));
+    }
     if (file.bad()) {
         return std::nullopt;
     }
