--- a/apps/heatherctl.cpp
+++ b/apps/heatherctl.cpp
@@ -5,10 +5,10 @@
 
 #include <cxxopts.hpp>
 
-#include <algorithm>
+#include <array>
+#include <cstddef>
 #include <fstream>
 #include <iostream>
-#include <iterator>
 #include <optional>
 #include <random>
 #include <sstream>
@@ -24,6 +24,8 @@
 using heatherroute::control::kExitSuccess;
 using heatherroute::control::kExitUsage;
 
+constexpr std::size_t kReadBytes = 65536;
+
 cxxopts::Options makeOptions()
 {
     cxxopts::Options options("heatherctl", "The operators' tool of heatherroute.");
@@ -73,7 +75,11 @@
     if (!file) {
         return std::nullopt;
     }
-    std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    std::string text;
+    std::array<char, kReadBytes> part{};
+    while (file.read(part.data(), part.size()) || file.gcount() > 0) {
+        text.append(part.data(), static_cast<std::size_t>(file.gcount()));
+    }
     if (file.bad()) {
         return std::nullopt;
     }
