--- a/tests/process_standins_test.cpp
+++ b/tests/process_standins_test.cpp
@@ -21,7 +21,7 @@
 class running_standin
 {
 public:
-    running_standin(const std::string &name, std::vector<std::string> arguments)
+    running_standin(const std::string &name, const std::vector<std::string> &arguments)
     {
         last_reason reason;
         process = child_process::make(std::string(HEATHERROUTE_BIN_DIR) + "/" + name, arguments, &reason);
--- a/tests/standins/decode_model.cpp
+++ b/tests/standins/decode_model.cpp
@@ -21,7 +21,7 @@
     , m_piecesFree(settings.pieces)
 { }
 
-refusal decode_model::accept(instant now, engine_request request, std::size_t *record)
+refusal decode_model::accept(instant now, const engine_request &request, std::size_t *record)
 {
     advance(now);
     const auto known = m_jobs.find(request.requestId);
@@ -54,7 +54,7 @@
     ++m_slotsUsed;
     m_peakSlots = std::max(m_peakSlots, m_slotsUsed);
     m_peakPieces = std::max(m_peakPieces, m_settings.pieces - m_piecesFree);
-    m_jobs.insert_or_assign(request.requestId, std::move(entry));
+    m_jobs.insert_or_assign(request.requestId, entry);
     return refusal::None;
 }
 
--- a/tests/standins/decode_model.h
+++ b/tests/standins/decode_model.h
@@ -27,7 +27,7 @@
     explicit decode_model(const engine_settings &settings);
 
     /// Accepts @p request and begins to receive its KV cache; the index of its record goes to @p record.
-    refusal accept(instant now, engine_request request, std::size_t *record);
+    refusal accept(instant now, const engine_request &request, std::size_t *record);
     /// The sender has sent all of the KV cache of @p requestId.
     void sourceComplete(instant now, const std::string &requestId);
     /// The KV cache of @p requestId can't be had; frees what it took.
--- a/tests/standins/engine_server.cpp
+++ b/tests/standins/engine_server.cpp
@@ -213,7 +213,7 @@
     const std::size_t offset = work.offset;
     const std::string prompt = work.prompt;
     std::size_t record = 0;
-    const refusal refused = m_decode.accept(realTime(), std::move(work), &record);
+    const refusal refused = m_decode.accept(realTime(), work, &record);
     pump();
     if (refused != refusal::None) {
         ++m_refusals[codeOf(refused)];
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -11,8 +11,6 @@
 #include <sstream>
 #include <thread>
 
-extern char **environ;
-
 namespace heatherroute::support
 {
 
