Peer messages: typed kinds, bounded cereal codec, replay guard

Entries need one wire format for membership, grants and configuration. cereal trusts the container sizes in its input, so a few forged bytes could claim any amount of memory; the containers of peer_serialize.h check a two-byte length first and grow with the bytes received. cereal's own string and vector functions were ruled out for this, and for their eight-byte sizes, which matter in packets of at most 1,200 bytes.

Kinds are a variant in peer_message.h; a new one needs its struct with a serialize function in its own header and one line there. Each reason for dropping a packet has its own value. The replay guard keeps a window of 1,024 sequence numbers per sender for a bounded number of senders.

--- /dev/null
+++ b/include/heatherroute/membership_message.h
@@ -0,0 +1,195 @@
+#pragma once
+
+#include "heatherroute/member.h"
+#include "heatherroute/peer_serialize.h"
+
+#include <optional>
+
+/**
+ * The messages of the membership protocol.
+ *
+ * Each fits one datagram. Every message has its serialize function beside it, for both directions; see peer_message.h for
+ * the list of all kinds.
+ */
+
+namespace heatherroute
+{
+
+inline constexpr std::size_t kMaxAddressBytes = 64;
+inline constexpr std::size_t kMaxUpdatesPerMessage = 64;
+
+template<typename Archive>
+void serialize(Archive &archive, member_id &id)
+{
+    serializeText(archive, id.name, kMaxNameBytes);
+    archive(id.start);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, pool_slots &slots)
+{
+    serializeText(archive, slots.pool, kMaxNameBytes);
+    archive(slots.freeSlots);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, node_summary &summary)
+{
+    archive(summary.configRevision, summary.configDigest, summary.loadPermille);
+    serializeList(archive, summary.freeSlotsByPool, kMaxPools);
+}
+
+/// Where a member is found; carried only where the receiver may not know the member yet.
+struct member_details
+{
+    std::string callerAddress;
+    std::string peerAddress;
+    std::string zone;
+    std::string region;
+    std::string half;
+
+    auto operator<=>(const member_details &) const = default;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        serializeText(archive, callerAddress, kMaxAddressBytes);
+        serializeText(archive, peerAddress, kMaxAddressBytes);
+        serializeText(archive, zone, kMaxNameBytes);
+        serializeText(archive, region, kMaxNameBytes);
+        serializeText(archive, half, kMaxNameBytes);
+    }
+};
+
+/// One report about one member, passed on from peer to peer.
+struct member_update
+{
+    member_id id;
+    std::uint32_t refutation = 0;
+    member_state state = member_state::Alive;
+    std::optional<member_details> details;
+
+    auto operator<=>(const member_update &) const = default;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, refutation);
+        serializeEnum(archive, state, member_state::Dead);
+        std::uint8_t hasDetails = details.has_value() ? 1 : 0;
+        archive(hasDetails);
+        if (hasDetails == 0) {
+            details.reset();
+            return;
+        }
+        if (!details) {
+            details.emplace();
+        }
+        archive(*details);
+    }
+};
+
+/// Asks whether the process at an address answers.
+struct probe
+{
+    std::uint32_t number = 0; ///< Repeated in the answer.
+    member_id target; ///< Whom the sender expects; an empty name when it only knows the address.
+    node_summary summary;
+    std::vector<member_update> updates;
+
+    auto operator<=>(const probe &) const = default;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(number, target, summary);
+        serializeList(archive, updates, kMaxUpdatesPerMessage);
+    }
+};
+
+/// Answers a probe, directly or through the peer that probed on behalf of another.
+struct probe_ack
+{
+    std::uint32_t number = 0;
+    member_id subject; ///< Who answered; differs from the sender when relayed and from the target when that was replaced.
+    bool introduce = false; ///< The sender doesn't know the receiver and asks it to join.
+    node_summary summary; ///< Of the sender.
+    std::vector<member_update> updates;
+
+    auto operator<=>(const probe_ack &) const = default;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        std::uint8_t flag = introduce ? 1 : 0;
+        archive(number, subject, flag, summary);
+        introduce = flag != 0;
+        serializeList(archive, updates, kMaxUpdatesPerMessage);
+    }
+};
+
+/// Asks a peer to probe a member that didn't answer the sender.
+struct indirect_probe
+{
+    std::uint32_t number = 0;
+    member_id target;
+    std::string targetAddress;
+
+    auto operator<=>(const indirect_probe &) const = default;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(number, target);
+        serializeText(archive, targetAddress, kMaxAddressBytes);
+    }
+};
+
+/// Introduces the sender; answered by the first page of the members.
+struct join_request
+{
+    member_update self;
+
+    auto operator<=>(const join_request &) const = default;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(self);
+    }
+};
+
+/// Asks for the members that follow @c after in the order of ids.
+struct sync_request
+{
+    member_id after; ///< An empty name asks for the first page.
+
+    auto operator<=>(const sync_request &) const = default;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(after);
+    }
+};
+
+/// A part of the members that the sender knows, with details.
+struct sync_page
+{
+    bool last = true; ///< No members follow.
+    member_id end; ///< The id to ask after for the next page.
+    std::vector<member_update> updates;
+
+    auto operator<=>(const sync_page &) const = default;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        std::uint8_t flag = last ? 1 : 0;
+        archive(flag, end);
+        last = flag != 0;
+        serializeList(archive, updates, kMaxUpdatesPerMessage);
+    }
+};
+
+} // namespace heatherroute
--- /dev/null
+++ b/include/heatherroute/peer_message.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "heatherroute/last_reason.h"
+#include "heatherroute/membership_message.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace heatherroute
+{
+
+/**
+ * Every kind of message between entries.
+ *
+ * To add a kind: define the struct with its serialize function in a header of its own subject, include that header here,
+ * and append the type to the end of this list. Its place is its number on the wire, so kinds are never reordered or
+ * removed within one kPeerProtocolVersion.
+ */
+using peer_body = std::variant<probe, probe_ack, indirect_probe, join_request, sync_request, sync_page>;
+
+/// Who sent a message, and where it stands in the sender's order.
+struct peer_header
+{
+    std::uint64_t clusterId = 0; ///< From the settings: keeps fleets that share a network apart.
+    member_id sender;
+    std::uint64_t sequence = 0; ///< Grows with each message of the sender.
+
+    auto operator<=>(const peer_header &) const = default;
+};
+
+/// A decoded message.
+struct peer_message
+{
+    peer_header header;
+    peer_body body;
+
+    bool operator==(const peer_message &) const = default;
+};
+
+inline constexpr std::uint32_t kPeerMagic = 0x48525045;
+inline constexpr std::uint8_t kPeerProtocolVersion = 1;
+inline constexpr std::size_t kMaxDatagramBytes = 1200;
+inline constexpr std::size_t kMaxFrameBytes = 256UL * 1024;
+
+/// Why a received packet was dropped; each value has its own counter.
+enum class peer_drop : std::uint8_t {
+    Oversized, ///< Longer than the limit of its transport.
+    NotOurs, ///< Without the magic number.
+    WrongVersion,
+    ForeignCluster,
+    UnknownKind,
+    Malformed, ///< Truncated, over a container's limit, or with bytes left over.
+    Replayed, ///< The sequence was seen before or is too old to tell.
+};
+inline constexpr std::size_t kPeerDropReasons = 7;
+
+/// The label used in metrics. Thread safe.
+const char *toString(peer_drop reason) noexcept;
+
+/// Either a message or the reason for dropping the packet.
+using peer_decode_result = std::variant<peer_message, peer_drop>;
+
+/// The bytes of @p message, or empty with @p reason set when a container or the whole is over its limit (@p limitBytes). Thread safe.
+std::optional<std::vector<std::byte>> encodePeerMessage(const peer_message &message, std::size_t limitBytes, last_reason *reason);
+
+/// Reads one packet; never throws and allocates no more than a small multiple of its length. Thread safe.
+peer_decode_result decodePeerMessage(std::span<const std::byte> packet, std::size_t limitBytes, std::uint64_t clusterId) noexcept;
+
+/// The cluster id for a cluster's name in the settings. Thread safe.
+std::uint64_t clusterIdOf(const std::string &clusterName);
+
+} // namespace heatherroute
--- /dev/null
+++ b/src/core/replay_guard.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "heatherroute/member.h"
+
+#include <bitset>
+#include <list>
+#include <map>
+
+namespace heatherroute
+{
+
+/**
+ * Recognises datagrams that arrive twice.
+ *
+ * Networks duplicate and delay packets; an old probe answer or update taken for a new one would distort failure detection.
+ * Keeps a sliding window of sequence numbers per sender, as in RFC 4303 (appendix A), for a bounded number of senders; the
+ * sender heard longest ago makes room. Not thread safe.
+ */
+class replay_guard
+{
+public:
+    /// Precondition: @p maxSenders is positive.
+    explicit replay_guard(std::size_t maxSenders);
+
+    /// True when @p sequence of @p sender is new; remembers it. False when it was seen or lies before the window.
+    bool accept(const member_id &sender, std::uint64_t sequence);
+
+private:
+    static constexpr std::size_t kWindow = 1024;
+    struct window
+    {
+        std::uint64_t highest = 0;
+        std::bitset<kWindow> seen; // Bit i stands for sequence highest - i.
+        std::list<member_id>::iterator recency;
+    };
+    window &windowOf(const member_id &sender);
+
+    std::size_t m_maxSenders;
+    std::map<member_id, window> m_windows;
+    std::list<member_id> m_recency; // The sender heard last comes first.
+};
+
+} // namespace heatherroute
--- /dev/null
+++ b/tests/peer_codec_test.cpp
@@ -0,0 +1,120 @@
+#include "core/replay_guard.h"
+#include "heatherroute/peer_message.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace heatherroute;
+
+namespace
+{
+
+constexpr std::uint64_t kCluster = 7;
+
+peer_message sample()
+{
+    member_update update{{"entry-2", 9}, 3, member_state::Suspected, member_details{"10.0.0.2:80", "10.0.0.2:81", "z", "r", "h"}};
+    probe body{5, {"entry-2", 9}, node_summary{11, 12, 250, {{"decode", 4}}}, {update, update}};
+    return {{kCluster, {"entry-1", 8}, 77}, body};
+}
+
+std::vector<std::byte> encoded(const peer_message &message)
+{
+    auto bytes = encodePeerMessage(message, kMaxDatagramBytes, nullptr);
+    RC_ASSERT(bytes.has_value());
+    return *bytes;
+}
+
+std::optional<peer_drop> dropOf(const std::vector<std::byte> &bytes)
+{
+    const auto result = decodePeerMessage(bytes, kMaxDatagramBytes, kCluster);
+    const auto *drop = std::get_if<peer_drop>(&result);
+    return drop != nullptr ? std::optional(*drop) : std::nullopt;
+}
+
+TEST(PeerCodec, EveryKindSurvivesTheRoundTrip)
+{
+    const member_update update = std::get<probe>(sample().body).updates.front();
+    const std::vector<peer_body> bodies = {sample().body,
+                                           probe_ack{5, {"a", 1}, true, {}, {update}},
+                                           indirect_probe{6, {"b", 2}, "10.0.0.3:81"},
+                                           join_request{update},
+                                           sync_request{{"c", 3}},
+                                           sync_page{false, {"d", 4}, {update}}};
+    for (const peer_body &body : bodies) {
+        const peer_message message{sample().header, body};
+        const auto bytes = encodePeerMessage(message, kMaxDatagramBytes, nullptr);
+        ASSERT_TRUE(bytes);
+        EXPECT_EQ(std::get<peer_message>(decodePeerMessage(*bytes, kMaxDatagramBytes, kCluster)), message);
+    }
+}
+
+TEST(PeerCodec, EachFaultHasItsOwnReason)
+{
+    const auto good = *encodePeerMessage(sample(), kMaxDatagramBytes, nullptr);
+    const auto changed = [&good](std::size_t at) {
+        auto bytes = good;
+        bytes[at] ^= std::byte{0x40};
+        return bytes;
+    };
+    EXPECT_EQ(dropOf(std::vector<std::byte>(kMaxDatagramBytes + 1)), peer_drop::Oversized);
+    EXPECT_EQ(dropOf(changed(1)), peer_drop::NotOurs);
+    EXPECT_EQ(dropOf(changed(5)), peer_drop::WrongVersion);
+    EXPECT_EQ(dropOf(changed(6)), peer_drop::ForeignCluster);
+    const std::size_t kindAt = 14 + 2 + std::string("entry-1").size() + 8 + 8;
+    EXPECT_EQ(dropOf(changed(kindAt)), peer_drop::UnknownKind);
+    auto longer = good;
+    longer.push_back(std::byte{0});
+    EXPECT_EQ(dropOf(longer), peer_drop::Malformed);
+    EXPECT_EQ(dropOf({}), peer_drop::Malformed);
+}
+
+TEST(PeerCodec, AMessageOverTheDatagramIsRefusedWithAReason)
+{
+    peer_message message = sample();
+    auto &updates = std::get<probe>(message.body).updates;
+    const member_update update = updates.front();
+    updates.assign(kMaxUpdatesPerMessage, update);
+    last_reason reason;
+    EXPECT_FALSE(encodePeerMessage(message, kMaxDatagramBytes, &reason));
+    EXPECT_FALSE(reason.text().empty());
+}
+
+RC_GTEST_PROP(PeerCodec, RandomBytesBehindAPartOfAValidPacketNeverCrash, (const std::vector<std::uint8_t> &tail, std::uint8_t keep))
+{
+    auto bytes = encoded(sample());
+    bytes.resize(std::min<std::size_t>(bytes.size(), keep));
+    for (const std::uint8_t value : tail) {
+        bytes.push_back(std::byte{value});
+    }
+    decodePeerMessage(bytes, kMaxDatagramBytes, kCluster);
+}
+
+RC_GTEST_PROP(PeerCodec, WhatDecodesAfterAMutationIsNoLargerThanThePacket, ())
+{
+    auto bytes = encoded(sample());
+    const auto flips = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < flips; ++i) {
+        bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = std::byte{*rc::gen::arbitrary<std::uint8_t>()};
+    }
+    const auto result = decodePeerMessage(bytes, kMaxDatagramBytes, kCluster);
+    if (const auto *message = std::get_if<peer_message>(&result)) {
+        RC_ASSERT(encoded(*message).size() <= bytes.size());
+    }
+}
+
+TEST(ReplayGuard, AcceptsReorderedAndRefusesRepeatedAndOldSequences)
+{
+    replay_guard guard(2);
+    const member_id sender{"a", 1};
+    EXPECT_TRUE(guard.accept(sender, 5000));
+    EXPECT_FALSE(guard.accept(sender, 5000));
+    EXPECT_TRUE(guard.accept(sender, 4990));
+    EXPECT_FALSE(guard.accept(sender, 4990));
+    EXPECT_FALSE(guard.accept(sender, 3000));
+    EXPECT_TRUE(guard.accept({"a", 2}, 1)) << "a restarted sender counts anew";
+    EXPECT_TRUE(guard.accept({"b", 1}, 1));
+    EXPECT_FALSE(guard.accept({"b", 1}, 1)) << "a full table must not forget the latest sender";
+}
+
+} // namespace
