Membership between entries as a pure state machine

Entries must notice deaths, replacements and planned stops of each other at a cost that doesn't grow with the fleet, without a coordination service. SWIM with suspicion, round-robin order and Lifeguard's local health does so.

--- /dev/null
+++ b/src/core/membership_table.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "heatherroute/member.h"
+#include "heatherroute/time.h"
+
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace heatherroute
+{
+
+/**
+ * The other members that a member knows, and the order in which it probes them.
+ *
+ * At most one live member is known per peer address. Dead members are remembered until they are purged or make room for
+ * live ones. Not thread safe.
+ */
+class membership_table
+{
+public:
+    /// Precondition: @p maxMembers is positive.
+    explicit membership_table(std::size_t maxMembers);
+
+    /// The member @p id, or null.
+    const member *find(const member_id &id) const;
+
+    /// The live member at @p address, or null.
+    const member *liveAt(const std::string &address) const;
+
+    /// Adds @p added, which must be unknown and not dead; false when there is no room.
+    bool insert(const member &added, std::mt19937_64 &random);
+
+    /// Replaces state and refutation of a known member.
+    void update(const member_id &id, member_state state, std::uint32_t refutation, instant now, std::mt19937_64 &random);
+
+    /// Replaces what a known member tells of itself.
+    void setSummary(const member_id &id, const node_summary &summary);
+
+    std::size_t liveCount() const;
+
+    /// The next member to probe: each live one once per round, in a random order; null when there is none.
+    const member *nextToProbe(std::mt19937_64 &random);
+
+    /// Any live member, or null.
+    const member *randomLive(std::mt19937_64 &random) const;
+
+    /// Any dead member, or null.
+    const member *randomDead(std::mt19937_64 &random) const;
+
+    /// Forgets members that died before @p limit.
+    void purgeDead(instant limit);
+
+    /// All known members, by id.
+    const std::map<member_id, member> &all() const;
+
+private:
+    struct death
+    {
+        member_id id;
+        instant at;
+    };
+    void addLive(const member &added, std::mt19937_64 &random);
+    void removeLive(const member &removed);
+
+    std::size_t m_maxMembers;
+    std::map<member_id, member> m_members;
+    std::map<std::string, member_id> m_liveByAddress;
+    std::vector<member_id> m_live;
+    std::deque<death> m_dead; // The earliest death comes first.
+    std::vector<member_id> m_round;
+    std::size_t m_nextInRound = 0;
+};
+
+/// A number below @p limit, the same on every platform; @p limit must be positive.
+std::size_t randomBelow(std::mt19937_64 &random, std::size_t limit);
+
+} // namespace heatherroute
