--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -5,13 +5,16 @@
 cd "$(dirname "$0")/.."
 export RC_PARAMS="${RC_PARAMS:-seed=20261204}"
 known=$(grep -v '^#' KNOWN-RED.txt 2>/dev/null | cut -d'|' -f1 | tr -d ' ' | sed '/^$/d' | sort -u)
+# A test that runs away ends itself, not the machine.
+kMemoryKiB=8388608
+kSeconds=900
 passed=0; failed=0; red=0
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
 for program in build/unit_tests build/process_tests; do
     [ -x "$program" ] || continue
     log="$out/$(basename "$program").log"
-    "$program" >"$log" 2>&1
+    (ulimit -v "$kMemoryKiB"; exec timeout "$kSeconds" "$program") >"$log" 2>&1
     code=$?
     passed=$((passed + $(grep -c '^\[       OK \]' "$log")))
     names=$(sed -n 's/^\[  FAILED  \] \([^ ,]*\)\(,.*\)\? (.*ms)$/\1/p' "$log" | sort -u)
