--- a/include/heatherroute/grant_ledger.h
+++ b/include/heatherroute/grant_ledger.h
@@ -17,7 +17,7 @@
 namespace heatherroute
 {
 
-/// One life of an entry process: a restarted entry has the same name and a larger incarnation.
+/// One life of an entry process: a restarted entry has the same name and another incarnation.
 struct grant_holder
 {
     std::string entry;
@@ -170,7 +170,7 @@
     /// Closes each grant that passed its expiry; returns the ids to cancel on the engine.
     std::vector<grant_id> expire(instant now);
 
-    /// Closes all grants of @p holder and of earlier incarnations of the same entry; returns the ids to cancel on the engine.
+    /// Closes all grants of this one incarnation; returns the ids to cancel on the engine.
     std::vector<grant_id> cancelHolder(instant now, const grant_holder &holder);
 
     /// The engine confirmed that @p id no longer holds memory. Idempotent.
@@ -252,8 +252,8 @@
     std::map<grant_id, orphan> m_orphans;
     std::deque<grant_id> m_closedOrder;
     std::map<grant_id, instant> m_closed; ///< When each id was closed.
-    std::deque<std::string> m_deadOrder;
-    std::map<std::string, std::uint64_t> m_dead; ///< Largest dead incarnation by entry.
+    std::deque<grant_holder> m_deadOrder;
+    std::set<grant_holder> m_dead;
     std::set<grant_holder> m_expected;
     std::optional<instant> m_rebuildUntil;
     std::optional<instant> m_listedAt;
--- a/src/core/grant_ledger.cpp
+++ b/src/core/grant_ledger.cpp
@@ -202,11 +202,10 @@
 std::vector<grant_id> grant_ledger::cancelHolder(instant now, const grant_holder &holder)
 {
     rememberDead(holder);
-    std::erase_if(m_expected, [&](const grant_holder &each) { return each.entry == holder.entry && each.incarnation <= holder.incarnation; });
+    m_expected.erase(holder);
     std::vector<grant_id> ended;
     for (auto &[id, held] : m_grants) {
-        const bool dead = id.holder.entry == holder.entry && id.holder.incarnation <= holder.incarnation;
-        if (dead && !held.cancelling) {
+        if (id.holder == holder && !held.cancelling) {
             held.cancelling = true;
             held.closedAt = now;
             ended.push_back(id);
@@ -432,19 +431,15 @@
 
 bool grant_ledger::isClosed(const grant_id &id) const
 {
-    const auto dead = m_dead.find(id.holder.entry);
-    const bool holderDead = dead != m_dead.end() && id.holder.incarnation <= dead->second;
-    return holderDead || m_closed.contains(id);
+    return m_dead.contains(id.holder) || m_closed.contains(id);
 }
 
 void grant_ledger::rememberDead(const grant_holder &holder)
 {
-    const auto [position, added] = m_dead.try_emplace(holder.entry, holder.incarnation);
-    if (!added) {
-        position->second = std::max(position->second, holder.incarnation);
+    if (!m_dead.insert(holder).second) {
         return;
     }
-    m_deadOrder.push_back(holder.entry);
+    m_deadOrder.push_back(holder);
     if (m_deadOrder.size() > m_settings.deadHolderLimit) {
         m_dead.erase(m_deadOrder.front());
         m_deadOrder.pop_front();
