--- /dev/null
+++ b/src/core/rate_book.cpp
@@ -0,0 +1,187 @@
+#include "heatherroute/rate_book.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "heatherroute/assert.h"
+
+namespace heatherroute
+{
+
+namespace
+{
+
+constexpr double kSmallestFactor = 0.1;
+constexpr double kLargestFactor = 20.0;
+constexpr double kFewestObservations = 4.0;
+constexpr double kDefaultRoundTripSeconds = 0.002;
+
+double seconds(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+} // namespace
+
+void learned_mean::observe(double value, double gain)
+{
+    m_count = std::min<std::uint32_t>(m_count + 1, 1U << 20);
+    const double share = std::max(gain, 1.0 / m_count);
+    m_value += share * (value - m_value);
+}
+
+double learned_mean::value(double fallback) const
+{
+    return m_count == 0 ? fallback : m_value;
+}
+
+rate_book::rate_book(const rate_defaults &defaults)
+    : m_defaults(defaults)
+{ }
+
+rate_book rate_book::make(const rate_defaults &defaults)
+{
+    HR_ASSERT(defaults.gain > 0.0 && defaults.gain <= 1.0);
+    return rate_book(defaults);
+}
+
+void rate_book::observePrefill(pool_index pool, replica_index replica, std::uint64_t tokens, duration took)
+{
+    if (tokens == 0) {
+        return;
+    }
+    const double perToken = seconds(took) / static_cast<double>(tokens);
+    learned_mean &mean = poolAt(pool).prefill;
+    mean.observe(perToken, m_defaults.gain);
+    const double expected = mean.value(m_defaults.prefillSecondsPerToken);
+    if (expected > 0.0) {
+        replicaAt(replica).prefillFactor.observe(std::clamp(perToken / expected, kSmallestFactor, kLargestFactor), m_defaults.gain);
+    }
+}
+
+void rate_book::observeTransfer(zone_index from, zone_index to, std::uint64_t tokens, duration took, std::uint32_t active)
+{
+    if (tokens == 0) {
+        return;
+    }
+    link &used = m_links[{from, to}];
+    used.secondsPerToken.observe(seconds(took) / static_cast<double>(tokens), m_defaults.gain);
+    used.active.observe(active, m_defaults.gain);
+}
+
+void rate_book::observePace(pool_index pool, replica_index replica, std::uint32_t running, duration pace)
+{
+    line_fit &fit = poolAt(pool).pace;
+    const double keep = 1.0 - m_defaults.gain / 4.0;
+    const double x = running;
+    const double y = seconds(pace);
+    fit.weight = fit.weight * keep + 1.0;
+    fit.sumX = fit.sumX * keep + x;
+    fit.sumY = fit.sumY * keep + y;
+    fit.sumXX = fit.sumXX * keep + x * x;
+    fit.sumXY = fit.sumXY * keep + x * y;
+    const double expected = poolPace(pool, running);
+    if (expected > 0.0) {
+        replicaAt(replica).paceFactor.observe(std::clamp(y / expected, kSmallestFactor, kLargestFactor), m_defaults.gain);
+    }
+}
+
+void rate_book::observeSlotHold(pool_index pool, duration held)
+{
+    poolAt(pool).hold.observe(seconds(held), m_defaults.gain);
+}
+
+void rate_book::observeRoundTrip(zone_index zone, duration roundTrip)
+{
+    m_roundTrips[zone].observe(seconds(roundTrip), m_defaults.gain);
+}
+
+void rate_book::transferStarted(zone_index from, zone_index to)
+{
+    m_links[{from, to}].running += 1;
+}
+
+void rate_book::transferEnded(zone_index from, zone_index to)
+{
+    link &used = m_links[{from, to}];
+    HR_ASSERT(used.running > 0);
+    used.running -= 1;
+}
+
+void rate_book::forget(replica_index replica)
+{
+    if (replica < m_replicas.size()) {
+        m_replicas[replica] = {};
+    }
+}
+
+double rate_book::prefillSecondsPerToken(pool_index pool, replica_index replica) const
+{
+    const double base = pool < m_pools.size() ? m_pools[pool].prefill.value(m_defaults.prefillSecondsPerToken) : m_defaults.prefillSecondsPerToken;
+    return replica < m_replicas.size() ? base * m_replicas[replica].prefillFactor.value(1.0) : base;
+}
+
+double rate_book::transferSeconds(zone_index from, zone_index to, std::uint64_t tokens) const
+{
+    const auto found = m_links.find({from, to});
+    if (found == m_links.end()) {
+        return m_defaults.transferSecondsPerToken * static_cast<double>(tokens);
+    }
+    const link &used = found->second;
+    // An observed rate already holds the sharing of its time, so only the difference in use counts.
+    const double sharing = (used.running + 1.0) / std::max(1.0, used.active.value(1.0));
+    return used.secondsPerToken.value(m_defaults.transferSecondsPerToken) * static_cast<double>(tokens) * std::max(0.5, sharing);
+}
+
+double rate_book::paceSeconds(pool_index pool, replica_index replica, std::uint32_t running) const
+{
+    const double base = poolPace(pool, running);
+    return replica < m_replicas.size() ? base * m_replicas[replica].paceFactor.value(1.0) : base;
+}
+
+double rate_book::slotHoldSeconds(pool_index pool) const
+{
+    return pool < m_pools.size() ? m_pools[pool].hold.value(m_defaults.slotHoldSeconds) : m_defaults.slotHoldSeconds;
+}
+
+double rate_book::roundTripSeconds(zone_index zone) const
+{
+    const auto found = m_roundTrips.find(zone);
+    return found == m_roundTrips.end() ? kDefaultRoundTripSeconds : found->second.value(kDefaultRoundTripSeconds);
+}
+
+double rate_book::poolPace(pool_index pool, std::uint32_t running) const
+{
+    const double further = running > 0 ? running - 1.0 : 0.0;
+    const double assumed = m_defaults.paceSeconds + m_defaults.paceSecondsPerRequest * further;
+    if (pool >= m_pools.size() || m_pools[pool].pace.weight < kFewestObservations) {
+        return assumed;
+    }
+    const line_fit &fit = m_pools[pool].pace;
+    const double meanX = fit.sumX / fit.weight;
+    const double meanY = fit.sumY / fit.weight;
+    const double spread = fit.sumXX / fit.weight - meanX * meanX;
+    double slope = m_defaults.paceSecondsPerRequest;
+    if (spread > 0.5) {
+        slope = std::max(0.0, (fit.sumXY / fit.weight - meanX * meanY) / spread);
+    }
+    return std::max(meanY * kSmallestFactor, meanY + slope * (running - meanX));
+}
+
+rate_book::pool_rates &rate_book::poolAt(pool_index pool)
+{
+    if (pool >= m_pools.size()) {
+        m_pools.resize(pool + std::size_t{1});
+    }
+    return m_pools[pool];
+}
+
+rate_book::replica_rates &rate_book::replicaAt(replica_index replica)
+{
+    if (replica >= m_replicas.size()) {
+        m_replicas.resize(replica + std::size_t{1});
+    }
+    return m_replicas[replica];
+}
+
+} // namespace heatherroute
