--- a/bench/micro_placement.cpp
+++ b/bench/micro_placement.cpp
@@ -29,7 +29,7 @@
         const replica_index replica = made.replicas.add({"r" + std::to_string(index), pool, zone, index / kReplicasPerOwner, 20, 100});
         if (index % 3 != 0) {
             const auto busy = static_cast<std::uint32_t>(randomBelow(made.random, 20));
-            made.replicas.setLoad({}, replica, {busy, busy * 4, busy * 100});
+            made.replicas.setLoad({}, replica, {busy, busy * 4, std::uint64_t{busy} * 100});
         }
         made.replicas.setSummary({index / kReplicasPerOwner, pool, zone, kReplicasPerOwner, 60, 400, 2000});
         // A system prompt that all share, a document that a quarter shares, and a part of its own.
--- /dev/null
+++ b/include/heatherroute/retry_budget.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <compare>
+
+#include "heatherroute/time.h"
+
+namespace heatherroute
+{
+
+/// How many retries a pool may get.
+struct retry_budget_settings
+{
+    double share = 0.1; ///< Retries per request.
+    double floorPerSecond = 1.0; ///< Retries that a quiet pool may get all the same.
+    double capacity = 20.0; ///< The largest number saved up.
+
+    auto operator<=>(const retry_budget_settings &) const = default;
+};
+
+/**
+ * Limits retries to a share of the requests of a pool.
+ *
+ * When a pool is sick each of its requests fails and asks for a retry; without a limit the retries keep it sick. A token
+ * bucket filled by first attempts (as in Finagle's RetryBudget) bounds the extra load whatever the cause. Not thread safe.
+ */
+class retry_budget
+{
+public:
+    /// Starts full, at @p now.
+    static retry_budget make(instant now, const retry_budget_settings &settings);
+
+    /// A first attempt was sent.
+    void noteRequest(instant now);
+    /// Takes one retry; false when none is left, and then the failure goes to the caller.
+    bool tryRetry(instant now);
+    /// Retries left.
+    double left() const noexcept;
+
+private:
+    retry_budget(instant now, const retry_budget_settings &settings);
+    void refill(instant now);
+
+    retry_budget_settings m_settings;
+    instant m_filledAt;
+    double m_tokens;
+};
+
+} // namespace heatherroute
--- /dev/null
+++ b/src/core/retry_budget.cpp
@@ -0,0 +1,47 @@
+#include "heatherroute/retry_budget.h"
+
+#include <algorithm>
+
+namespace heatherroute
+{
+
+retry_budget::retry_budget(instant now, const retry_budget_settings &settings)
+    : m_settings(settings)
+    , m_filledAt(now)
+    , m_tokens(settings.capacity)
+{ }
+
+retry_budget retry_budget::make(instant now, const retry_budget_settings &settings)
+{
+    return {now, settings};
+}
+
+void retry_budget::noteRequest(instant now)
+{
+    refill(now);
+    m_tokens = std::min(m_settings.capacity, m_tokens + m_settings.share);
+}
+
+bool retry_budget::tryRetry(instant now)
+{
+    refill(now);
+    if (m_tokens < 1.0) {
+        return false;
+    }
+    m_tokens -= 1.0;
+    return true;
+}
+
+double retry_budget::left() const noexcept
+{
+    return m_tokens;
+}
+
+void retry_budget::refill(instant now)
+{
+    const double passed = std::chrono::duration<double>(now - m_filledAt).count();
+    m_tokens = std::min(m_settings.capacity, m_tokens + passed * m_settings.floorPerSecond);
+    m_filledAt = now;
+}
+
+} // namespace heatherroute
