--- a/bench/micro_placement.cpp
+++ b/bench/micro_placement.cpp
@@ -26,7 +26,7 @@
     for (std::uint32_t index = 0; index < total; ++index) {
         const auto pool = static_cast<pool_index>((index / 2 % pools) * 2 + index % 2);
         const auto zone = static_cast<zone_index>(index / (2 * pools) % kZones);
-        const replica_index replica = made.replicas.add({"r" + std::to_string(index), pool, zone, index / kReplicasPerOwner, 20, 100});
+        const replica_index replica = made.replicas.add({pool, zone, index / kReplicasPerOwner, 20, 100});
         if (index % 3 != 0) {
             const auto busy = static_cast<std::uint32_t>(randomBelow(made.random, 20));
             made.replicas.setLoad({}, replica, {busy, busy * 4, std::uint64_t{busy} * 100});
--- a/include/heatherroute/replica_table.h
+++ b/include/heatherroute/replica_table.h
@@ -5,7 +5,6 @@
 #include <map>
 #include <optional>
 #include <random>
-#include <string>
 #include <vector>
 
 #include "heatherroute/time.h"
@@ -25,10 +24,9 @@
 /// A number below @p bound, the same on every platform. Precondition: @p bound is positive.
 std::uint64_t randomBelow(placement_random &random, std::uint64_t bound);
 
-/// What is fixed about a replica while it is in the inventory.
+/// What is fixed about a replica while it is in the inventory. Names stay with the embedding program, to keep this small.
 struct replica_traits
 {
-    std::string name;
     pool_index pool = 0;
     zone_index zone = 0;
     owner_index owner = 0;
--- a/src/core/owner_grants_policy.cpp
+++ b/src/core/owner_grants_policy.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::size_t kMostOthers = 3;
 constexpr std::size_t kMostHits = 2;
+constexpr std::size_t kMostPrefillsAgain = 2;
 constexpr double kMicrosPerSecond = 1e6;
 constexpr duration kShortestRetry = std::chrono::milliseconds(50);
 constexpr duration kLongestRetry = std::chrono::seconds(30);
@@ -45,6 +46,7 @@
         drawDecodes(m_settings.choices);
         scoreAll();
         if (!anyMeets()) {
+            keepQuickestPrefills();
             drawDecodes(m_settings.moreChoices);
             scoreAll();
         }
@@ -78,6 +80,17 @@
         }
     }
 
+    /// Bounds the cost of looking at more decode replicas; all pairs are scored again.
+    void keepQuickestPrefills()
+    {
+        std::sort(m_prefills.begin(), m_prefills.end(), [](const prefill_cost &a, const prefill_cost &b) {
+            return a.queueAndComputeSeconds < b.queueAndComputeSeconds;
+        });
+        m_prefills.resize(std::min(m_prefills.size(), kMostPrefillsAgain));
+        m_pairs.clear();
+        m_scored = 0;
+    }
+
     void drawDecodes(std::uint32_t count)
     {
         for (const replica_index replica : m_view.replicas.sampleSeveral(m_request.decodePool, count, m_random)) {
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -25,10 +25,10 @@
     small_fleet()
     {
         for (zone_index zone = 0; zone < 2; ++zone) {
-            replicas.add({"p" + std::to_string(zone), kPrefill, zone, 0, 1, 0});
+            replicas.add({kPrefill, zone, 0, 1, 0});
         }
         for (zone_index index = 0; index < 4; ++index) {
-            replicas.add({"d" + std::to_string(index), kDecode, static_cast<zone_index>(index % 2), 0, 20, 100});
+            replicas.add({kDecode, static_cast<zone_index>(index % 2), 0, 20, 100});
         }
     }
 
@@ -158,7 +158,7 @@
 TEST(ReplicaTable, SummariesStandInForReplicasWithoutAFreshReport)
 {
     replica_table table;
-    const replica_index replica = table.add({"d", 0, 0, 7, 20, 100});
+    const replica_index replica = table.add({0, 0, 7, 20, 100});
     EXPECT_FALSE(table.estimate({}, replica));
     table.setSummary({7, 0, 0, 2, 10, 60, 400});
     EXPECT_EQ(table.estimate({}, replica), (replica_load{15, 70, 200}));
@@ -179,7 +179,7 @@
             table.remove(live[step % live.size()]);
             live.erase(live.begin() + static_cast<std::ptrdiff_t>(step % live.size()));
         } else {
-            live.push_back(table.add({"r", static_cast<pool_index>(step % 2), static_cast<zone_index>(step % 5), 0, 1, 1}));
+            live.push_back(table.add({static_cast<pool_index>(step % 2), static_cast<zone_index>(step % 5), 0, 1, 1}));
         }
         const auto chosen = table.sample(step % 2, random);
         RC_ASSERT(chosen.has_value() == !table.members(step % 2).empty());
