--- a/src/core/generation_flow.cpp
+++ b/src/core/generation_flow.cpp
@@ -12,7 +12,6 @@
 {
 
 constexpr unsigned kMaxTries = 5;
-constexpr duration kRetryAfterFull = std::chrono::seconds(1);
 constexpr duration kPrefillTimeout = std::chrono::seconds(30);
 constexpr std::uint32_t kMaxOutputTokens = 32'768;
 
@@ -31,12 +30,6 @@
     return count;
 }
 
-std::uint32_t piecesFor(std::uint32_t tokens, std::uint32_t pieceTokens)
-{
-    const std::uint32_t size = std::max<std::uint32_t>(pieceTokens, 1);
-    return (tokens + size - 1) / size;
-}
-
 bool contains(const std::vector<std::string> &names, const std::string &name)
 {
     return std::find(names.begin(), names.end(), name) != names.end();
@@ -44,9 +37,10 @@
 
 } // namespace
 
-generation_flow::generation_flow(core_context &context, upstream_table &upstreams, cancel_queue &cancels)
+generation_flow::generation_flow(core_context &context, const upstream_table &upstreams, engine_selector &engines, cancel_queue &cancels)
     : m_context(context)
     , m_upstreams(upstreams)
+    , m_engines(engines)
     , m_cancels(cancels)
 { }
 
@@ -66,7 +60,7 @@
     work.deadline = m_context.now() + request.traits.deadline.value_or(m_context.options().defaultDeadline);
     work.request = std::move(request);
     if (!place(work)) {
-        refuse(caller, 503, "no_capacity", "no engine has room now", kRetryAfterFull);
+        refuse(caller, 503, "no_capacity", "no engine has room now", m_engines.retryAfter());
         return;
     }
     generation &stored = m_generations.emplace(caller, std::move(work)).first->second;
@@ -84,42 +78,28 @@
     return {};
 }
 
-const upstream_table::entry *generation_flow::choose(upstream_kind kind, const generation &work, std::uint32_t pieces)
+engine_need generation_flow::needOf(const generation &work)
 {
-    const upstream_table::entry *best = nullptr;
-    for (const upstream_table::entry *candidate : m_upstreams.candidates(kind, work.request.model)) {
-        const bool full = candidate->used.slots >= candidate->config.slots || candidate->used.pieces + pieces > candidate->config.pieces;
-        const bool limited = kind == upstream_kind::DecodeEngine;
-        if ((limited && full) || contains(work.avoid, candidate->config.name)) {
-            continue;
-        }
-        if (best == nullptr || candidate->used.slots < best->used.slots) {
-            best = candidate;
-        }
-    }
-    return best;
+    engine_need need;
+    need.model = work.request.model;
+    need.promptTokens = countTokens(work.request.prompt) + work.delivered;
+    need.totalTokens = countTokens(work.request.prompt) + work.request.maxTokens;
+    need.priority = work.request.traits.priority.value_or(priority_class::Interactive);
+    need.avoid = work.avoid;
+    return need;
 }
 
 bool generation_flow::place(generation &work)
 {
-    const auto decodes = m_upstreams.candidates(upstream_kind::DecodeEngine, work.request.model);
-    if (decodes.empty()) {
-        return false;
-    }
-    const std::uint32_t tokens = countTokens(work.request.prompt) + work.request.maxTokens;
-    const std::uint32_t pieces = piecesFor(tokens, decodes.front()->config.pieceTokens);
-    const upstream_table::entry *decode = choose(upstream_kind::DecodeEngine, work, pieces);
-    const upstream_table::entry *prefill = choose(upstream_kind::PrefillEngine, work, 0);
-    if (decode == nullptr || prefill == nullptr) {
+    const auto pair = m_engines.reservePair(needOf(work));
+    if (!pair) {
         return false;
     }
-    work.decodeName = decode->config.name;
-    work.decodeAddress = decode->config.address;
-    work.pieces = pieces;
-    work.prefillName = prefill->config.name;
-    work.prefillAddress = prefill->config.address;
-    m_upstreams.take(work.decodeName, work.pieces);
-    m_upstreams.take(work.prefillName, 0);
+    work.decodeName = pair->decode.name;
+    work.decodeAddress = pair->decode.address;
+    work.pieces = pair->pieces;
+    work.prefillName = pair->prefill.name;
+    work.prefillAddress = pair->prefill.address;
     return true;
 }
 
@@ -257,17 +237,16 @@
         return false;
     }
     work.avoid.push_back(work.decodeName);
-    const upstream_table::entry *decode = choose(upstream_kind::DecodeEngine, work, work.pieces);
-    if (decode == nullptr) {
+    const auto decode = m_engines.reserveDecode(needOf(work), work.pieces);
+    if (!decode) {
         return false;
     }
     ++work.tries;
     const std::uint32_t pieces = work.pieces;
     releaseDecode(work);
-    work.decodeName = decode->config.name;
-    work.decodeAddress = decode->config.address;
+    work.decodeName = decode->name;
+    work.decodeAddress = decode->address;
     work.pieces = pieces;
-    m_upstreams.take(work.decodeName, pieces);
     startDecode(work);
     return true;
 }
@@ -360,7 +339,7 @@
     if (work.phase == generation_phase::Decoding && !work.engineRequest.empty()) {
         m_cancels.cancel(work.decodeAddress, work.engineRequest);
     }
-    m_upstreams.giveBack(work.decodeName, work.pieces);
+    m_engines.releaseDecode(work.decodeName, work.pieces);
     work.decodeName.clear();
 }
 
@@ -369,7 +348,7 @@
     if (work.prefillName.empty()) {
         return;
     }
-    m_upstreams.giveBack(work.prefillName, 0);
+    m_engines.releasePrefill(work.prefillName);
     work.prefillName.clear();
 }
 
@@ -394,7 +373,7 @@
 void generation_flow::fail(generation &work, unsigned status, const std::string &code, const std::string &message)
 {
     m_context.log(log_level::Warning, "generation_failed", {requestIdField(work.request.traits.requestName), {"code", code}, verdictField(work.outcome)});
-    m_context.emit(fail_caller{work.request.caller, status, code, message, work.outcome, kRetryAfterFull});
+    m_context.emit(fail_caller{work.request.caller, status, code, message, work.outcome, m_engines.retryAfter()});
     finish(work);
 }
 
--- a/src/core/generation_flow.h
+++ b/src/core/generation_flow.h
@@ -8,6 +8,7 @@
 #include "core/cancel_queue.h"
 #include "core/core_context.h"
 #include "core/deadline_queue.h"
+#include "core/engine_selector.h"
 #include "core/upstream_table.h"
 
 namespace heatherroute
@@ -29,7 +30,7 @@
 class generation_flow
 {
 public:
-    generation_flow(core_context &context, upstream_table &upstreams, cancel_queue &cancels);
+    generation_flow(core_context &context, const upstream_table &upstreams, engine_selector &engines, cancel_queue &cancels);
 
     void onRequest(generation_requested request);
     void onCallerGone(caller_id caller);
@@ -85,10 +86,11 @@
     void fail(generation &work, unsigned status, const std::string &code, const std::string &message);
     void refuse(caller_id caller, unsigned status, const std::string &code, const std::string &message, std::optional<duration> retryAfter);
     void finish(generation &work);
-    const upstream_table::entry *choose(upstream_kind kind, const generation &work, std::uint32_t pieces);
+    static engine_need needOf(const generation &work);
 
     core_context &m_context;
-    upstream_table &m_upstreams;
+    const upstream_table &m_upstreams;
+    engine_selector &m_engines;
     cancel_queue &m_cancels;
     std::map<caller_id, generation> m_generations;
     std::map<attempt_id, caller_id> m_attempts;
--- a/src/core/router_core.cpp
+++ b/src/core/router_core.cpp
@@ -6,6 +6,7 @@
 #include "core/cancel_queue.h"
 #include "core/config_flow.h"
 #include "core/core_context.h"
+#include "core/engine_selector.h"
 #include "core/generation_flow.h"
 #include "core/service_flow.h"
 #include "core/state_dump.h"
@@ -29,7 +30,8 @@
         : m_context(std::move(options))
         , m_configuration(m_context, m_upstreams, std::move(replica))
         , m_cancels(m_context)
-        , m_generations(m_context, m_upstreams, m_cancels)
+        , m_engines(m_context, m_upstreams)
+        , m_generations(m_context, m_upstreams, m_engines, m_cancels)
         , m_services(m_context, m_upstreams, [this](const service_requested &request) { return isIdempotent(request); })
     { }
 
@@ -217,6 +219,7 @@
     upstream_table m_upstreams;
     config_flow m_configuration;
     cancel_queue m_cancels;
+    engine_selector m_engines;
     generation_flow m_generations;
     service_flow m_services;
     bool m_stopping = false;
