--- a/bench/heatherbench_demo.cpp
+++ b/bench/heatherbench_demo.cpp
@@ -2,13 +2,12 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
-#include <cxxopts.hpp>
-
 #include <iomanip>
 #include <ostream>
 
 #include "heatherbench_client.h"
 #include "heatherbench_commands.h"
+#include "heatherbench_options.h"
 #include "standins/expected_text.h"
 
 namespace heatherroute::bench
@@ -115,11 +114,7 @@
     cxxopts::Options options("heatherbench demo", "Requests of both users' kinds through running entries, checked byte by byte.");
     options.add_options()("h,help", "print this text")("da-nang", "callers' addresses of that half's entries", cxxopts::value<std::string>())(
         "red-pericial", "callers' addresses of that half's entries", cxxopts::value<std::string>());
-    std::vector<const char *> words;
-    for (const std::string &argument : arguments) {
-        words.push_back(argument.c_str());
-    }
-    const cxxopts::ParseResult parsed = options.parse(static_cast<int>(words.size()), words.data());
+    const cxxopts::ParseResult parsed = parseArguments(options, arguments);
     if (parsed.count("help") > 0) {
         out << options.help();
         return 0;
--- a/bench/heatherbench_relay.cpp
+++ b/bench/heatherbench_relay.cpp
@@ -3,8 +3,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 
-#include <cxxopts.hpp>
-
 #include <fstream>
 #include <ostream>
 #include <sstream>
@@ -13,6 +11,7 @@
 
 #include "heatherbench_client.h"
 #include "heatherbench_commands.h"
+#include "heatherbench_options.h"
 
 namespace heatherroute::bench
 {
@@ -122,11 +121,7 @@
     add("model", "model of the engines", cxxopts::value<std::string>()->default_value("assistant"));
     add("rounds", "pairs of streams", cxxopts::value<std::uint32_t>()->default_value("40"));
     add("max-tokens", "tokens of a stream", cxxopts::value<std::uint32_t>()->default_value("64"));
-    std::vector<const char *> words;
-    for (const std::string &argument : arguments) {
-        words.push_back(argument.c_str());
-    }
-    const cxxopts::ParseResult parsed = options.parse(static_cast<int>(words.size()), words.data());
+    const cxxopts::ParseResult parsed = parseArguments(options, arguments);
     if (parsed.count("help") > 0) {
         out << options.help();
         return 0;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -21,7 +21,7 @@
 namespace
 {
 
-constexpr std::size_t kBodyChunkBytes = 16 * 1024;
+constexpr std::size_t kBodyChunkBytes = std::size_t{16} * 1024;
 constexpr unsigned kFirstErrorStatus = 300;
 
 class exchange : public http_exchange
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -28,7 +28,7 @@
     std::vector<http_field> fields;
     /// The longest time without any progress: connect, each write and each read.
     std::chrono::milliseconds progressTimeout{5'000};
-    std::size_t maxAnswerBytes = 16 * 1024 * 1024;
+    std::size_t maxAnswerBytes = std::size_t{16} * 1024 * 1024;
 };
 
 /// Why a call failed, and whether the request may have run.
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -29,8 +29,8 @@
 /// Bounds on what one connection may cost. All sizes in bytes.
 struct http_limits
 {
-    std::size_t maxHeaderBytes = 16 * 1024;
-    std::size_t maxBodyBytes = 4 * 1024 * 1024;
+    std::size_t maxHeaderBytes = std::size_t{16} * 1024;
+    std::size_t maxBodyBytes = std::size_t{4} * 1024 * 1024;
     std::size_t maxConnections = 4096;
     std::chrono::milliseconds headerTimeout{10'000};
     std::chrono::milliseconds bodyTimeout{30'000};
