Generations: "not run" only when no attempt was in flight; memory of moved prefills is freed

Cause: a random state test of the core through its public header. Reading on showed: a prefill given up for lack of progress lost its verdict the same way; a prefill that was started again for a moved generation was not cancelled when the caller left, because tokens had been delivered; an answer without tokens sent a cancel order without a request id; starts after the deadline carried a deadline below zero; an engine that repeated a known token could be resumed for ever; a decode engine was avoided because a KV cache elsewhere had expired. Ruled out: a verdict kept per attempt, since the largest over all attempts is what the caller is told. Change: an attempt in flight counts as "may have run" whenever it is given up; the deadline is checked before each new start; a prefill is cancelled as long as it is held; only new tokens count as progress; a hint to come back goes only with failures on this side.

--- a/src/core/generation_flow.cpp
+++ b/src/core/generation_flow.cpp
@@ -14,6 +14,7 @@
 constexpr unsigned kMaxTries = 5;
 constexpr duration kPrefillTimeout = std::chrono::seconds(30);
 constexpr std::uint32_t kMaxOutputTokens = 32'768;
+constexpr unsigned kFirstServerError = 500;
 
 /// The number of blank-separated words, which is the number of tokens an engine counts.
 std::uint32_t countTokens(const std::string &text)
@@ -131,7 +132,9 @@
     work->kvId = event.kvId;
     work->kvExpires = m_context.now() + event.lifetime;
     m_attempts.erase(event.attempt);
-    startDecode(*work);
+    if (!endIfLate(*work)) {
+        startDecode(*work);
+    }
 }
 
 void generation_flow::startDecode(generation &work)
@@ -160,14 +163,16 @@
         return;
     }
     releasePrefill(*work);
-    work->resumed = false;
-    work->outcome = verdict::MayHaveRun;
+    work->outcome = combine(work->outcome, verdict::MayHaveRun);
     if (event.offset > work->delivered) {
-        tryAgain(*work, "tokens are missing");
+        if (!endIfLate(*work)) {
+            tryAgain(*work, "tokens are missing");
+        }
         return;
     }
     const std::size_t known = work->delivered - event.offset;
     if (known < event.texts.size()) {
+        work->resumed = false;
         deliver_tokens delivery{work->request.caller, work->delivered, {event.texts.begin() + static_cast<std::ptrdiff_t>(known), event.texts.end()}};
         for (const std::string &text : delivery.texts) {
             work->generated += text;
@@ -186,7 +191,9 @@
         return;
     }
     if (event.tokens != work->delivered) {
-        tryAgain(*work, "the stream ended before its last token");
+        if (!endIfLate(*work)) {
+            tryAgain(*work, "the stream ended before its last token");
+        }
         return;
     }
     m_context.log(log_level::Info,
@@ -197,6 +204,7 @@
                    {"tries", std::to_string(work->tries)},
                    verdictField(verdict::Ran)});
     m_context.emit(finish_generation{work->request.caller, event.reason, event.tokens});
+    releasePrefill(*work);
     work->engineRequest.clear();
     finish(*work);
 }
@@ -213,6 +221,9 @@
     m_context.log(log_level::Warning,
                   "attempt failed",
                   {requestIdField(work->request.traits.requestName), upstreamField(engine), {"reason", event.reason}, verdictField(event.outcome)});
+    if (endIfLate(*work)) {
+        return true;
+    }
     if (event.failure == attempt_failure::Rejected) {
         fail(*work, 400, "rejected_by_engine", event.reason);
         return true;
@@ -227,7 +238,7 @@
     if (decoding && work->delivered == 0 && kvUsable && moveDecode(*work)) {
         return true;
     }
-    tryAgain(*work, event.reason);
+    tryAgain(*work, event.reason, event.failure != attempt_failure::KvGone);
     return true;
 }
 
@@ -259,12 +270,13 @@
     armTimer(work);
 }
 
-void generation_flow::tryAgain(generation &work, const std::string &why)
+void generation_flow::tryAgain(generation &work, const std::string &why, bool engineAtFault)
 {
     const std::string failed = work.phase == generation_phase::Decoding ? work.decodeName : work.prefillName;
+    noteInFlight(work);
     dropAttempt(work);
     releaseAll(work);
-    if (!contains(work.avoid, failed)) {
+    if (engineAtFault && !contains(work.avoid, failed)) {
         work.avoid.push_back(failed);
     }
     if (work.tries >= kMaxTries) {
@@ -297,8 +309,7 @@
 
 void generation_flow::onTimer(generation &work)
 {
-    if (m_context.now() >= work.deadline) {
-        fail(work, 504, "deadline_exceeded", "the request's deadline has passed");
+    if (endIfLate(work)) {
         return;
     }
     m_context.log(log_level::Warning,
@@ -313,6 +324,15 @@
     tryAgain(work, "no progress");
 }
 
+bool generation_flow::endIfLate(generation &work)
+{
+    if (m_context.now() < work.deadline) {
+        return false;
+    }
+    fail(work, 504, "deadline_exceeded", "the request's deadline has passed");
+    return true;
+}
+
 void generation_flow::armTimer(const generation &work)
 {
     const duration patience = work.phase == generation_phase::Prefilling ? kPrefillTimeout : m_context.options().streamStall;
@@ -325,6 +345,13 @@
     m_attempts[work.attempt] = work.request.caller;
 }
 
+void generation_flow::noteInFlight(generation &work)
+{
+    if (m_attempts.contains(work.attempt)) {
+        work.outcome = combine(work.outcome, verdict::MayHaveRun);
+    }
+}
+
 void generation_flow::dropAttempt(generation &work)
 {
     m_context.emit(abandon_attempt{work.attempt});
@@ -354,7 +381,7 @@
 
 void generation_flow::releaseAll(generation &work)
 {
-    if (!work.prefillName.empty() && work.delivered == 0) {
+    if (!work.prefillName.empty()) {
         m_cancels.cancel(work.prefillAddress, work.engineRequest);
     }
     releasePrefill(work);
@@ -372,8 +399,11 @@
 
 void generation_flow::fail(generation &work, unsigned status, const std::string &code, const std::string &message)
 {
+    noteInFlight(work);
     m_context.log(log_level::Warning, "generation_failed", {requestIdField(work.request.traits.requestName), {"code", code}, verdictField(work.outcome)});
-    m_context.emit(fail_caller{work.request.caller, status, code, message, work.outcome, m_engines.retryAfter()});
+    const bool worthRepeating = status >= kFirstServerError;
+    const auto retryAfter = worthRepeating ? std::optional<duration>(m_engines.retryAfter()) : std::nullopt;
+    m_context.emit(fail_caller{work.request.caller, status, code, message, work.outcome, retryAfter});
     finish(work);
 }
 
--- a/src/core/generation_flow.h
+++ b/src/core/generation_flow.h
@@ -75,7 +75,12 @@
     void startDecode(generation &work);
     bool moveDecode(generation &work);
     void resumeDecode(generation &work);
-    void tryAgain(generation &work, const std::string &why);
+    /// Starts over at another place; the engine of the lost attempt is avoided when it is at fault.
+    void tryAgain(generation &work, const std::string &why, bool engineAtFault = true);
+    /// Ends a generation whose deadline has passed; true if it did.
+    bool endIfLate(generation &work);
+    /// An attempt that is given up while it runs may have run.
+    void noteInFlight(generation &work);
     void setAttempt(generation &work);
     void dropAttempt(generation &work);
     void releaseDecode(generation &work);
