Bookings: a repeat at the same entry gets the recorded outcome

Cause: a call that is not idempotent ran again whenever its caller sent it again, and a failure that may have run came with a time to come back, which invites just that. Weighed: evicting the oldest key of a full table (would forget a run early) against refusing new keys; holding a repeat until the first ends against answering it at once. Refusing and answering at once keep the promise with less state. No time to come back after "may have run" of such calls. Conclusion: at most once at one entry while the outcome is kept; repeats at other entries are not covered yet.

--- a/src/core/service_flow.cpp
+++ b/src/core/service_flow.cpp
@@ -1,6 +1,9 @@
 #include "core/service_flow.h"
 
 #include <algorithm>
+#include <string_view>
+
+#include <xxhash.h>
 
 namespace heatherroute
 {
@@ -11,12 +14,23 @@
 constexpr unsigned kMaxTries = 3;
 constexpr duration kRetryAfter = std::chrono::seconds(1);
 
+/// Tells apart different requests under one key.
+std::uint64_t fingerprintOf(const service_requested &request)
+{
+    std::uint64_t hash = 0;
+    for (const std::string_view part : {std::string_view(request.method), std::string_view(request.path), std::string_view(request.body)}) {
+        hash = XXH3_64bits_withSeed(part.data(), part.size(), hash);
+    }
+    return hash;
+}
+
 } // namespace
 
 service_flow::service_flow(core_context &context, upstream_table &upstreams, idempotency_hook isIdempotent)
     : m_context(context)
     , m_upstreams(upstreams)
     , m_isIdempotent(std::move(isIdempotent))
+    , m_keys(idempotency_limits{})
 { }
 
 void service_flow::onRequest(service_requested request)
@@ -30,8 +44,12 @@
     work.deadline = m_context.now() + request.traits.deadline.value_or(m_context.options().defaultDeadline);
     work.idempotent = m_isIdempotent(request);
     work.request = std::move(request);
+    if (!claimKey(work)) {
+        return;
+    }
     const upstream_table::entry *target = choose(work);
     if (target == nullptr) {
+        recordEnd(work);
         m_context.emit(fail_caller{caller, 503, "no_capacity", "no upstream of this service has room now", verdict::NotRun, kRetryAfter});
         return;
     }
@@ -40,6 +58,57 @@
     start(stored, *target);
 }
 
+bool service_flow::claimKey(call &work)
+{
+    const request_traits &traits = work.request.traits;
+    if (work.idempotent || traits.idempotencyKey.empty()) {
+        return true;
+    }
+    idempotency_key key{traits.team, work.request.service, traits.idempotencyKey};
+    const key_state known = m_keys.claim(m_context.now(), key, fingerprintOf(work.request));
+    if (known != key_state::New) {
+        answerRepeat(work.request.caller, key, known);
+        return false;
+    }
+    work.key = std::move(key);
+    return true;
+}
+
+void service_flow::answerRepeat(caller_id caller, const idempotency_key &key, key_state known)
+{
+    if (const kept_answer *kept = m_keys.answer(key); known == key_state::Answered && kept != nullptr) {
+        m_context.emit(finish_service_call{caller, kept->status, kept->contentType, kept->body});
+        return;
+    }
+    if (known == key_state::TableFull) {
+        m_context.emit(fail_caller{caller, 503, "keys_full", "no more idempotency keys can be remembered now", verdict::NotRun, kRetryAfter});
+        return;
+    }
+    if (known == key_state::OtherRequest) {
+        m_context.emit(fail_caller{caller, 422, "key_reused", "the idempotency key belongs to a different request", verdict::NotRun, std::nullopt});
+        return;
+    }
+    if (known == key_state::AnswerDropped) {
+        m_context.emit(fail_caller{caller, 409, "already_ran", "the request ran; its answer is no longer known", verdict::Ran, std::nullopt});
+        return;
+    }
+    const std::string code = known == key_state::InFlight ? "in_progress" : "outcome_unknown";
+    m_context.emit(fail_caller{caller, 409, code, "an earlier request with this key may have run", verdict::MayHaveRun, std::nullopt});
+}
+
+void service_flow::recordEnd(call &work)
+{
+    if (!work.key) {
+        return;
+    }
+    if (work.outcome == verdict::NotRun) {
+        m_keys.release(*work.key);
+    } else {
+        m_keys.recordUnknown(m_context.now(), *work.key);
+    }
+    work.key.reset();
+}
+
 const upstream_table::entry *service_flow::choose(const call &work) const
 {
     const upstream_table::entry *best = nullptr;
@@ -84,6 +153,10 @@
                    upstreamField(work->upstreamName),
                    {"status", std::to_string(event.status)},
                    verdictField(verdict::Ran)});
+    if (work->key) {
+        m_keys.recordAnswer(m_context.now(), *work->key, {event.status, event.contentType, event.body});
+        work->key.reset();
+    }
     m_context.emit(finish_service_call{work->request.caller, event.status, std::move(event.contentType), std::move(event.body)});
     finish(*work);
 }
@@ -96,8 +169,9 @@
     }
     work->outcome = combine(work->outcome, event.outcome);
     work->avoid.push_back(work->upstreamName);
+    const bool inTime = m_context.now() < work->deadline;
     const bool mayRepeat = work->outcome == verdict::NotRun || work->idempotent;
-    const upstream_table::entry *target = mayRepeat && work->tries < kMaxTries ? choose(*work) : nullptr;
+    const upstream_table::entry *target = mayRepeat && inTime && work->tries < kMaxTries ? choose(*work) : nullptr;
     if (target == nullptr) {
         fail(*work, 502, "upstream_failed", event.reason);
         return true;
@@ -111,9 +185,11 @@
 void service_flow::onCallerGone(caller_id caller)
 {
     const auto found = m_calls.find(caller);
-    if (found != m_calls.end()) {
-        finish(found->second);
+    if (found == m_calls.end()) {
+        return;
     }
+    found->second.outcome = combine(found->second.outcome, verdict::MayHaveRun);
+    finish(found->second);
 }
 
 void service_flow::onTick()
@@ -130,13 +206,17 @@
     m_context.log(log_level::Warning,
                   "service call failed",
                   {requestIdField(work.request.traits.requestName), upstreamField(work.upstreamName), {"code", code}, verdictField(work.outcome)});
-    m_context.emit(fail_caller{work.request.caller, status, code, message, work.outcome, kRetryAfter});
+    // A time to come back would invite a second run of a call that may have run once.
+    const bool mayRepeat = work.outcome == verdict::NotRun || work.idempotent;
+    const auto retryAfter = mayRepeat ? std::optional<duration>(kRetryAfter) : std::nullopt;
+    m_context.emit(fail_caller{work.request.caller, status, code, message, work.outcome, retryAfter});
     finish(work);
 }
 
 void service_flow::finish(call &work)
 {
     const caller_id caller = work.request.caller;
+    recordEnd(work);
     m_context.emit(abandon_attempt{work.attempt});
     m_attempts.erase(work.attempt);
     m_upstreams.giveBack(work.upstreamName, 0);
