Engine answers are read by their code

Cause: each 409 was taken as lack of room and each 504 as a stalled transfer, and both as "not run"; the codes wrong_model, wrong_role, duplicate, cancelled, detached and deadline mean other things. A stream that the engine ended with an error was resumed, although the protocol says there is nothing left to resume. Change: no_slot and no_memory move a generation with its KV cache, wrong_model and wrong_role move it as a refusal, the others start it over and say "may have run"; an error event ends the attempt without a resume.

--- a/src/node/engine_messages.cpp
+++ b/src/node/engine_messages.cpp
@@ -57,16 +57,43 @@
     return std::move(document.get_object());
 }
 
+/// The code of a JSON error; empty when @p body is none.
+std::string errorCode(const std::string &body)
+{
+    const auto object = parseObject(body);
+    const json::value *error = object ? object->if_contains("error") : nullptr;
+    if (error == nullptr || !error->is_object()) {
+        return {};
+    }
+    return text(error->get_object(), "code").value_or(std::string());
+}
+
+/// What a conflict means. Only codes that the protocol names as refusals say that nothing was started.
+std::pair<attempt_failure, verdict> meaningOfConflict(const std::string &code)
+{
+    if (code == "no_slot" || code == "no_memory") {
+        return {attempt_failure::NoCapacity, verdict::NotRun};
+    }
+    if (code == "wrong_model" || code == "wrong_role") {
+        return {attempt_failure::Refused, verdict::NotRun};
+    }
+    // `cancelled`, `detached` and `duplicate`: the work was accepted here once.
+    return {attempt_failure::UnknownRequest, verdict::MayHaveRun};
+}
+
 /// What an engine's refusal means. Only answers that the protocol names say that nothing was started.
-std::pair<attempt_failure, verdict> meaningOf(unsigned status)
+std::pair<attempt_failure, verdict> meaningOf(unsigned status, const std::string &code)
 {
     switch (status) {
     case kConflict:
-        return {attempt_failure::NoCapacity, verdict::NotRun};
+        return meaningOfConflict(code);
     case kGone:
         return {attempt_failure::KvGone, verdict::NotRun};
     case kGatewayTimeout:
-        return {attempt_failure::TransferStalled, verdict::NotRun};
+        if (code == "transfer_stalled") {
+            return {attempt_failure::TransferStalled, verdict::NotRun};
+        }
+        return {attempt_failure::UnknownRequest, verdict::MayHaveRun};
     case kNotFound:
         return {attempt_failure::UnknownRequest, verdict::NotRun};
     case kTooManyRequests:
@@ -143,6 +170,10 @@
         return std::nullopt;
     }
     decode_event event;
+    event.errorCode = errorCode(data);
+    if (!event.errorCode.empty()) {
+        return event;
+    }
     const json::value *done = object->if_contains("done");
     if (done != nullptr) {
         const auto tokens = count(*object, "tokens");
@@ -172,8 +203,9 @@
         const attempt_failure kind = connected ? attempt_failure::ConnectionLost : attempt_failure::Unreachable;
         return {attempt, kind, result.failure.outcome, result.failure.reason};
     }
-    const auto [failure, outcome] = meaningOf(result.answer->status);
-    return {attempt, failure, outcome, "status " + std::to_string(result.answer->status)};
+    const std::string code = errorCode(result.answer->body);
+    const auto [failure, outcome] = meaningOf(result.answer->status, code);
+    return {attempt, failure, outcome, "status " + std::to_string(result.answer->status) + (code.empty() ? "" : " " + code)};
 }
 
 } // namespace heatherroute::node
--- a/src/node/engine_messages.h
+++ b/src/node/engine_messages.h
@@ -23,7 +23,7 @@
 /// Reads a prefill engine's answer; empty when it is malformed.
 std::optional<prefill_finished> parsePrefill(attempt_id attempt, const std::string &body);
 
-/// One event of a decode stream: a token, or the end.
+/// One event of a decode stream: a token, the end, or why it ends early.
 struct decode_event
 {
     std::uint32_t offset = 0;
@@ -31,6 +31,7 @@
     bool done = false;
     std::string reason;
     std::uint32_t tokens = 0;
+    std::string errorCode; ///< Set when the engine ends the request itself.
     bool operator==(const decode_event &) const = default;
 };
 
--- a/src/node/upstream_duty.cpp
+++ b/src/node/upstream_duty.cpp
@@ -50,6 +50,12 @@
         }
     }
 
+    /// The error with which the engine ended the stream; empty if it named none.
+    const std::string &errorCode() const noexcept
+    {
+        return m_errorCode;
+    }
+
     bool endSent() const noexcept
     {
         return m_endSent;
@@ -63,6 +69,10 @@
             m_broken = m_broken || !event;
             return;
         }
+        if (!event->errorCode.empty()) {
+            m_errorCode = event->errorCode;
+            return;
+        }
         if (event->done) {
             m_end = decode_finished{m_attempt, event->reason, event->tokens};
             return;
@@ -81,6 +91,7 @@
     channel<core_event> &m_toCore;
     net::event_stream_parser m_parser;
     std::optional<decode_finished> m_end;
+    std::string m_errorCode;
     bool m_endSent = false;
     bool m_broken = false;
 };
@@ -201,6 +212,10 @@
         if (result.answer && result.answer->status < kFirstErrorStatus) {
             failure = {attempt, attempt_failure::ConnectionLost, verdict::MayHaveRun, "the stream ended early"};
         }
+        // An engine that says why it ended a request has nothing left to resume.
+        if (!reader.errorCode().empty()) {
+            failure = {attempt, attempt_failure::UnknownRequest, verdict::MayHaveRun, "the engine ended the stream: " + reader.errorCode()};
+        }
         co_await m_toCore.push(std::move(failure));
     }
 
