Whole answers on processes: kills, silence, refusals, stops, lost bookings

Change: tests/process_answers_test.cpp starts a fleet and checks answers byte by byte while engines are killed, stall, go silent or refuse, callers leave, an entry is stopped, and services die before and after running. Conclusion: bounds on time are those promised only; engine memory is polled for up to 5 s.

--- /dev/null
+++ b/tests/process_answers_test.cpp
@@ -0,0 +1,269 @@
+// Whole answers from whole programs, while engines, services and callers fail.
+#include "standins/expected_text.h"
+#include "support/fleet.h"
+#include "support/http_client.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/json/parse.hpp>
+
+#include <csignal>
+#include <thread>
+
+namespace
+{
+
+using namespace heatherroute;
+using namespace heatherroute::support;
+namespace json = boost::json;
+
+constexpr std::chrono::seconds kLimit{30};
+constexpr std::chrono::seconds kMemoryFreeLimit{5};
+constexpr std::uint32_t kMaxTokens = 60;
+const std::string kModel = "audit";
+const std::vector<std::string> kDecodes{"decode-1", "decode-2", "decode-3"};
+
+/// What a caller has read of one completion.
+struct caller_view
+{
+    std::string text;
+    std::uint32_t tokens = 0;
+    bool contiguous = true;
+    bool done = false;
+    std::string verdictOfError;
+};
+
+/// Reads @p stream to its end, or until @p limit tokens came.
+void readTokens(event_stream &stream, caller_view &view, std::uint32_t limit)
+{
+    while (view.tokens < limit) {
+        const auto event = stream.next();
+        if (!event) {
+            return;
+        }
+        if (event->data == "[DONE]") {
+            continue;
+        }
+        const json::value data = json::parse(event->data);
+        if (event->name == "error") {
+            view.verdictOfError = data.at("error").at("verdict").as_string();
+        } else if (data.as_object().contains("done")) {
+            view.done = true;
+        } else {
+            view.contiguous = view.contiguous && data.at("offset").to_number<std::uint32_t>() == view.tokens;
+            view.text += data.at("text").as_string();
+            ++view.tokens;
+        }
+    }
+}
+
+void readToEnd(event_stream &stream, caller_view &view)
+{
+    readTokens(stream, view, kMaxTokens + 1);
+}
+
+std::unique_ptr<event_stream> openStream(const fleet_member &entry, const std::string &prompt)
+{
+    http_options options;
+    options.limit = kLimit;
+    const json::value body{{"model", kModel}, {"prompt", prompt}, {"max_tokens", kMaxTokens}, {"stream", true}};
+    return event_stream::make(entry.address, "/v1/completions", body, options, nullptr);
+}
+
+void expectWhole(const caller_view &view, const std::string &prompt)
+{
+    EXPECT_TRUE(view.done) << view.verdictOfError << " after " << view.tokens;
+    EXPECT_TRUE(view.contiguous);
+    EXPECT_EQ(view.text, standins::expected_answer(kModel, prompt, kMaxTokens).text());
+}
+
+class answers : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        last_reason reason;
+        all = fleet::make(HEATHERROUTE_BIN_DIR, "da-nang", &reason);
+        ASSERT_TRUE(all) << reason.text();
+        const fleet::engine_traits prefill{kModel, 4, 96, {"--prefill-us-per-token", "10"}};
+        const fleet::engine_traits decode{kModel, 20, 96, {"--token-ms", "10"}};
+        bool ok = all->addEngine("prefill-1", upstream_kind::PrefillEngine, prefill, &reason);
+        ok = ok && all->addEngine("prefill-2", upstream_kind::PrefillEngine, prefill, &reason);
+        for (const std::string &name : kDecodes) {
+            ok = ok && all->addEngine(name, upstream_kind::DecodeEngine, decode, &reason);
+        }
+        ok = ok && all->addService("shop-1", "shop", {}, &reason) && all->addService("shop-2", "shop", {}, &reason);
+        all->addRule(service_route{"shop", "/", {"GET"}});
+        ok = ok && all->addEntry("entry-1", &reason) && all->publish(&reason);
+        ASSERT_TRUE(ok) << reason.text();
+    }
+
+    fleet_member &entry()
+    {
+        return all->member("entry-1");
+    }
+
+    /// The decode engine that holds memory for the one request in flight.
+    std::string engineInUse() const
+    {
+        for (const std::string &name : kDecodes) {
+            if (all->requestsHeld(name) > 0) {
+                return name;
+            }
+        }
+        return {};
+    }
+
+    http_reply book(const std::string &key) const
+    {
+        http_options options;
+        options.fields["Idempotency-Key"] = key;
+        return callHttp(all->member("entry-1").address, "POST", "/svc/shop/bookings", "{}", options);
+    }
+
+    std::int64_t runsOf(const std::string &key) const
+    {
+        std::int64_t runs = 0;
+        for (const std::string name : {"shop-1", "shop-2"}) {
+            const auto reply = getJson(all->member(name).address, "/records");
+            if (reply.status == 200) {
+                const json::object &byKey = reply.json.at("runs").as_object();
+                runs += byKey.contains(key) ? byKey.at(key).to_number<std::int64_t>() : 0;
+            }
+        }
+        return runs;
+    }
+
+    std::unique_ptr<fleet> all;
+};
+
+TEST_F(answers, completeAlthoughTheEngineIsKilledAfterItsFirstToken)
+{
+    const std::string prompt = "describe the pho stall by the river";
+    const auto stream = openStream(entry(), prompt);
+    ASSERT_TRUE(stream);
+    caller_view view;
+    readTokens(*stream, view, 1);
+    const std::string name = engineInUse();
+    ASSERT_FALSE(name.empty());
+    all->member(name).process->signal(SIGKILL);
+    readToEnd(*stream, view);
+    expectWhole(view, prompt);
+    EXPECT_TRUE(all->waitUntilEnginesAreFree(kMemoryFreeLimit));
+}
+
+TEST_F(answers, completeAlthoughAnEnginesStreamsGoSilent)
+{
+    const std::string prompt = "a family store with a long history";
+    const auto stream = openStream(entry(), prompt);
+    ASSERT_TRUE(stream);
+    caller_view view;
+    readTokens(*stream, view, 3);
+    const std::string name = engineInUse();
+    ASSERT_FALSE(name.empty());
+    ASSERT_TRUE(all->setFault(name, R"({"stall_streams":true})"));
+    readToEnd(*stream, view);
+    expectWhole(view, prompt);
+    EXPECT_TRUE(all->waitUntilEnginesAreFree(kMemoryFreeLimit));
+}
+
+TEST_F(answers, completeOverANewConnectionWhenTheOldOneGoesSilent)
+{
+    const std::string prompt = "silk and linen, cut to size";
+    const auto stream = openStream(entry(), prompt);
+    ASSERT_TRUE(stream);
+    caller_view view;
+    readTokens(*stream, view, 3);
+    const std::string name = engineInUse();
+    ASSERT_FALSE(name.empty());
+    ASSERT_TRUE(all->setFault(name, R"({"silent":true})"));
+    readToEnd(*stream, view);
+    expectWhole(view, prompt);
+    EXPECT_TRUE(all->waitUntilEnginesAreFree(kMemoryFreeLimit));
+}
+
+TEST_F(answers, leaveNoMemoryHeldWhenTheCallerCloses)
+{
+    auto stream = openStream(entry(), "lanterns for the festival");
+    ASSERT_TRUE(stream);
+    caller_view view;
+    readTokens(*stream, view, 2);
+    ASSERT_FALSE(engineInUse().empty());
+    stream.reset();
+    EXPECT_TRUE(all->waitUntilEnginesAreFree(kMemoryFreeLimit));
+}
+
+TEST_F(answers, areFinishedBeforeAPlannedStopEnds)
+{
+    constexpr std::size_t kStreams = 8;
+    std::vector<std::string> prompts;
+    std::vector<std::unique_ptr<event_stream>> streams;
+    std::vector<caller_view> views(kStreams);
+    for (std::size_t i = 0; i < kStreams; ++i) {
+        prompts.push_back("shop number " + std::to_string(i));
+        streams.push_back(openStream(entry(), prompts.back()));
+        ASSERT_TRUE(streams.back());
+        readTokens(*streams.back(), views[i], 1);
+    }
+    entry().process->signal(SIGTERM);
+    std::vector<std::thread> readers;
+    for (std::size_t i = 0; i < kStreams; ++i) {
+        readers.emplace_back([&streams, &views, i] { readToEnd(*streams[i], views[i]); });
+    }
+    for (std::thread &reader : readers) {
+        reader.join();
+    }
+    for (std::size_t i = 0; i < kStreams; ++i) {
+        expectWhole(views[i], prompts[i]);
+    }
+    EXPECT_EQ(entry().process->waitForEnd(kLimit), 0);
+}
+
+TEST_F(answers, moveOnWhenEnginesRefuseOrAreFull)
+{
+    ASSERT_TRUE(all->setFault("prefill-1", R"({"refuse":true})"));
+    ASSERT_TRUE(all->setFault("decode-1", R"({"refuse":true})"));
+    ASSERT_TRUE(all->setFault("decode-2", R"({"stall_transfers":true})"));
+    const std::string prompt = "opening hours and prices";
+    const auto stream = openStream(entry(), prompt);
+    ASSERT_TRUE(stream);
+    caller_view view;
+    readToEnd(*stream, view);
+    expectWhole(view, prompt);
+    EXPECT_TRUE(all->waitUntilEnginesAreFree(kMemoryFreeLimit));
+}
+
+TEST_F(answers, tellWhetherABookingMayHaveRun)
+{
+    for (const std::string name : {"shop-1", "shop-2"}) {
+        ASSERT_TRUE(all->setFault(name, R"({"die_after_run":true})"));
+    }
+    const auto lost = book("slot-1");
+    EXPECT_EQ(lost.json.at("error").at("verdict"), "may_have_run");
+    EXPECT_FALSE(lost.fields.contains("retry-after"));
+    EXPECT_EQ(runsOf("slot-1"), 1);
+    for (const std::string name : {"shop-1", "shop-2"}) {
+        ASSERT_TRUE(all->setFault(name, R"({"die_before_run":true})"));
+    }
+    EXPECT_EQ(book("slot-2").json.at("error").at("verdict"), "may_have_run");
+    EXPECT_EQ(runsOf("slot-2"), 0);
+    for (const std::string name : {"shop-1", "shop-2"}) {
+        ASSERT_TRUE(all->setFault(name, "{}"));
+    }
+    EXPECT_EQ(book("slot-1").json.at("error").at("verdict"), "may_have_run");
+    EXPECT_EQ(runsOf("slot-1"), 1);
+}
+
+TEST_F(answers, runABookingOnceHoweverOftenItIsSent)
+{
+    all->member("shop-1").process->signal(SIGKILL);
+    all->member("shop-1").process->waitForEnd(kLimit);
+    const auto first = book("slot-3");
+    const auto second = book("slot-3");
+    EXPECT_EQ(first.status, 200U);
+    EXPECT_EQ(second.status, 200U);
+    EXPECT_EQ(second.body, first.body);
+    EXPECT_EQ(runsOf("slot-3"), 1);
+}
+
+} // namespace
