Settings: a text that yaml-cpp cannot get through is refused

The text "," alone (and any that begins with a token that starts no document) made YAML::LoadAll report empty documents without end, because the parser consumes nothing for them; memory grew until the limit.

Documents are now read one at a time and the second one is refused. An event handler stops a text that is nested deeper than 32 levels or causes more events than its bytes can hold, and 16 MiB is the most that is read. A special case for the comma was ruled out, since other tokens may do the same.

--- a/src/settings/yaml_reader.cpp
+++ b/src/settings/yaml_reader.cpp
@@ -6,8 +6,11 @@
 #include <array>
 #include <charconv>
 #include <cstddef>
+#include <sstream>
 #include <utility>
 
+#include <yaml-cpp/eventhandler.h>
+
 namespace heatherroute
 {
 
@@ -29,6 +32,9 @@
 
 constexpr std::size_t kMaxNameLength = 64;
 constexpr std::uint32_t kMaxPort = 65535;
+constexpr std::size_t kMaxTextBytes = 16 * 1024 * 1024;
+constexpr std::size_t kMaxDepth = 32;
+constexpr std::size_t kMaxEventsPerByte = 4;
 
 // yaml-cpp marks a quoted scalar with this tag; a plain one has "?".
 constexpr std::string_view kQuotedTag = "!";
@@ -78,6 +84,95 @@
     return isIpAddress(AF_INET, text);
 }
 
+/// Counts what the parser reports and stops it when that passes what a text of this size can hold.
+class bounded_events : public YAML::EventHandler
+{
+public:
+    explicit bounded_events(std::size_t textBytes)
+        : m_left(kMaxEventsPerByte * textBytes + kMaxEventsPerByte)
+    { }
+
+    void OnDocumentStart(const YAML::Mark &mark) override
+    {
+        count(mark);
+    }
+
+    void OnDocumentEnd() override
+    { }
+
+    void OnNull(const YAML::Mark &mark, YAML::anchor_t) override
+    {
+        count(mark);
+    }
+
+    void OnAlias(const YAML::Mark &mark, YAML::anchor_t) override
+    {
+        count(mark);
+    }
+
+    void OnScalar(const YAML::Mark &mark, const std::string &, YAML::anchor_t, const std::string &) override
+    {
+        count(mark);
+    }
+
+    void OnSequenceStart(const YAML::Mark &mark, const std::string &, YAML::anchor_t, YAML::EmitterStyle::value) override
+    {
+        enter(mark);
+    }
+
+    void OnSequenceEnd() override
+    {
+        --m_depth;
+    }
+
+    void OnMapStart(const YAML::Mark &mark, const std::string &, YAML::anchor_t, YAML::EmitterStyle::value) override
+    {
+        enter(mark);
+    }
+
+    void OnMapEnd() override
+    {
+        --m_depth;
+    }
+
+private:
+    void enter(const YAML::Mark &mark)
+    {
+        count(mark);
+        if (++m_depth > kMaxDepth) {
+            throw YAML::ParserException(mark, "nested deeper than " + std::to_string(kMaxDepth) + " levels");
+        }
+    }
+
+    void count(const YAML::Mark &mark)
+    {
+        if (m_left == 0) {
+            throw YAML::ParserException(mark, "the parser does not get through this text");
+        }
+        --m_left;
+    }
+
+    std::size_t m_left;
+    std::size_t m_depth = 0;
+};
+
+/// Reads one document at a time, because yaml-cpp 0.7 reports empty documents without end when a token begins none.
+bool holdsOneBoundedDocument(const std::string &text, problem_list &problems)
+{
+    std::istringstream stream(text);
+    YAML::Parser parser(stream);
+    bounded_events events(text.size());
+    if (!parser.HandleNextDocument(events)) {
+        problems.add(1, "", "the file holds no YAML document; exactly one is accepted");
+        return false;
+    }
+    if (parser.HandleNextDocument(events)) {
+        problems.add(1, "", "the file holds more than one YAML document; exactly one is accepted");
+        return false;
+    }
+    return true;
+}
+
 } // namespace
 
 problem_list::problem_list(std::string fileName)
@@ -122,12 +217,16 @@
 
 std::optional<YAML::Node> loadDocument(std::string_view text, problem_list &problems)
 {
+    if (text.size() > kMaxTextBytes) {
+        problems.add(1, "", "the file is too large; at most " + std::to_string(kMaxTextBytes) + " bytes are accepted");
+        return std::nullopt;
+    }
     try {
-        const std::vector<YAML::Node> documents = YAML::LoadAll(std::string(text));
-        if (documents.size() == 1) {
-            return documents.front();
+        const std::string copy(text);
+        if (!holdsOneBoundedDocument(copy, problems)) {
+            return std::nullopt;
         }
-        problems.add(1, "", "the file holds " + std::to_string(documents.size()) + " YAML documents; exactly one is accepted");
+        return YAML::Load(copy);
     } catch (const YAML::Exception &error) {
         problems.add(std::max(error.mark.line + 1, 1), "", "not valid YAML: " + error.msg);
     }
--- a/src/settings/yaml_reader.h
+++ b/src/settings/yaml_reader.h
@@ -44,7 +44,12 @@
 /// The path of @p key below @p parent.
 std::string joinPath(const std::string &parent, const std::string &key);
 
-/// The one YAML document in @p text; empty after a syntax error, which is added to @p problems.
+/**
+ * The one YAML document in @p text; empty after a syntax error, which is added to @p problems.
+ *
+ * A text of more than 16 MiB, one nested deeper than 32 levels and one that the parser can't get through are refused too, so that
+ * no file can take the process's memory or time.
+ */
 std::optional<YAML::Node> loadDocument(std::string_view text, problem_list &problems);
 
 /// One key of a mapping with its value.
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -156,6 +156,22 @@
     EXPECT_FALSE(problemsOf("a: &a [*a]\n? [x]\n: 1\n").empty());
 }
 
+// yaml-cpp's own loader never ends on the first of these.
+TEST(Settings, TextsThatTheParserCannotGetThroughAreRefused)
+{
+    const std::string found = ",\xf6\xdf\xf7\x14\x04\xca"
+                              "9,\xbel\xea"
+                              "e9\x1b"
+                              "e\x15\xee\xed"
+                              "f\x14\xf1"
+                              "6\x85\xdf\xb7\xc1\xe9?";
+    for (const std::string &text : {std::string(","), found, kMinimal + ",", std::string("]"), std::string("a: 1\n...\n,")}) {
+        EXPECT_FALSE(problemsOf(text).empty()) << text;
+    }
+    EXPECT_TRUE(reports(problemsOf("name: " + std::string(40, '[') + std::string(40, ']')), 1, "", "nested deeper"));
+    EXPECT_TRUE(reports(problemsOf("# " + std::string(17 << 20, 'x')), 1, "", "too large"));
+}
+
 TEST(Settings, NumbersArePlainDecimalDigits)
 {
     for (const std::string number : {"-1", "+5", "0x10", "1e3", "1_000", "5.0", "", "~", "99999999999999999999"}) {
