Late whole states in the history test; less allocation in decoding

Answers may now come up to 4 s late, again, or to the process that took the entry's place, and a peer may send its whole state where records would do.

The reference takes each change from the operator's value rather than decoding its text again, which also makes it independent of decoding. Decoding parses into one block.

--- a/src/core/config_record.cpp
+++ b/src/core/config_record.cpp
@@ -2,6 +2,10 @@
 
 #include "core/config_json.h"
 
+#include <boost/json/monotonic_resource.hpp>
+
+#include <array>
+
 namespace heatherroute
 {
 
@@ -11,6 +15,8 @@
 namespace
 {
 
+constexpr std::size_t kFirstBlockBytes = 4096;
+
 json::value writeRevision(const config_revision &value)
 {
     return value ? json::value(*value) : json::value(nullptr);
@@ -173,8 +179,11 @@
         setReason(reason, "too long");
         return std::nullopt;
     }
+    // Every entry decodes every record, and most of the time went into small allocations; a change fits the first block.
+    std::array<unsigned char, kFirstBlockBytes> firstBlock;
+    json::monotonic_resource arena(firstBlock.data(), firstBlock.size());
     json::error_code error;
-    const json::value value = json::parse(json::string_view(text.data(), text.size()), error);
+    const json::value value = json::parse(json::string_view(text.data(), text.size()), error, &arena);
     if (error) {
         setReason(reason, "not JSON: " + error.message());
         return std::nullopt;
--- a/tests/config_history_test.cpp
+++ b/tests/config_history_test.cpp
@@ -21,6 +21,12 @@
 constexpr duration kRetention = 12s;
 constexpr duration kBound = 3s;
 
+struct publication
+{
+    config_change change;
+    std::string text;
+};
+
 /// The platform's log, together with what acceptance should make of it when nothing is ever lost.
 struct model_log
 {
@@ -42,19 +48,25 @@
         return static_cast<log_offset>(std::lower_bound(appendedAt.begin(), appendedAt.end(), now) - appendedAt.begin());
     }
 
-    void append(instant now, std::string text)
+    /// Takes the value that was encoded, so that the reference doesn't depend on what decoding makes of the text.
+    void append(instant now, const publication &wanted)
+    {
+        decided.emplace_back(reference.apply(next(), wanted.change));
+        push(now, wanted.text);
+    }
+
+    /// A record that isn't a publication.
+    void appendOther(instant now, const std::string &text)
     {
-        const log_offset offset = next();
-        const std::optional<config_record> record = decodeRecord(text);
-        const config_change *change = record ? std::get_if<config_change>(&*record) : nullptr;
         decided.emplace_back();
-        if (change != nullptr) {
-            decided.back() = reference.apply(offset, *change);
-        } else {
-            reference.skip(offset);
-        }
+        reference.skip(next());
+        push(now, text);
+    }
+
+    void push(instant now, const std::string &text)
+    {
         digests.push_back(reference.digest());
-        records.push_back({offset, std::move(text)});
+        records.push_back({next(), text});
         appendedAt.push_back(now);
     }
 
@@ -86,6 +98,14 @@
     config_revision revision;
 };
 
+/// A peer's answer that is still on its way.
+struct late_transfer
+{
+    std::size_t to = 0;
+    instant arrivesAt;
+    peer_transfer transfer;
+};
+
 class history
 {
 public:
@@ -221,17 +241,18 @@
             m_unanswered.pop_front();
         }
         for (unsigned operators = m_random() % 3; operators > 0; --operators) {
-            const std::string text = encodeRecord(randomChange(m_entries[m_random() % kReplicas].replica->state()));
+            const config_change change = randomChange(m_entries[m_random() % kReplicas].replica->state());
+            const publication wanted{change, encodeRecord(change)};
             const bool isLost = chance(20);
             if (!isLost || chance(50)) {
-                m_log.append(m_now, text);
+                m_log.append(m_now, wanted);
             }
             if (isLost) {
-                m_unanswered.push_back(text);
+                m_unanswered.push_back(wanted);
             }
         }
         if (chance(3)) {
-            m_log.append(m_now, chance(50) ? "{\"v\":9,\"t\":\"change\"}" : "garbage");
+            m_log.appendOther(m_now, chance(50) ? "{\"v\":9,\"t\":\"change\"}" : "garbage");
         }
     }
 
@@ -244,6 +265,7 @@
         if (one.reachesLog && !m_isLogDown) {
             readLog(i, 1 + m_random() % 8);
         }
+        deliverLate(i);
         for (std::size_t peer = 0; peer < kReplicas; ++peer) {
             if (peer != i && !m_entries[peer].frozenSince && chance(80)) {
                 const peer_summary summary = m_entries[peer].replica->summary(m_now);
@@ -298,18 +320,37 @@
     void appendSnapshot(const std::string &record)
     {
         if (!m_isLogDown && chance(80)) {
-            m_log.append(m_now, record);
+            m_log.appendOther(m_now, record);
         }
         if (!m_isLogDown && chance(20)) {
-            m_log.append(m_now, record);
+            m_log.appendOther(m_now, record);
         }
     }
 
     void passOn(std::size_t i, const request_from_peer &request)
     {
         const entry &peer = m_entries[std::stoul(request.peer)];
-        if (!peer.frozenSince && chance(80)) {
-            const peer_transfer transfer = peer.replica->answer(request.request);
+        if (peer.frozenSince || !chance(80)) {
+            return;
+        }
+        peer_request asked = request.request;
+        asked.whole = asked.whole || chance(20);
+        const peer_transfer transfer = peer.replica->answer(asked);
+        if (chance(30)) {
+            m_late.push_back({i, m_now + kStep * (1 + m_random() % 8), transfer});
+        }
+        if (chance(80)) {
+            check(i, m_entries[i].replica->onPeerTransfer(m_now, transfer));
+        }
+    }
+
+    /// By then the entry may know more than the answer holds, or be a new process.
+    void deliverLate(std::size_t i)
+    {
+        const auto isDue = [&](const late_transfer &one) { return one.to == i && one.arrivesAt <= m_now; };
+        for (auto found = std::find_if(m_late.begin(), m_late.end(), isDue); found != m_late.end(); found = std::find_if(m_late.begin(), m_late.end(), isDue)) {
+            const peer_transfer transfer = std::move(found->transfer);
+            m_late.erase(found);
             check(i, m_entries[i].replica->onPeerTransfer(m_now, transfer));
         }
     }
@@ -352,7 +393,8 @@
     bool m_isLogDown = false;
     model_log m_log;
     std::array<entry, kReplicas> m_entries;
-    std::deque<std::string> m_unanswered;
+    std::deque<publication> m_unanswered;
+    std::vector<late_transfer> m_late;
     int m_publishes = 0;
 };
 
