Entries find each other, pass on the configuration and name each other to callers

An entry on its own could tell callers only of itself, knew the configuration only from the log, and so had to stop in every outage of the log. Now the core runs the membership, a duty of its own carries peer messages, and the replica's questions go to peers.

Answers about positions are dated by the instant of the question, so an answer that waited in a buffer while the process was paused proves nothing. A message kind of its own carries them rather than the probes, since a probe reaches one member per period and a quorum must be heard within the cut-off time.

The upstream table asks at each choice whether new work may be given, so that a retry in an entry that was paused can't use an upstream that was taken away meanwhile either.

Two types and two constants had the same name in headers that now meet: the settings' membership_settings is membership_timing, and the bound of member names is kMaxMemberNameBytes.

--- a/apps/heatherrouted.cpp
+++ b/apps/heatherrouted.cpp
@@ -45,7 +45,7 @@
         std::cerr << "heatherrouted: " << reason.text() << '\n';
         return kExitFailure;
     }
-    std::cout << "listening " << node->callerAddress() << " operators " << node->operatorAddress() << std::endl;
+    std::cout << "listening " << node->callerAddress() << " operators " << node->operatorAddress() << " peers " << node->peerAddress() << std::endl;
     return node->run();
 }
 
--- a/include/heatherroute/core_action.h
+++ b/include/heatherroute/core_action.h
@@ -148,6 +148,14 @@
     std::string record;
 };
 
+/// Send a message to a peer. Not answered: whoever needs an answer asks again.
+struct send_to_peer
+{
+    std::string address;
+    peer_body body;
+    bool isFrame = false; ///< Over TCP rather than in a datagram.
+};
+
 using core_action = std::variant<start_prefill,
                                  start_decode,
                                  resume_decode,
@@ -162,6 +170,7 @@
                                  log_line,
                                  read_log,
                                  append_log,
-                                 stop_process>;
+                                 stop_process,
+                                 send_to_peer>;
 
 } // namespace heatherroute
--- a/include/heatherroute/core_event.h
+++ b/include/heatherroute/core_event.h
@@ -9,6 +9,7 @@
 
 #include "heatherroute/config_replica.h"
 #include "heatherroute/inventory.h"
+#include "heatherroute/peer_message.h"
 #include "heatherroute/time.h"
 #include "heatherroute/verdict.h"
 
@@ -75,6 +76,7 @@
 {
     caller_id caller;
     std::string zone; ///< The caller's availability zone when it names one.
+    std::string callerHost; ///< The caller's IP number, which tells callers apart.
 };
 
 /// A caller has closed, stopped reading, or gone silent.
@@ -186,6 +188,20 @@
     std::string reason;
 };
 
+/// A peer's message has come.
+struct peer_received
+{
+    std::string fromAddress; ///< Of the sender over UDP, of the connection over TCP.
+    member_id sender;
+    peer_body body;
+};
+
+/// The platform has listed its VMs. The list lags: it says where peers may be, never that one is or isn't.
+struct vms_listed
+{
+    std::vector<std::string> addresses; ///< IP numbers, with or without a port.
+};
+
 using core_event = std::variant<tick,
                                 generation_requested,
                                 service_requested,
@@ -202,6 +218,8 @@
                                 owner_requested,
                                 log_read,
                                 log_forgotten,
-                                log_unavailable>;
+                                log_unavailable,
+                                peer_received,
+                                vms_listed>;
 
 } // namespace heatherroute
--- a/include/heatherroute/entry_node.h
+++ b/include/heatherroute/entry_node.h
@@ -27,6 +27,8 @@
     std::string callerAddress() const;
     /// The address that operators use, as `IP:port`.
     std::string operatorAddress() const;
+    /// The address that peers use, as `IP:port`.
+    std::string peerAddress() const;
 
     /// Runs until a graceful shutdown has ended and returns the exit code. SIGTERM and SIGINT start the shutdown; a second one
     /// ends it at once.
--- a/include/heatherroute/member.h
+++ b/include/heatherroute/member.h
@@ -16,7 +16,7 @@
  */
 struct member_id
 {
-    std::string name; ///< From the settings; at most kMaxNameBytes.
+    std::string name; ///< From the settings; at most kMaxMemberNameBytes.
     std::uint64_t start = 0; ///< The incarnation: unique per process start. Larger usually means later, but nothing relies on it.
 
     auto operator<=>(const member_id &) const = default;
@@ -33,7 +33,7 @@
 /// Free decode slots of one pool as its owner last saw them.
 struct pool_slots
 {
-    std::string pool; ///< Name of the pool; at most kMaxNameBytes.
+    std::string pool; ///< Name of the pool; at most kMaxMemberNameBytes.
     std::uint32_t freeSlots = 0;
 
     auto operator<=>(const pool_slots &) const = default;
@@ -70,7 +70,7 @@
     auto operator<=>(const member &) const = default;
 };
 
-inline constexpr std::size_t kMaxNameBytes = 64;
+inline constexpr std::size_t kMaxMemberNameBytes = 64;
 inline constexpr std::size_t kMaxPools = 16;
 
 /// The name used in dumps and metrics. Thread safe.
--- a/include/heatherroute/membership_message.h
+++ b/include/heatherroute/membership_message.h
@@ -21,14 +21,14 @@
 template<typename Archive>
 void serialize(Archive &archive, member_id &id)
 {
-    serializeText(archive, id.name, kMaxNameBytes);
+    serializeText(archive, id.name, kMaxMemberNameBytes);
     archive(id.start);
 }
 
 template<typename Archive>
 void serialize(Archive &archive, pool_slots &slots)
 {
-    serializeText(archive, slots.pool, kMaxNameBytes);
+    serializeText(archive, slots.pool, kMaxMemberNameBytes);
     archive(slots.freeSlots);
 }
 
@@ -55,9 +55,9 @@
     {
         serializeText(archive, callerAddress, kMaxAddressBytes);
         serializeText(archive, peerAddress, kMaxAddressBytes);
-        serializeText(archive, zone, kMaxNameBytes);
-        serializeText(archive, region, kMaxNameBytes);
-        serializeText(archive, half, kMaxNameBytes);
+        serializeText(archive, zone, kMaxMemberNameBytes);
+        serializeText(archive, region, kMaxMemberNameBytes);
+        serializeText(archive, half, kMaxMemberNameBytes);
     }
 };
 
--- a/include/heatherroute/peer_message.h
+++ b/include/heatherroute/peer_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "heatherroute/config_message.h"
 #include "heatherroute/last_reason.h"
 #include "heatherroute/membership_message.h"
 
@@ -21,7 +22,8 @@
  * and append the type to the end of this list. Its place is its number on the wire, so kinds are never reordered or
  * removed within one kPeerProtocolVersion.
  */
-using peer_body = std::variant<probe, probe_ack, indirect_probe, join_request, sync_request, sync_page>;
+using peer_body =
+    std::variant<probe, probe_ack, indirect_probe, join_request, sync_request, sync_page, config_question, config_answer, config_pull, config_part>;
 
 /// Who sent a message, and where it stands in the sender's order.
 struct peer_header
--- a/include/heatherroute/router_core.h
+++ b/include/heatherroute/router_core.h
@@ -9,6 +9,7 @@
 #include "heatherroute/core_action.h"
 #include "heatherroute/core_event.h"
 #include "heatherroute/last_reason.h"
+#include "heatherroute/membership.h"
 #include "heatherroute/time.h"
 
 namespace heatherroute
@@ -29,6 +30,10 @@
     duration stopLimit = std::chrono::minutes(10); ///< The longest graceful shutdown.
     replica_settings configuration; ///< Of this entry's copy of the configuration.
     duration entryLifetime = std::chrono::seconds(30); ///< How long callers may keep the entry answer.
+    std::string region;
+    std::string peerAddress; ///< `IP:port` that peers use; empty for an entry on its own.
+    std::vector<std::string> seeds; ///< Addresses of peers that are asked first.
+    membership_settings membership;
 };
 
 /**
--- a/include/heatherroute/settings.h
+++ b/include/heatherroute/settings.h
@@ -90,14 +90,14 @@
 };
 
 /// How entries notice that another one has died.
-struct membership_settings
+struct membership_timing
 {
     std::chrono::milliseconds probeInterval{};
     std::chrono::milliseconds probeTimeout{};
     std::uint32_t indirectProbes = 0;
     std::chrono::milliseconds suspicionTimeout{};
 
-    bool operator==(const membership_settings &) const = default;
+    bool operator==(const membership_timing &) const = default;
 };
 
 /// How the entry follows the configuration stream.
@@ -129,7 +129,7 @@
     std::chrono::seconds stopLimit{};
     log_settings log;
     placement_policy placement = placement_policy::OwnerGrants;
-    membership_settings membership;
+    membership_timing membership;
     config_settings config;
     std::optional<std::uint64_t> seed;
 
@@ -226,7 +226,7 @@
         return m_values.placement;
     }
     /// How entries notice that another one has died.
-    const membership_settings &membership() const noexcept
+    const membership_timing &membership() const noexcept
     {
         return m_values.membership;
     }
--- a/src/core/config_flow.cpp
+++ b/src/core/config_flow.cpp
@@ -50,6 +50,36 @@
     }
 }
 
+void config_flow::onPeerSummary(instant askedAt, const std::string &peer, const peer_summary &summary)
+{
+    perform(m_replica->onPeerSummary(askedAt, m_context.now(), peer, summary));
+}
+
+void config_flow::onPeerTransfer(const peer_transfer &transfer)
+{
+    perform(m_replica->onPeerTransfer(m_context.now(), transfer));
+}
+
+void config_flow::onPeerGone(const std::string &peer)
+{
+    m_replica->onPeerGone(peer);
+}
+
+void config_flow::setPeerCount(std::size_t count)
+{
+    m_replica->setPeerCount(count);
+}
+
+void config_flow::setPull(std::function<void(const request_from_peer &)> pull)
+{
+    m_pull = std::move(pull);
+}
+
+void config_flow::setUpstreamHook(std::function<void(const std::string &, const upstream *)> hook)
+{
+    m_upstreamHook = std::move(hook);
+}
+
 void config_flow::readNext()
 {
     m_reading = true;
@@ -92,8 +122,12 @@
     m_context.emit(append_log{std::move(effect.record)});
 }
 
-void config_flow::perform(request_from_peer &)
-{ }
+void config_flow::perform(request_from_peer &effect)
+{
+    if (m_pull) {
+        m_pull(effect);
+    }
+}
 
 void config_flow::perform(state_disagreement &effect)
 {
@@ -113,6 +147,9 @@
 {
     const auto &upstreams = m_replica->state().upstreams();
     const auto found = upstreams.find(name);
+    if (m_upstreamHook) {
+        m_upstreamHook(name, found == upstreams.end() ? nullptr : &found->second.value);
+    }
     if (found == upstreams.end() || found->second.value.half != m_context.options().half) {
         m_upstreams.remove(name);
         return;
--- a/src/core/config_flow.h
+++ b/src/core/config_flow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -26,6 +27,15 @@
     void onLogForgotten(const log_forgotten &event);
     void onLogUnavailable(const log_unavailable &event);
     void onTick();
+    void onPeerSummary(instant askedAt, const std::string &peer, const peer_summary &summary);
+    void onPeerTransfer(const peer_transfer &transfer);
+    void onPeerGone(const std::string &peer);
+    void setPeerCount(std::size_t count);
+
+    /// Sets what sends the replica's requests to peers. Precondition: before the first event.
+    void setPull(std::function<void(const request_from_peer &)> pull);
+    /// Sets what is told of each upstream of any half that was added, changed, or removed (then null).
+    void setUpstreamHook(std::function<void(const std::string &name, const upstream *config)> hook);
 
     /// The copy itself, for questions.
     const config_replica &replica() const noexcept
@@ -51,6 +61,8 @@
     bool m_reading = false;
     instant m_readAt{};
     duration m_backoff;
+    std::function<void(const request_from_peer &)> m_pull;
+    std::function<void(const std::string &, const upstream *)> m_upstreamHook;
 };
 
 } // namespace heatherroute
--- /dev/null
+++ b/src/core/membership_flow.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/core_context.h"
+#include "heatherroute/membership.h"
+
+namespace heatherroute
+{
+
+/**
+ * Runs the membership of this entry inside the core and keeps the members by id for the other modules.
+ *
+ * Does nothing for an entry without a peer address. Not thread safe.
+ */
+class membership_flow
+{
+public:
+    /// Is told of each change of a member.
+    using change_hook = std::function<void(const member_change &)>;
+    using member_map = std::map<member_id, member>;
+
+    /// @p group may be null: then the entry is on its own.
+    membership_flow(core_context &context, std::unique_ptr<membership> group, change_hook onChange);
+
+    void onTick();
+    void onMessage(const peer_received &event);
+    void onVms(const vms_listed &event);
+    /// Tells the peers of this entry's load and position with the next probes.
+    void setSummary(const node_summary &summary);
+    /// Announces the planned stop.
+    void leave();
+    /// Announces the end of this process.
+    void depart();
+
+    /// The other members that are not dead.
+    const member_map &others() const noexcept
+    {
+        return m_others;
+    }
+
+    /// This entry as its peers are told of it.
+    member self() const;
+    /// The membership itself, for dumps; null for an entry on its own.
+    const membership *group() const noexcept
+    {
+        return m_group.get();
+    }
+
+private:
+    void deliver(const membership_event &event);
+    void refresh();
+    std::vector<std::string> hintsOf(const std::vector<std::string> &vms) const;
+
+    core_context &m_context;
+    std::unique_ptr<membership> m_group;
+    change_hook m_onChange;
+    member_map m_others;
+    instant m_wakeAt{};
+    instant m_refreshAt{};
+    bool m_started = false;
+};
+
+/// The member that an entry with @p options is at its start. Thread safe.
+member selfOf(const core_options &options);
+
+} // namespace heatherroute
--- a/src/core/membership_node.cpp
+++ b/src/core/membership_node.cpp
@@ -36,7 +36,7 @@
 bool areNamesTooLong(const member &self)
 {
     const std::size_t longest = std::max({self.id.name.size(), self.zone.size(), self.region.size(), self.half.size()});
-    return longest > kMaxNameBytes;
+    return longest > kMaxMemberNameBytes;
 }
 
 } // namespace
--- a/src/core/router_core.cpp
+++ b/src/core/router_core.cpp
@@ -4,10 +4,14 @@
 #include <type_traits>
 
 #include "core/cancel_queue.h"
+#include "core/config_exchange.h"
 #include "core/config_flow.h"
 #include "core/core_context.h"
 #include "core/engine_selector.h"
+#include "core/entry_directory.h"
 #include "core/generation_flow.h"
+#include "core/membership_flow.h"
+#include "core/owner_directory.h"
 #include "core/service_flow.h"
 #include "core/state_dump.h"
 #include "core/upstream_table.h"
@@ -20,20 +24,29 @@
 {
 
 constexpr duration kRetryAfterStop = std::chrono::seconds(1);
+constexpr duration kSummaryInterval = std::chrono::milliseconds(200);
+constexpr std::size_t kFullPermille = 1000;
 
 } // namespace
 
 class router_core::impl
 {
 public:
-    impl(core_options options, std::unique_ptr<config_replica> replica)
+    impl(core_options options, std::unique_ptr<config_replica> replica, std::unique_ptr<membership> group)
         : m_context(std::move(options))
         , m_configuration(m_context, m_upstreams, std::move(replica))
+        , m_exchange(m_context, m_configuration)
+        , m_members(m_context, std::move(group), [this](const member_change &change) { onMember(change); })
         , m_cancels(m_context)
         , m_engines(m_context, m_upstreams)
         , m_generations(m_context, m_upstreams, m_engines, m_cancels)
         , m_services(m_context, m_upstreams, [this](const service_requested &request) { return isIdempotent(request); })
-    { }
+    {
+        m_upstreams.setGate([this] { return !isCutOff(); });
+        m_configuration.setPull([this](const request_from_peer &request) { m_exchange.pull(request); });
+        m_configuration.setUpstreamHook([this](const std::string &name, const upstream *config) { m_owners.setUpstream(name, config); });
+        m_owners.setMember(m_members.self());
+    }
 
     std::vector<core_action> handle(instant now, core_event event)
     {
@@ -47,7 +60,11 @@
 private:
     void on(tick &)
     {
+        m_members.onTick();
+        m_exchange.onTick();
         m_configuration.onTick();
+        tellSummary();
+        noteCutOff();
         m_generations.onTick();
         m_services.onTick();
         m_cancels.onTick();
@@ -69,7 +86,19 @@
 
     void on(entries_requested &event)
     {
-        m_context.emit(answer_document{event.caller, 200, dumpEntries(m_context.options(), m_stopping)});
+        const member self = m_members.self();
+        std::vector<const member *> known;
+        for (const auto &[id, other] : m_members.others()) {
+            known.push_back(&other);
+        }
+        if (!m_stopping && !isCutOff()) {
+            known.push_back(&self);
+        }
+        std::vector<const member *> listed = entriesFor({event.callerHost, event.zone}, m_context.options().half, known);
+        if (listed.empty() && !m_stopping) {
+            listed.push_back(&self);
+        }
+        m_context.emit(answer_document{event.caller, 200, dumpEntries(m_context.options(), listed)});
     }
 
     void on(caller_gone &event)
@@ -118,6 +147,8 @@
         }
         m_stopping = true;
         m_stopBy = m_context.now() + m_context.options().stopLimit;
+        m_members.leave();
+        m_owners.setMember(m_members.self());
         m_context.log(log_level::Info, "stopping", {{"in_flight", std::to_string(inFlight())}});
     }
 
@@ -126,17 +157,83 @@
         const core_counts counts{m_generations.size(), m_services.size(), m_cancels.size(), m_stopping};
         const config_replica &replica = m_configuration.replica();
         const config_status status = config_status::make(replica, m_context.now());
-        m_context.emit(answer_document{event.caller, 200, dumpState(m_context.options(), counts, status, m_upstreams)});
+        m_context.emit(answer_document{event.caller, 200, dumpState(m_context.options(), counts, status, m_upstreams, memberStatus())});
     }
 
     void on(owner_requested &event)
     {
+        const std::optional<std::string> half = m_owners.halfOf(event.upstreamName);
         const upstream_table::entry *known = m_upstreams.find(event.upstreamName);
-        if (known == nullptr) {
-            m_context.emit(fail_caller{event.caller, 404, "unknown_upstream", "no such upstream in this half", verdict::NotRun, std::nullopt});
+        if (!half && known == nullptr) {
+            m_context.emit(fail_caller{event.caller, 404, "unknown_upstream", "no such upstream", verdict::NotRun, std::nullopt});
             return;
         }
-        m_context.emit(answer_document{event.caller, 200, dumpUpstream(*known)});
+        const upstream_whereabouts where{event.upstreamName, half, m_owners.ownerOf(event.upstreamName)};
+        m_context.emit(answer_document{event.caller, 200, dumpUpstream(where, known)});
+    }
+
+    void on(peer_received &event)
+    {
+        m_members.onMessage(event);
+        m_exchange.onMessage(event);
+    }
+
+    void on(vms_listed &event)
+    {
+        m_members.onVms(event);
+    }
+
+    void onMember(const member_change &change)
+    {
+        m_owners.setMember(change.now);
+        m_exchange.onMember(change);
+    }
+
+    bool isCutOff() const
+    {
+        return m_configuration.replica().isCutOff(m_context.now());
+    }
+
+    void tellSummary()
+    {
+        if (m_context.now() < m_summaryAt) {
+            return;
+        }
+        m_summaryAt = m_context.now() + kSummaryInterval;
+        const config_state &state = m_configuration.replica().state();
+        node_summary summary;
+        summary.configRevision = state.revision().value_or(0);
+        summary.configDigest = state.digest();
+        const std::size_t most = std::max<std::size_t>(m_context.options().maxRequests, 1);
+        summary.loadPermille = static_cast<std::uint32_t>(std::min(inFlight() * kFullPermille / most, kFullPermille));
+        m_members.setSummary(summary);
+    }
+
+    void noteCutOff()
+    {
+        const bool cutOff = isCutOff();
+        if (cutOff == m_wasCutOff) {
+            return;
+        }
+        m_wasCutOff = cutOff;
+        m_context.log(cutOff ? log_level::Warning : log_level::Info, cutOff ? "cut_off" : "not_cut_off", {});
+    }
+
+    std::vector<member_status> memberStatus() const
+    {
+        std::vector<member_status> result;
+        if (m_members.group() == nullptr) {
+            return result;
+        }
+        for (member &known : m_members.group()->dump().members) {
+            member_status status{std::move(known), std::nullopt, std::nullopt};
+            if (const auto position = m_exchange.positionOf(status.known.id)) {
+                status.configNext = position->second;
+                status.configAge = m_context.now() - position->first;
+            }
+            result.push_back(std::move(status));
+        }
+        return result;
     }
 
     void on(log_read &event)
@@ -156,7 +253,7 @@
 
     bool admits(caller_id caller)
     {
-        if (m_configuration.replica().isCutOff(m_context.now())) {
+        if (isCutOff()) {
             m_context.emit(fail_caller{caller, 503, "configuration_unknown", "this entry cannot tell its configuration now", verdict::NotRun, kRetryAfterStop});
             return false;
         }
@@ -211,6 +308,7 @@
             return;
         }
         m_ended = true;
+        m_members.depart();
         m_context.log(log_level::Info, "stopped", {});
         m_context.emit(stop_process{0});
     }
@@ -218,12 +316,17 @@
     core_context m_context;
     upstream_table m_upstreams;
     config_flow m_configuration;
+    owner_directory m_owners;
+    config_exchange m_exchange;
+    membership_flow m_members;
     cancel_queue m_cancels;
     engine_selector m_engines;
     generation_flow m_generations;
     service_flow m_services;
     bool m_stopping = false;
     bool m_ended = false;
+    bool m_wasCutOff = true;
+    instant m_summaryAt{};
     instant m_stopBy{};
 };
 
@@ -237,7 +340,14 @@
     if (!replica) {
         return nullptr;
     }
-    return std::unique_ptr<router_core>(new router_core(std::make_unique<impl>(std::move(options), std::move(replica))));
+    std::unique_ptr<membership> group;
+    if (!options.peerAddress.empty()) {
+        group = membership::make(options.membership, selfOf(options), options.seed, reason);
+        if (!group) {
+            return nullptr;
+        }
+    }
+    return std::unique_ptr<router_core>(new router_core(std::make_unique<impl>(std::move(options), std::move(replica), std::move(group))));
 }
 
 router_core::router_core(std::unique_ptr<impl> implementation)
--- a/src/core/state_dump.cpp
+++ b/src/core/state_dump.cpp
@@ -34,6 +34,28 @@
     return result;
 }
 
+json::array membersArray(const std::vector<member_status> &members)
+{
+    json::array list;
+    for (const member_status &status : members) {
+        json::object one{{"name", status.known.id.name},
+                         {"start", status.known.id.start},
+                         {"state", toString(status.known.state)},
+                         {"zone", status.known.zone},
+                         {"half", status.known.half},
+                         {"callers", status.known.callerAddress},
+                         {"peers", status.known.peerAddress},
+                         {"load_permille", status.known.summary.loadPermille},
+                         {"config_revision", status.known.summary.configRevision}};
+        if (status.configNext) {
+            one["config_next"] = *status.configNext;
+            one["config_age_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(*status.configAge).count();
+        }
+        list.push_back(std::move(one));
+    }
+    return list;
+}
+
 } // namespace
 
 config_status config_status::make(const config_replica &replica, instant now)
@@ -48,7 +70,11 @@
     return status;
 }
 
-std::string dumpState(const core_options &options, const core_counts &counts, const config_status &configuration, const upstream_table &upstreams)
+std::string dumpState(const core_options &options,
+                      const core_counts &counts,
+                      const config_status &configuration,
+                      const upstream_table &upstreams,
+                      const std::vector<member_status> &members)
 {
     json::array list;
     for (const upstream_table::entry *known : upstreams.all()) {
@@ -63,23 +89,30 @@
                                 {"service_calls", counts.serviceCalls},
                                 {"unconfirmed_cancels", counts.unconfirmedCancels},
                                 {"configuration", configurationObject(configuration)},
+                                {"members", membersArray(members)},
                                 {"upstreams", std::move(list)}};
     return json::serialize(document);
 }
 
-std::string dumpUpstream(const upstream_table::entry &known)
+std::string dumpUpstream(const upstream_whereabouts &where, const upstream_table::entry *known)
 {
-    return json::serialize(upstreamObject(known));
+    json::object result = known != nullptr ? upstreamObject(*known) : json::object{{"name", where.name}};
+    if (where.half) {
+        result["half"] = *where.half;
+    }
+    result["owner"] = where.owner ? json::value(where.owner->name) : json::value(nullptr);
+    return json::serialize(result);
 }
 
-std::string dumpEntries(const core_options &options, bool stopping)
+std::string dumpEntries(const core_options &options, const std::vector<const member *> &listed)
 {
     json::array entries;
-    if (!stopping) {
-        entries.push_back(json::object{{"address", options.callerAddress}, {"zone", options.zone}});
+    for (const member *one : listed) {
+        entries.push_back(json::object{{"address", one->callerAddress}, {"zone", one->zone}});
     }
+    const std::string ticket = options.entryName + "." + std::to_string(options.incarnation);
     const auto lifetime = std::chrono::duration_cast<std::chrono::seconds>(options.entryLifetime).count();
-    return json::serialize(json::object{{"entries", std::move(entries)}, {"lifetime_s", lifetime}, {"ticket", ""}});
+    return json::serialize(json::object{{"entries", std::move(entries)}, {"lifetime_s", lifetime}, {"ticket", ticket}});
 }
 
 } // namespace heatherroute
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -1,12 +1,18 @@
 #include "core/upstream_table.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "heatherroute/assert.h"
 
 namespace heatherroute
 {
 
+void upstream_table::setGate(std::function<bool()> mayGiveWork)
+{
+    m_mayGiveWork = std::move(mayGiveWork);
+}
+
 void upstream_table::upsert(const upstream &config)
 {
     entry &known = m_entries[config.name];
@@ -39,6 +45,9 @@
 std::vector<const upstream_table::entry *> upstream_table::candidates(upstream_kind kind, const std::string &modelOrService) const
 {
     std::vector<const entry *> result;
+    if (m_mayGiveWork && !m_mayGiveWork()) {
+        return result;
+    }
     const auto pool = m_pools.find({kind, modelOrService});
     if (pool == m_pools.end()) {
         return result;
--- a/src/core/upstream_table.h
+++ b/src/core/upstream_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -41,13 +42,15 @@
         bool operator==(const entry &) const = default;
     };
 
+    /// Sets what tells whether any new work may be given now, asked at each choice. Without it, it always may.
+    void setGate(std::function<bool()> mayGiveWork);
     /// Adds or replaces an upstream.
     void upsert(const upstream &config);
     /// Takes an upstream out of the configuration.
     void remove(const std::string &name);
     /// The upstream called @p name; null when unknown.
     const entry *find(const std::string &name) const;
-    /// The upstreams that may take work of @p kind for @p modelOrService, in order of name.
+    /// The upstreams that may take work of @p kind for @p modelOrService, in order of name; none while the gate is shut.
     std::vector<const entry *> candidates(upstream_kind kind, const std::string &modelOrService) const;
     /// Whether the configuration names any upstream of @p kind for @p modelOrService.
     bool serves(upstream_kind kind, const std::string &modelOrService) const;
@@ -65,6 +68,7 @@
     void forgetIfUnused(const std::string &name);
     void removeFromPool(const upstream &config);
 
+    std::function<bool()> m_mayGiveWork;
     std::map<std::string, entry> m_entries;
     std::map<pool_key, std::vector<std::string>> m_pools;
 };
--- a/src/node/caller_duty.cpp
+++ b/src/node/caller_duty.cpp
@@ -114,6 +114,8 @@
     {
         entries_requested event;
         event.zone = std::string(request.query("zone"));
+        // Callers that share an address, or come through a relay, tell themselves apart by a name.
+        event.callerHost = request.remoteAddress + "/" + std::string(request.query("caller"));
         exchange state{out, {}, false, false, {}};
         co_await exchangeWithCore(std::move(event), state);
     }
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <array>
+#include <cmath>
 #include <random>
 
 #include "net/http_client.h"
@@ -11,6 +13,7 @@
 #include "node/core_duty.h"
 #include "node/duty_thread.h"
 #include "node/operator_duty.h"
+#include "node/peer_duty.h"
 #include "node/platform_duty.h"
 #include "node/session_table.h"
 #include "node/upstream_duty.h"
@@ -40,6 +43,7 @@
     PlatformOutput,
     OperatorOutput,
     MainOutput,
+    PeerOutput,
 };
 
 template<typename Action>
@@ -56,6 +60,9 @@
     if (node::platform_duty::takes(action)) {
         return PlatformOutput;
     }
+    if (node::peer_duty::takes(action)) {
+        return PeerOutput;
+    }
     return std::visit(
         [](const auto &typed) -> std::size_t {
             if constexpr (kIsForCaller<std::decay_t<decltype(typed)>>) {
@@ -98,14 +105,42 @@
     return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
-core_options coreOptionsOf(const entry_settings &settings, const std::string &callerAddress)
+membership_settings membershipOf(const membership_timing &timing)
+{
+    // The time that the settings give a suspect is meant for the largest fleet; a smaller one hears of it sooner.
+    constexpr double kLargestFleet = 340;
+    membership_settings membership;
+    membership.probePeriod = timing.probeInterval;
+    membership.ackTimeout = timing.probeTimeout;
+    membership.indirectProbes = timing.indirectProbes;
+    const double periods = static_cast<double>(timing.suspicionTimeout.count()) / static_cast<double>(timing.probeInterval.count());
+    membership.suspicionFactor = periods / std::log2(kLargestFleet);
+    return membership;
+}
+
+net::peer_transport_settings peerSettingsOf(const entry_settings &settings, const asio::ip::tcp::endpoint &bind, std::uint64_t incarnation)
+{
+    net::peer_transport_settings peers;
+    peers.bindAddress = bind.address().to_string();
+    peers.port = bind.port();
+    // Entries that follow the same configuration are one fleet.
+    peers.clusterId = clusterIdOf(settings.platform().configStream);
+    peers.self = {settings.name(), incarnation};
+    return peers;
+}
+
+core_options coreOptionsOf(const entry_settings &settings, const std::string &callerAddress, const std::string &peerAddress, std::uint64_t incarnation)
 {
     core_options options;
+    options.region = settings.region();
+    options.peerAddress = settings.advertise().peers.value_or(peerAddress);
+    options.seeds = settings.seeds();
+    options.membership = membershipOf(settings.membership());
     options.entryName = settings.name();
     options.half = settings.half();
     options.zone = settings.zone();
     options.callerAddress = settings.advertise().callers.value_or(callerAddress);
-    options.incarnation = randomNumber();
+    options.incarnation = incarnation;
     options.seed = settings.seed().value_or(randomNumber());
     options.maxRequests = settings.limits().maxRequests;
     options.stopLimit = settings.stopLimit();
@@ -125,7 +160,7 @@
 
     ~impl()
     {
-        for (node::duty_thread *thread : {&m_coreThread, &m_callerThread, &m_upstreamThread, &m_platformThread, &m_operatorThread}) {
+        for (node::duty_thread *thread : threads()) {
             thread->stop();
         }
     }
@@ -137,9 +172,10 @@
     {
         const auto callers = net::parseEndpoint(settings.listen().callers);
         const auto operators = net::parseEndpoint(settings.listen().operators);
+        const auto peers = net::parseEndpoint(settings.listen().peers);
         const auto log = net::parseEndpoint(settings.platform().log);
-        if (!callers || !operators || !log) {
-            setReason(reason, "listen.callers, listen.operators and platform.log must be IP:port");
+        if (!callers || !operators || !peers || !log) {
+            setReason(reason, "listen.callers, listen.operators, listen.peers and platform.log must be IP:port");
             return false;
         }
         m_callers = node::caller_duty::make(m_callerThread.context(), *callers, callerLimitsOf(settings.limits()), m_fromCallers, reason);
@@ -150,12 +186,18 @@
         if (!m_operators) {
             return false;
         }
-        auto core = router_core::make(coreOptionsOf(settings, textOf(m_callers->endpoint())), reason);
+        const std::uint64_t incarnation = randomNumber();
+        m_peers = node::peer_duty::make(m_peerThread.context(), peerSettingsOf(settings, *peers, incarnation), m_fromPeers, reason);
+        if (!m_peers) {
+            return false;
+        }
+        auto core = router_core::make(coreOptionsOf(settings, textOf(m_callers->endpoint()), m_peers->address(), incarnation), reason);
         if (!core) {
             return false;
         }
         node::platform_options platform{*log, settings.platform().configStream};
         platform.pollWait = settings.config().pollWait;
+        platform.vms = net::parseEndpoint(settings.platform().vms);
         m_upstreams = std::make_unique<node::upstream_duty>(m_upstreamThread.context(), m_fromUpstreams);
         m_platform = std::make_unique<node::platform_duty>(m_platformThread.context(), std::move(platform), m_fromPlatform);
         m_core = std::make_unique<node::core_duty>(m_coreThread.context(), std::move(core));
@@ -167,7 +209,8 @@
     {
         awaitSignal();
         m_core->start();
-        for (node::duty_thread *thread : {&m_coreThread, &m_callerThread, &m_upstreamThread, &m_platformThread, &m_operatorThread}) {
+        m_platform->start();
+        for (node::duty_thread *thread : threads()) {
             thread->start();
         }
         const auto guard = asio::make_work_guard(m_main);
@@ -185,13 +228,23 @@
         return textOf(m_operators->endpoint());
     }
 
+    std::string peerAddress() const
+    {
+        return m_peers->address();
+    }
+
 private:
+    std::array<node::duty_thread *, 6> threads()
+    {
+        return {&m_coreThread, &m_callerThread, &m_upstreamThread, &m_platformThread, &m_operatorThread, &m_peerThread};
+    }
+
     void connect()
     {
-        for (node::channel<core_event> *input : {&m_fromCallers, &m_fromUpstreams, &m_fromPlatform, &m_fromOperators, &m_fromMain}) {
+        for (node::channel<core_event> *input : {&m_fromCallers, &m_fromUpstreams, &m_fromPlatform, &m_fromOperators, &m_fromMain, &m_fromPeers}) {
             m_core->addInput(*input);
         }
-        for (node::channel<core_action> *output : {&m_toCallers, &m_toUpstreams, &m_toPlatform, &m_toOperators, &m_toMain}) {
+        for (node::channel<core_action> *output : {&m_toCallers, &m_toUpstreams, &m_toPlatform, &m_toOperators, &m_toMain, &m_toPeers}) {
             m_core->addOutput(*output);
         }
         m_core->setRoute(outputOf);
@@ -199,6 +252,7 @@
         consume(m_toOperators, m_operatorThread.context(), [this](core_action action) { m_operators->deliver(callerOf(action), std::move(action)); });
         consume(m_toUpstreams, m_upstreamThread.context(), [this](core_action action) { m_upstreams->perform(std::move(action)); });
         consume(m_toPlatform, m_platformThread.context(), [this](core_action action) { m_platform->perform(std::move(action)); });
+        consume(m_toPeers, m_peerThread.context(), [this](const core_action &action) { m_peers->perform(action); });
         consume(m_toMain, m_main, [this](core_action action) { performMain(action); });
     }
 
@@ -238,11 +292,13 @@
     node::channel<core_event> m_fromPlatform{kChannelCapacity};
     node::channel<core_event> m_fromOperators{kChannelCapacity};
     node::channel<core_event> m_fromMain{kChannelCapacity};
+    node::channel<core_event> m_fromPeers{kChannelCapacity};
     node::channel<core_action> m_toCallers{kChannelCapacity};
     node::channel<core_action> m_toUpstreams{kChannelCapacity};
     node::channel<core_action> m_toPlatform{kChannelCapacity};
     node::channel<core_action> m_toOperators{kChannelCapacity};
     node::channel<core_action> m_toMain{kChannelCapacity};
+    node::channel<core_action> m_toPeers{kChannelCapacity};
 
     asio::io_context m_main{1};
     asio::signal_set m_signals;
@@ -254,10 +310,12 @@
     node::duty_thread m_upstreamThread;
     node::duty_thread m_platformThread;
     node::duty_thread m_operatorThread;
+    node::duty_thread m_peerThread;
     std::unique_ptr<node::caller_duty> m_callers;
     std::unique_ptr<node::upstream_duty> m_upstreams;
     std::unique_ptr<node::platform_duty> m_platform;
     std::unique_ptr<node::operator_duty> m_operators;
+    std::unique_ptr<node::peer_duty> m_peers;
     std::unique_ptr<node::core_duty> m_core;
 };
 
@@ -286,6 +344,11 @@
     return m_impl->operatorAddress();
 }
 
+std::string entry_node::peerAddress() const
+{
+    return m_impl->peerAddress();
+}
+
 int entry_node::run()
 {
     return m_impl->run();
--- a/src/node/log_answer.cpp
+++ b/src/node/log_answer.cpp
@@ -116,4 +116,22 @@
     return log_read{askedAt, std::move(*batch)};
 }
 
+std::optional<vms_listed> vmsOutcome(const net::http_result &result)
+{
+    const auto object = result.answer && result.answer->status == kOk ? objectOf(*result.answer) : std::nullopt;
+    const json::value *list = object ? object->if_contains("vms") : nullptr;
+    if (list == nullptr || !list->is_array()) {
+        return std::nullopt;
+    }
+    vms_listed listed;
+    for (const json::value &value : list->get_array()) {
+        const json::object *vm = value.if_object();
+        const json::value *address = vm != nullptr ? vm->if_contains("address") : nullptr;
+        if (address != nullptr && address->is_string()) {
+            listed.addresses.emplace_back(address->get_string());
+        }
+    }
+    return listed;
+}
+
 } // namespace heatherroute::node
--- a/src/node/log_answer.h
+++ b/src/node/log_answer.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -23,4 +24,7 @@
 /// What a read's answer tells: log_read, log_forgotten or log_unavailable. @p askedAt is when the read was sent.
 core_event readOutcome(instant askedAt, const net::http_result &result);
 
+/// What a read of the VM list tells: where VMs are that aren't about to go; empty when it failed.
+std::optional<vms_listed> vmsOutcome(const net::http_result &result);
+
 } // namespace heatherroute::node
--- a/src/node/platform_duty.cpp
+++ b/src/node/platform_duty.cpp
@@ -2,6 +2,10 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <random>
 
 #include "net/http_client.h"
 #include "node/core_time.h"
@@ -35,6 +39,13 @@
     void perform(const Other &)
     { }
 
+    void start()
+    {
+        if (m_options.vms) {
+            asio::co_spawn(m_context, readVms(), asio::detached);
+        }
+    }
+
 private:
     net::http_call callTo(std::string target) const
     {
@@ -62,6 +73,25 @@
         co_await net::performCall(std::move(call));
     }
 
+    asio::awaitable<void> readVms()
+    {
+        asio::steady_timer pause(m_context);
+        // Entries that started together must not go on reading together.
+        std::minstd_rand random{std::random_device{}()};
+        std::uniform_int_distribution<std::chrono::milliseconds::rep> spread(0, m_options.vmsInterval.count());
+        while (true) {
+            net::http_call call = callTo("/vms");
+            call.endpoint = *m_options.vms;
+            call.method = "GET";
+            const net::http_result result = co_await net::performCall(std::move(call));
+            if (std::optional<vms_listed> listed = vmsOutcome(result)) {
+                co_await m_toCore.push(std::move(*listed));
+            }
+            pause.expires_after(m_options.vmsInterval / 2 + std::chrono::milliseconds(spread(random)));
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+    }
+
     asio::io_context &m_context;
     platform_options m_options;
     channel<core_event> &m_toCore;
@@ -73,6 +103,11 @@
 
 platform_duty::~platform_duty() = default;
 
+void platform_duty::start()
+{
+    m_impl->start();
+}
+
 bool platform_duty::takes(const core_action &action) noexcept
 {
     return std::holds_alternative<read_log>(action) || std::holds_alternative<append_log>(action);
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -161,7 +161,7 @@
 
 void checkRelations(const entry_values &values, const found_keys &found, problem_list &problems)
 {
-    const membership_settings &membership = values.membership;
+    const membership_timing &membership = values.membership;
     relation_checker checker(found, problems);
     checker.require(membership.probeTimeout < membership.probeInterval, "membership.probe_timeout_ms", "less than", "membership.probe_interval_ms");
     checker.require(membership.suspicionTimeout >= membership.probeInterval, "membership.suspicion_timeout_ms", "at least", "membership.probe_interval_ms");
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -302,7 +302,7 @@
     node_summary summary;
     summary.configRevision = 9;
     for (int i = 0; i < 100; ++i) {
-        summary.freeSlotsByPool.push_back({std::string(kMaxNameBytes, 'p'), 1});
+        summary.freeSlotsByPool.push_back({std::string(kMaxMemberNameBytes, 'p'), 1});
     }
     pump.deliver(1, membership_summary{summary});
     pump.run(30s);
--- a/tests/peer_transport_test.cpp
+++ b/tests/peer_transport_test.cpp
@@ -70,7 +70,7 @@
     EXPECT_TRUE(a->sendDatagram(b->address(), sync_request{{"x", 1}}));
     runUntil([this] { return messages.size() == 1; });
     EXPECT_EQ(addresses.front(), a->address());
-    const member_update update{{std::string(kMaxNameBytes, 'n'), 1}, 0, member_state::Alive, std::nullopt};
+    const member_update update{{std::string(kMaxMemberNameBytes, 'n'), 1}, 0, member_state::Alive, std::nullopt};
     const sync_page large{true, {}, std::vector<member_update>(kMaxUpdatesPerMessage, update)};
     EXPECT_FALSE(a->sendDatagram(b->address(), large)) << "too large for a datagram";
     for (int i = 0; i < 3; ++i) {
--- /dev/null
+++ b/tests/process_peers_test.cpp
@@ -0,0 +1,237 @@
+// Entries that act together, as programs: they find each other, notice deaths, and go on or stop by what they hear.
+#include "support/http_client.h"
+#include "support/process.h"
+
+#include "heatherroute/config_record.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <set>
+#include <thread>
+
+#include <unistd.h>
+
+namespace
+{
+
+using namespace heatherroute;
+using namespace heatherroute::support;
+namespace json = boost::json;
+
+constexpr std::chrono::seconds kLimit{20};
+constexpr std::chrono::milliseconds kCutOff{2'000};
+constexpr std::chrono::seconds kDropLimit{5};
+
+class program
+{
+public:
+    program(const std::string &name, const std::vector<std::string> &arguments)
+    {
+        last_reason reason;
+        process = child_process::make(std::string(HEATHERROUTE_BIN_DIR) + "/" + name, arguments, &reason, true);
+        if (process) {
+            words = process->waitUntilListening(kLimit);
+        }
+        words.resize(std::max<std::size_t>(words.size(), 5));
+    }
+
+    const std::string &address() const
+    {
+        return words[0];
+    }
+    const std::string &operators() const
+    {
+        return words[2];
+    }
+    const std::string &peers() const
+    {
+        return words[4];
+    }
+
+    std::unique_ptr<child_process> process;
+    std::vector<std::string> words;
+};
+
+bool within(std::chrono::milliseconds limit, const std::function<bool()> &holds)
+{
+    const auto until = std::chrono::steady_clock::now() + limit;
+    while (!holds()) {
+        if (std::chrono::steady_clock::now() >= until) {
+            return false;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return true;
+}
+
+std::string settingsFile(const std::string &name, const program &platform, const std::string &seed)
+{
+    const std::string file = std::filesystem::path(testing::TempDir()) / ("peers_test_" + std::to_string(::getpid()) + "_" + name + ".yaml");
+    std::ofstream out(file);
+    out << "name: " << name << "\nhalf: north\nzone: a1\nregion: a\n"
+        << "listen: {callers: '127.0.0.1:0', operators: '127.0.0.1:0', peers: '127.0.0.1:0'}\n"
+        << "platform: {log: '" << platform.address() << "', vms: '" << platform.address() << "'}\n"
+        << "membership: {probe_interval_ms: 400, probe_timeout_ms: 120}\n"
+        << "config: {poll_wait_ms: 500, cut_off_after_ms: " << kCutOff.count() << "}\n";
+    if (!seed.empty()) {
+        out << "seeds: ['" << seed << "']\n";
+    }
+    return file;
+}
+
+std::unique_ptr<program> startEntry(const std::string &name, const program &platform, const std::string &seed = {})
+{
+    const std::string file = settingsFile(name, platform, seed);
+    auto entry = std::make_unique<program>("heatherrouted", std::vector<std::string>{"--settings", file});
+    std::filesystem::remove(file);
+    return entry;
+}
+
+bool publish(const program &platform, const config_change &change)
+{
+    return postJson(platform.address(), "/log/config/append", {{"records", {encodeRecord(change)}}}).status == 200;
+}
+
+bool setOutage(const program &platform, bool outage)
+{
+    return postJson(platform.address(), "/fault", {{"outage", outage}, {"vm_outage", outage}}).status == 200;
+}
+
+upstream serviceAt(const std::string &address)
+{
+    upstream service;
+    service.name = "scan-1";
+    service.kind = upstream_kind::PlainService;
+    service.half = "north";
+    service.zone = "a1";
+    service.address = address;
+    service.modelOrService = "scan";
+    service.slots = 4;
+    return service;
+}
+
+std::set<std::string> listedBy(const program &entry)
+{
+    std::set<std::string> addresses;
+    const http_reply reply = getJson(entry.address(), "/v1/entry");
+    if (reply.status == 200) {
+        for (const json::value &one : reply.json.at("entries").as_array()) {
+            addresses.emplace(one.at("address").as_string());
+        }
+    }
+    return addresses;
+}
+
+http_reply callService(const program &entry)
+{
+    return callHttp(entry.address(), "GET", "/svc/scan/page");
+}
+
+bool isNotRun(const http_reply &reply)
+{
+    return reply.status == 503 && reply.json.at("error").at("verdict") == "not_run";
+}
+
+/// A platform, a service named in the configuration, and three entries of which two know only the first one's address.
+class process_peers : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        config_change change;
+        change.publishId = "p-1";
+        change.upserts.push_back(serviceAt(service.address()));
+        ASSERT_TRUE(publish(platform, change));
+        entries.push_back(startEntry("n-1", platform));
+        entries.push_back(startEntry("n-2", platform, entries[0]->peers()));
+        entries.push_back(startEntry("n-3", platform, entries[0]->peers()));
+        for (const auto &entry : entries) {
+            ASSERT_FALSE(entry->peers().empty());
+            ASSERT_TRUE(within(kLimit, [&] { return listedBy(*entry).size() == 3; }));
+            ASSERT_TRUE(within(kLimit, [&] { return callService(*entry).status == 200; }));
+        }
+    }
+
+    program platform{"fake_platform", {}};
+    program service{"fake_service", {"--name", "scan"}};
+    std::vector<std::unique_ptr<program>> entries;
+};
+
+TEST_F(process_peers, aKilledEntryIsNoLongerNamed)
+{
+    EXPECT_EQ(listedBy(*entries[0]), listedBy(*entries[1]));
+    const std::string gone = entries[2]->address();
+    entries[2]->process->signal(SIGKILL);
+    EXPECT_TRUE(within(kDropLimit, [&] { return !listedBy(*entries[0]).contains(gone) && !listedBy(*entries[1]).contains(gone); }));
+}
+
+TEST_F(process_peers, aStoppingEntryNamesTheOthersAndIsNotNamed)
+{
+    const std::string gone = entries[2]->address();
+    entries[2]->process->signal(SIGTERM);
+    EXPECT_EQ(entries[2]->process->waitForEnd(kLimit), 0);
+    EXPECT_TRUE(within(kDropLimit, [&] { return !listedBy(*entries[0]).contains(gone) && !listedBy(*entries[1]).contains(gone); }));
+}
+
+TEST_F(process_peers, anOutageOfThePlatformStopsNothingAndAFreshEntryStartsFromPeers)
+{
+    ASSERT_TRUE(setOutage(platform, true));
+    const auto until = std::chrono::steady_clock::now() + 2 * kCutOff;
+    while (std::chrono::steady_clock::now() < until) {
+        for (const auto &entry : entries) {
+            const http_reply reply = callService(*entry);
+            ASSERT_EQ(reply.status, 200U) << reply.body;
+        }
+    }
+    const auto fresh = startEntry("n-4", platform, entries[1]->peers());
+    EXPECT_TRUE(within(kLimit, [&] { return callService(*fresh).status == 200; })) << getJson(fresh->operators(), "/debug/state").body;
+}
+
+TEST_F(process_peers, anEntryCutFromLogAndPeersRefusesAndNamesNoOneItCannotHear)
+{
+    ASSERT_TRUE(setOutage(platform, true));
+    entries[1]->process->signal(SIGSTOP);
+    entries[2]->process->signal(SIGSTOP);
+    EXPECT_TRUE(within(2 * kCutOff, [&] { return isNotRun(callService(*entries[0])); }));
+    entries[1]->process->signal(SIGCONT);
+    entries[2]->process->signal(SIGCONT);
+    EXPECT_TRUE(within(kLimit, [&] { return callService(*entries[0]).status == 200; }));
+}
+
+TEST_F(process_peers, aFrozenEntryDoesNotUseWhatWasTakenAwayMeanwhile)
+{
+    entries[2]->process->signal(SIGSTOP);
+    config_change change;
+    change.publishId = "p-2";
+    change.baseRevision = 0;
+    change.removals.push_back("scan-1");
+    ASSERT_TRUE(publish(platform, change));
+    std::this_thread::sleep_for(kCutOff + std::chrono::milliseconds(500));
+    ASSERT_NE(callService(*entries[0]).status, 200U);
+    const auto before = getJson(service.address(), "/records").json.at("total");
+    entries[2]->process->signal(SIGCONT);
+    for (int i = 0; i < 200; ++i) {
+        EXPECT_NE(callService(*entries[2]).status, 200U);
+    }
+    EXPECT_EQ(getJson(service.address(), "/records").json.at("total"), before);
+}
+
+TEST_F(process_peers, eachEntryNamesTheSameOwner)
+{
+    const auto ownerAt = [](const program &entry) { return getJson(entry.operators(), "/admin/where?upstream=scan-1").json.at("owner"); };
+    const json::value owner = ownerAt(*entries[0]);
+    EXPECT_TRUE(owner.is_string());
+    EXPECT_EQ(ownerAt(*entries[1]), owner);
+    EXPECT_EQ(ownerAt(*entries[2]), owner);
+    const json::value state = getJson(entries[0]->operators(), "/debug/state").json;
+    EXPECT_EQ(state.at("members").as_array().size(), 2U);
+}
+
+} // namespace
