Engines are chosen by the policy of the settings

Engine selection took the engine with the fewest own requests and knew nothing of what other entries hold.

The replica table, the learned rates and the policy hook now decide: an engine's load is this entry's exact reservations plus what the engine's last report shows beyond them. An engine that answers 409 counts as full until its next report. Prefill, transfer, pace and slot time are learned from finished generations; a prefill that waited behind others is left out, since it tells of the queue.

One enumeration serves the settings and the placement. randomBelow() was defined twice with the same body; one is left.

owner_grants is the choice by prediction with own reservations and late load; grants between entries aren't in use.

--- a/include/heatherroute/core_action.h
+++ b/include/heatherroute/core_action.h
@@ -148,6 +148,13 @@
     std::string record;
 };
 
+/// Ask an engine for its load. Answered by exactly one load_reported.
+struct poll_load
+{
+    std::string upstreamName;
+    std::string address;
+};
+
 using core_action = std::variant<start_prefill,
                                  start_decode,
                                  resume_decode,
@@ -160,6 +167,7 @@
                                  answer_document,
                                  fail_caller,
                                  log_line,
+                                 poll_load,
                                  read_log,
                                  append_log,
                                  stop_process>;
--- a/include/heatherroute/core_event.h
+++ b/include/heatherroute/core_event.h
@@ -186,6 +186,22 @@
     std::string reason;
 };
 
+/// What an engine told of its load; late.
+struct engine_load
+{
+    std::uint32_t running = 0; ///< Requests that hold a decode slot, or prefills that run.
+    std::uint32_t queued = 0; ///< Prefills that wait.
+    std::uint32_t usedPieces = 0;
+    bool operator==(const engine_load &) const = default;
+};
+
+/// The outcome of poll_load; without a load when the engine gave no answer.
+struct load_reported
+{
+    std::string upstreamName;
+    std::optional<engine_load> load;
+};
+
 using core_event = std::variant<tick,
                                 generation_requested,
                                 service_requested,
@@ -202,6 +218,7 @@
                                 owner_requested,
                                 log_read,
                                 log_forgotten,
-                                log_unavailable>;
+                                log_unavailable,
+                                load_reported>;
 
 } // namespace heatherroute
--- a/include/heatherroute/placement.h
+++ b/include/heatherroute/placement.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "heatherroute/inventory.h"
+#include "heatherroute/placement_kind.h"
 #include "heatherroute/prefix_index.h"
 #include "heatherroute/rate_book.h"
 #include "heatherroute/replica_table.h"
@@ -84,14 +85,6 @@
 /// Chooses a pair. Deterministic in its arguments and, for round robin, its earlier calls. Not thread safe.
 using placement_policy = std::function<placement_decision(instant now, const placement_request &, const placement_view &, placement_random &)>;
 
-/// The policies that the settings name.
-enum class placement_kind : std::uint8_t {
-    Random,
-    RoundRobin,
-    TwoChoices,
-    OwnerGrants,
-};
-
 /// Numbers of the owner_grants policy.
 struct placement_settings
 {
@@ -105,11 +98,6 @@
     auto operator<=>(const placement_settings &) const = default;
 };
 
-/// The name in the settings: `random`, `round_robin`, `two_choices`, `owner_grants`. Thread safe.
-std::string_view toString(placement_kind value) noexcept;
-/// Reads a name of the settings; empty for an unknown one. Thread safe.
-std::optional<placement_kind> placementKindFrom(std::string_view name) noexcept;
-
 /// Makes the policy of a name in the settings.
 placement_policy makePlacementPolicy(placement_kind kind, const placement_settings &settings);
 
--- a/include/heatherroute/router_core.h
+++ b/include/heatherroute/router_core.h
@@ -9,6 +9,7 @@
 #include "heatherroute/core_action.h"
 #include "heatherroute/core_event.h"
 #include "heatherroute/last_reason.h"
+#include "heatherroute/placement.h"
 #include "heatherroute/time.h"
 
 namespace heatherroute
@@ -28,6 +29,8 @@
     duration streamStall = std::chrono::milliseconds(1'500); ///< Silence of a decode stream before its connection is doubted.
     duration stopLimit = std::chrono::minutes(10); ///< The longest graceful shutdown.
     replica_settings configuration; ///< Of this entry's copy of the configuration.
+    placement_kind placement = placement_kind::OwnerGrants; ///< How engines are chosen.
+    placement_settings targets; ///< What the choice aims at.
     duration entryLifetime = std::chrono::seconds(30); ///< How long callers may keep the entry answer.
 };
 
--- a/include/heatherroute/settings.h
+++ b/include/heatherroute/settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "heatherroute/log_line.h"
+#include "heatherroute/placement_kind.h"
 #include "heatherroute/settings_problem.h"
 
 #include <chrono>
@@ -13,14 +14,6 @@
 namespace heatherroute
 {
 
-/// How entries choose upstreams.
-enum class placement_policy {
-    Random, ///< Any upstream of the pool.
-    RoundRobin, ///< Each upstream in turn.
-    TwoChoices, ///< The less loaded of two random ones, by lagging load reports.
-    OwnerGrants, ///< The entry that owns an upstream grants its slots and memory.
-};
-
 /// How a log line is written.
 enum class log_format {
     KeyValue, ///< `key=value` pairs.
@@ -128,7 +121,7 @@
     std::chrono::seconds entryAnswerLifetime{};
     std::chrono::seconds stopLimit{};
     log_settings log;
-    placement_policy placement = placement_policy::OwnerGrants;
+    placement_kind placement = placement_kind::OwnerGrants;
     membership_settings membership;
     config_settings config;
     std::optional<std::uint64_t> seed;
@@ -221,7 +214,7 @@
         return m_values.log;
     }
     /// How upstreams are chosen.
-    placement_policy placement() const noexcept
+    placement_kind placement() const noexcept
     {
         return m_values.placement;
     }
@@ -252,8 +245,6 @@
 /// docs/SETTINGS.md as it should read: every key with its type, range, default and unit. Thread safe.
 std::string settingsDocument();
 
-/// The name used in settings, logs and dumps. Thread safe.
-std::string_view toString(placement_policy value) noexcept;
 /// The name used in settings, logs and dumps. Thread safe.
 std::string_view toString(log_format value) noexcept;
 
--- a/src/core/generation_flow.cpp
+++ b/src/core/generation_flow.cpp
@@ -98,6 +98,7 @@
     work.decodeName = pair->decode.name;
     work.decodeAddress = pair->decode.address;
     work.pieces = pair->pieces;
+    work.marks = pair->marks;
     work.prefillName = pair->prefill.name;
     work.prefillAddress = pair->prefill.address;
     return true;
@@ -129,6 +130,7 @@
     }
     work->outcome = combine(work->outcome, verdict::MayHaveRun);
     work->kvId = event.kvId;
+    m_engines.prefillFinished(work->prefillName, work->marks, event.promptTokens - std::min(event.promptTokens, event.cachedTokens));
     work->kvExpires = m_context.now() + event.lifetime;
     m_attempts.erase(event.attempt);
     startDecode(*work);
@@ -159,6 +161,7 @@
     if (work == nullptr) {
         return;
     }
+    m_engines.tokensReceived(work->prefillName, work->decodeName, work->pieces, work->marks);
     releasePrefill(*work);
     work->resumed = false;
     work->outcome = verdict::MayHaveRun;
@@ -189,6 +192,7 @@
         tryAgain(*work, "the stream ended before its last token");
         return;
     }
+    m_engines.finished(work->decodeName, work->marks, event.tokens);
     m_context.log(log_level::Info,
                   "generation_finished",
                   {requestIdField(work->request.traits.requestName),
@@ -213,6 +217,9 @@
     m_context.log(log_level::Warning,
                   "attempt failed",
                   {requestIdField(work->request.traits.requestName), upstreamField(engine), {"reason", event.reason}, verdictField(event.outcome)});
+    if (event.failure == attempt_failure::NoCapacity) {
+        m_engines.noCapacity(engine);
+    }
     if (event.failure == attempt_failure::Rejected) {
         fail(*work, 400, "rejected_by_engine", event.reason);
         return true;
@@ -339,7 +346,7 @@
     if (work.phase == generation_phase::Decoding && !work.engineRequest.empty()) {
         m_cancels.cancel(work.decodeAddress, work.engineRequest);
     }
-    m_engines.releaseDecode(work.decodeName, work.pieces);
+    m_engines.releaseDecode(work.decodeName, work.pieces, work.marks);
     work.decodeName.clear();
 }
 
@@ -348,7 +355,7 @@
     if (work.prefillName.empty()) {
         return;
     }
-    m_engines.releasePrefill(work.prefillName);
+    m_engines.releasePrefill(work.prefillName, work.marks);
     work.prefillName.clear();
 }
 
--- a/src/core/generation_flow.h
+++ b/src/core/generation_flow.h
@@ -59,6 +59,7 @@
         instant kvExpires;
         std::string decodeName;
         std::string decodeAddress;
+        engine_marks marks; ///< Of the current placement.
         std::uint32_t pieces = 0; ///< Reserved on the decode engine.
         std::uint32_t delivered = 0; ///< Tokens handed to the caller.
         std::string generated; ///< Their text, for a move to another engine.
--- a/src/core/membership_table.cpp
+++ b/src/core/membership_table.cpp
@@ -19,12 +19,6 @@
 
 } // namespace
 
-std::size_t randomBelow(std::mt19937_64 &random, std::size_t limit)
-{
-    HR_ASSERT(limit > 0);
-    return static_cast<std::size_t>(random() % limit);
-}
-
 membership_table::membership_table(std::size_t maxMembers)
     : m_maxMembers(maxMembers)
 {
--- a/src/core/membership_table.h
+++ b/src/core/membership_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "heatherroute/member.h"
+#include "heatherroute/replica_table.h"
 #include "heatherroute/time.h"
 
 #include <deque>
@@ -74,7 +75,4 @@
     std::size_t m_nextInRound = 0;
 };
 
-/// A number below @p limit, the same on every platform; @p limit must be positive.
-std::size_t randomBelow(std::mt19937_64 &random, std::size_t limit);
-
 } // namespace heatherroute
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -1,8 +1,5 @@
 #include "heatherroute/placement.h"
 
-#include <algorithm>
-#include <array>
-
 #include "core/owner_grants_policy.h"
 
 namespace heatherroute
@@ -13,13 +10,6 @@
 
 constexpr duration kBaselineRetry = std::chrono::milliseconds(500);
 
-constexpr std::array<std::pair<placement_kind, std::string_view>, 4> kNames{{
-    {placement_kind::Random, "random"},
-    {placement_kind::RoundRobin, "round_robin"},
-    {placement_kind::TwoChoices, "two_choices"},
-    {placement_kind::OwnerGrants, "owner_grants"},
-}};
-
 placement_decision
 pairOf(instant now, const placement_request &request, const placement_view &view, std::optional<replica_index> prefill, std::optional<replica_index> decode)
 {
@@ -96,26 +86,6 @@
     return "no_replica";
 }
 
-std::string_view toString(placement_kind value) noexcept
-{
-    for (const auto &[kind, name] : kNames) {
-        if (kind == value) {
-            return name;
-        }
-    }
-    return "owner_grants";
-}
-
-std::optional<placement_kind> placementKindFrom(std::string_view name) noexcept
-{
-    for (const auto &[kind, known] : kNames) {
-        if (known == name) {
-            return kind;
-        }
-    }
-    return std::nullopt;
-}
-
 placement_policy makePlacementPolicy(placement_kind kind, const placement_settings &settings)
 {
     switch (kind) {
--- a/src/core/router_core.cpp
+++ b/src/core/router_core.cpp
@@ -8,6 +8,7 @@
 #include "core/core_context.h"
 #include "core/engine_selector.h"
 #include "core/generation_flow.h"
+#include "core/load_flow.h"
 #include "core/service_flow.h"
 #include "core/state_dump.h"
 #include "core/upstream_table.h"
@@ -31,6 +32,7 @@
         , m_configuration(m_context, m_upstreams, std::move(replica))
         , m_cancels(m_context)
         , m_engines(m_context, m_upstreams)
+        , m_loads(m_context, m_upstreams, m_engines)
         , m_generations(m_context, m_upstreams, m_engines, m_cancels)
         , m_services(m_context, m_upstreams, [this](const service_requested &request) { return isIdempotent(request); })
     { }
@@ -48,6 +50,7 @@
     void on(tick &)
     {
         m_configuration.onTick();
+        m_loads.onTick();
         m_generations.onTick();
         m_services.onTick();
         m_cancels.onTick();
@@ -154,6 +157,11 @@
         m_configuration.onLogUnavailable(event);
     }
 
+    void on(load_reported &event)
+    {
+        m_loads.onReported(event);
+    }
+
     bool admits(caller_id caller)
     {
         if (m_configuration.replica().isCutOff(m_context.now())) {
@@ -220,6 +228,7 @@
     config_flow m_configuration;
     cancel_queue m_cancels;
     engine_selector m_engines;
+    load_flow m_loads;
     generation_flow m_generations;
     service_flow m_services;
     bool m_stopping = false;
--- a/src/core/upstream_table.cpp
+++ b/src/core/upstream_table.cpp
@@ -9,6 +9,7 @@
 
 void upstream_table::upsert(const upstream &config)
 {
+    ++m_revision;
     entry &known = m_entries[config.name];
     if (!known.config.name.empty()) {
         removeFromPool(known.config);
@@ -25,6 +26,7 @@
     if (found == m_entries.end()) {
         return;
     }
+    ++m_revision;
     removeFromPool(found->second.config);
     found->second.inConfiguration = false;
     forgetIfUnused(name);
@@ -84,6 +86,46 @@
     forgetIfUnused(name);
 }
 
+void upstream_table::beginRunning(const std::string &name, std::uint32_t pieces)
+{
+    usage &used = m_entries.at(name).used;
+    ++used.runningSlots;
+    used.runningPieces += pieces;
+    HR_INVARIANT("no engine memory used beyond its reservation", used.runningSlots <= used.slots && used.runningPieces <= used.pieces);
+}
+
+void upstream_table::endRunning(const std::string &name, std::uint32_t pieces)
+{
+    usage &used = m_entries.at(name).used;
+    HR_ASSERT(used.runningSlots > 0 && used.runningPieces >= pieces);
+    --used.runningSlots;
+    used.runningPieces -= pieces;
+}
+
+void upstream_table::queuePrompt(const std::string &name, std::uint64_t tokens)
+{
+    usage &used = m_entries.at(name).used;
+    ++used.queuedPrompts;
+    used.queuedTokens += tokens;
+}
+
+void upstream_table::unqueuePrompt(const std::string &name, std::uint64_t tokens)
+{
+    usage &used = m_entries.at(name).used;
+    HR_ASSERT(used.queuedPrompts > 0 && used.queuedTokens >= tokens);
+    --used.queuedPrompts;
+    used.queuedTokens -= tokens;
+}
+
+const upstream_table::entry *upstream_table::after(const std::string &name) const
+{
+    if (m_entries.empty()) {
+        return nullptr;
+    }
+    const auto next = m_entries.upper_bound(name);
+    return next == m_entries.end() ? &m_entries.begin()->second : &next->second;
+}
+
 void upstream_table::forgetIfUnused(const std::string &name)
 {
     const auto found = m_entries.find(name);
--- a/src/core/upstream_table.h
+++ b/src/core/upstream_table.h
@@ -25,6 +25,10 @@
     {
         std::uint32_t slots = 0;
         std::uint32_t pieces = 0;
+        std::uint32_t runningSlots = 0; ///< Those of them whose tokens have begun to arrive; the engine's reports show these.
+        std::uint32_t runningPieces = 0;
+        std::uint64_t queuedTokens = 0; ///< Prompt tokens sent to a prefill engine that hasn't finished them.
+        std::uint32_t queuedPrompts = 0;
         bool operator==(const usage &) const = default;
     };
 
@@ -58,6 +62,25 @@
     void take(const std::string &name, std::uint32_t pieces);
     /// Gives back what take() counted. Precondition: it was taken.
     void giveBack(const std::string &name, std::uint32_t pieces);
+    /// Of what was taken, @p pieces and one slot have begun to run. Precondition: they were taken.
+    void beginRunning(const std::string &name, std::uint32_t pieces);
+    /// The opposite of beginRunning(); before giveBack(). Precondition: they run.
+    void endRunning(const std::string &name, std::uint32_t pieces);
+    /// Counts a prompt as queued. Precondition: the upstream is known.
+    void queuePrompt(const std::string &name, std::uint64_t tokens);
+    /// The opposite of queuePrompt(); before giveBack(). Precondition: it was queued.
+    void unqueuePrompt(const std::string &name, std::uint64_t tokens);
+    /// Grows with each change of the configuration of an upstream.
+    std::uint64_t revision() const noexcept
+    {
+        return m_revision;
+    }
+    /// The upstream after @p name in order of name, from the start after the last one; null when there is none.
+    const entry *after(const std::string &name) const;
+    std::size_t size() const noexcept
+    {
+        return m_entries.size();
+    }
 
 private:
     using pool_key = std::pair<upstream_kind, std::string>;
@@ -67,6 +90,7 @@
 
     std::map<std::string, entry> m_entries;
     std::map<pool_key, std::vector<std::string>> m_pools;
+    std::uint64_t m_revision = 0;
 };
 
 } // namespace heatherroute
--- a/src/node/engine_messages.cpp
+++ b/src/node/engine_messages.cpp
@@ -165,6 +165,22 @@
     return event;
 }
 
+std::optional<engine_load> parseLoad(const std::string &body)
+{
+    const auto object = parseObject(body);
+    if (!object) {
+        return std::nullopt;
+    }
+    const auto running = count(*object, "running");
+    const auto queued = count(*object, "queue");
+    const auto total = count(*object, "pieces_total");
+    const auto free = count(*object, "pieces_free");
+    if (!running || !queued || !total || !free || *free > *total) {
+        return std::nullopt;
+    }
+    return engine_load{*running, *queued, *total - *free};
+}
+
 attempt_failed failureOf(attempt_id attempt, const net::http_result &result)
 {
     if (!result.answer) {
--- a/src/node/engine_messages.h
+++ b/src/node/engine_messages.h
@@ -37,6 +37,9 @@
 /// Reads one event of a decode stream; empty when it is malformed.
 std::optional<decode_event> parseDecodeEvent(const std::string &data);
 
+/// Reads an engine's answer to `GET /v1/load`; empty when it is malformed.
+std::optional<engine_load> parseLoad(const std::string &body);
+
 /// What a call's failure, or an answer that refuses, means for an attempt.
 attempt_failed failureOf(attempt_id attempt, const net::http_result &result);
 
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -109,6 +109,9 @@
     options.seed = settings.seed().value_or(randomNumber());
     options.maxRequests = settings.limits().maxRequests;
     options.stopLimit = settings.stopLimit();
+    options.placement = settings.placement();
+    options.targets.firstTokenTarget = settings.targets().firstToken;
+    options.targets.paceTarget = settings.targets().tokenInterval;
     options.entryLifetime = settings.entryAnswerLifetime();
     options.configuration.currency.bound = settings.config().cutOffAfter;
     return options;
--- a/src/node/upstream_duty.cpp
+++ b/src/node/upstream_duty.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t kMaxEventBytes = 64 * 1024;
 constexpr std::chrono::milliseconds kEngineSilence{60'000};
 constexpr std::chrono::milliseconds kCancelTimeout{2'000};
+constexpr std::chrono::milliseconds kPollTimeout{1'000};
 constexpr unsigned kFirstErrorStatus = 300;
 
 /// Reads a decode stream's pieces into events for the core.
@@ -153,6 +154,11 @@
         asio::co_spawn(m_context, runCancel(action.attempt, std::move(call)), asio::detached);
     }
 
+    void perform(const poll_load &action)
+    {
+        asio::co_spawn(m_context, runPoll(action), asio::detached);
+    }
+
     template<typename Other>
     void perform(const Other &)
     { }
@@ -223,6 +229,21 @@
         co_await m_toCore.push(cancel_finished{attempt, done});
     }
 
+    asio::awaitable<void> runPoll(poll_load action)
+    {
+        load_reported report{action.upstreamName, std::nullopt};
+        const auto endpoint = net::parseEndpoint(action.address);
+        if (endpoint) {
+            net::http_call call = engineCall(*endpoint, "/v1/load", {});
+            call.method = "GET";
+            call.progressTimeout = kPollTimeout;
+            const net::http_result result = co_await net::performCall(std::move(call));
+            const bool ok = result.answer && result.answer->status < kFirstErrorStatus;
+            report.load = ok ? parseLoad(result.answer->body) : std::nullopt;
+        }
+        co_await m_toCore.push(std::move(report));
+    }
+
     asio::io_context &m_context;
     channel<core_event> &m_toCore;
     std::map<attempt_id, exchange_ptr> m_open;
@@ -238,7 +259,7 @@
 {
     return std::holds_alternative<start_prefill>(action) || std::holds_alternative<start_decode>(action) || std::holds_alternative<resume_decode>(action)
            || std::holds_alternative<start_service_call>(action) || std::holds_alternative<abandon_attempt>(action)
-           || std::holds_alternative<cancel_request>(action);
+           || std::holds_alternative<cancel_request>(action) || std::holds_alternative<poll_load>(action);
 }
 
 void upstream_duty::perform(core_action action)
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -193,11 +193,16 @@
     return entry_settings(std::move(values));
 }
 
-std::string_view toString(placement_policy value) noexcept
+std::string_view toString(placement_kind value) noexcept
 {
     return detail::kPlacementNames.nameOf(value);
 }
 
+std::optional<placement_kind> placementKindFrom(std::string_view name) noexcept
+{
+    return detail::kPlacementNames.find(name);
+}
+
 std::string_view toString(log_level value) noexcept
 {
     return detail::kLogLevelNames.nameOf(value);
--- a/src/settings/settings_table.cpp
+++ b/src/settings/settings_table.cpp
@@ -270,9 +270,10 @@
     keys.push_back(choiceKey(
         "placement.policy",
         kPlacementNames,
-        placement_policy::OwnerGrants,
+        placement_kind::OwnerGrants,
         [](entry_values & v) -> auto & { return v.placement; },
-        "How upstreams are chosen; all but `owner_grants` serve comparisons."));
+        "How upstreams are chosen; all but `owner_grants` serve comparisons. `owner_grants` picks the pair with the best predicted first token and pace, by "
+        "this entry's own reservations and lagging load; grants between entries aren't in use yet."));
     keys.push_back(secondsKey(
         "entry_answer.lifetime_s",
         30,
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -79,7 +79,7 @@
     EXPECT_EQ(settings->listen().peers, "[::1]:0");
     EXPECT_EQ(settings->targets().firstToken, std::chrono::milliseconds(890));
     EXPECT_EQ(settings->targets().tokenInterval, std::chrono::milliseconds(42));
-    EXPECT_EQ(settings->placement(), placement_policy::OwnerGrants);
+    EXPECT_EQ(settings->placement(), placement_kind::OwnerGrants);
     EXPECT_EQ(settings->advertise().callers, std::nullopt);
     EXPECT_EQ(settings->seed(), std::nullopt);
     EXPECT_TRUE(settings->seeds().empty());
