--- a/src/core/router_core.cpp
+++ b/src/core/router_core.cpp
@@ -10,6 +10,7 @@
 #include "core/engine_selector.h"
 #include "core/entry_directory.h"
 #include "core/generation_flow.h"
+#include "core/load_flow.h"
 #include "core/membership_flow.h"
 #include "core/owner_directory.h"
 #include "core/service_flow.h"
@@ -39,6 +40,7 @@
         , m_members(m_context, std::move(group), [this](const member_change &change) { onMember(change); })
         , m_cancels(m_context)
         , m_engines(m_context, m_upstreams)
+        , m_loads(m_context, m_upstreams, m_engines)
         , m_generations(m_context, m_upstreams, m_engines, m_cancels)
         , m_services(m_context, m_upstreams, [this](const service_requested &request) { return isIdempotent(request); })
     {
@@ -65,6 +67,7 @@
         m_configuration.onTick();
         tellSummary();
         noteCutOff();
+        m_loads.onTick();
         m_generations.onTick();
         m_services.onTick();
         m_cancels.onTick();
@@ -251,6 +254,11 @@
         m_configuration.onLogUnavailable(event);
     }
 
+    void on(load_reported &event)
+    {
+        m_loads.onReported(event);
+    }
+
     bool admits(caller_id caller)
     {
         if (isCutOff()) {
@@ -321,6 +329,7 @@
     membership_flow m_members;
     cancel_queue m_cancels;
     engine_selector m_engines;
+    load_flow m_loads;
     generation_flow m_generations;
     service_flow m_services;
     bool m_stopping = false;
