--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -198,7 +198,9 @@
         if (!core) {
             return false;
         }
-        node::platform_options platform{*log, settings.platform().configStream};
+        node::platform_options platform;
+        platform.log = *log;
+        platform.configStream = settings.platform().configStream;
         platform.pollWait = settings.config().pollWait;
         platform.vms = net::parseEndpoint(settings.platform().vms);
         m_upstreams = std::make_unique<node::upstream_duty>(m_upstreamThread.context(), m_fromUpstreams);
