--- a/src/node/upstream_duty.cpp
+++ b/src/node/upstream_duty.cpp
@@ -18,7 +18,7 @@
 namespace
 {
 
-constexpr std::size_t kMaxEventBytes = 64 * 1024;
+constexpr std::size_t kMaxEventBytes = std::size_t{64} * 1024;
 constexpr std::chrono::milliseconds kEngineSilence{60'000};
 constexpr std::chrono::milliseconds kCancelTimeout{2'000};
 constexpr unsigned kFirstErrorStatus = 300;
--- a/tests/process_answers_test.cpp
+++ b/tests/process_answers_test.cpp
@@ -83,31 +83,31 @@
     void SetUp() override
     {
         last_reason reason;
-        all = fleet::make(HEATHERROUTE_BIN_DIR, "da-nang", &reason);
-        ASSERT_TRUE(all) << reason.text();
+        m_all = fleet::make(HEATHERROUTE_BIN_DIR, "da-nang", &reason);
+        ASSERT_TRUE(m_all) << reason.text();
         const fleet::engine_traits prefill{kModel, 4, 96, {"--prefill-us-per-token", "10"}};
         const fleet::engine_traits decode{kModel, 20, 96, {"--token-ms", "10"}};
-        bool ok = all->addEngine("prefill-1", upstream_kind::PrefillEngine, prefill, &reason);
-        ok = ok && all->addEngine("prefill-2", upstream_kind::PrefillEngine, prefill, &reason);
+        bool ok = m_all->addEngine("prefill-1", upstream_kind::PrefillEngine, prefill, &reason);
+        ok = ok && m_all->addEngine("prefill-2", upstream_kind::PrefillEngine, prefill, &reason);
         for (const std::string &name : kDecodes) {
-            ok = ok && all->addEngine(name, upstream_kind::DecodeEngine, decode, &reason);
+            ok = ok && m_all->addEngine(name, upstream_kind::DecodeEngine, decode, &reason);
         }
-        ok = ok && all->addService("shop-1", "shop", {}, &reason) && all->addService("shop-2", "shop", {}, &reason);
-        all->addRule(service_route{"shop", "/", {"GET"}});
-        ok = ok && all->addEntry("entry-1", &reason) && all->publish(&reason);
+        ok = ok && m_all->addService("shop-1", "shop", {}, &reason) && m_all->addService("shop-2", "shop", {}, &reason);
+        m_all->addRule(service_route{"shop", "/", {"GET"}});
+        ok = ok && m_all->addEntry("entry-1", &reason) && m_all->publish(&reason);
         ASSERT_TRUE(ok) << reason.text();
     }
 
     fleet_member &entry()
     {
-        return all->member("entry-1");
+        return m_all->member("entry-1");
     }
 
     /// The decode engine that holds memory for the one request in flight.
     std::string engineInUse() const
     {
         for (const std::string &name : kDecodes) {
-            if (all->requestsHeld(name) > 0) {
+            if (m_all->requestsHeld(name) > 0) {
                 return name;
             }
         }
@@ -118,14 +118,14 @@
     {
         http_options options;
         options.fields["Idempotency-Key"] = key;
-        return callHttp(all->member("entry-1").address, "POST", "/svc/shop/bookings", "{}", options);
+        return callHttp(m_all->member("entry-1").address, "POST", "/svc/shop/bookings", "{}", options);
     }
 
     std::int64_t runsOf(const std::string &key) const
     {
         std::int64_t runs = 0;
         for (const std::string name : {"shop-1", "shop-2"}) {
-            const auto reply = getJson(all->member(name).address, "/records");
+            const auto reply = getJson(m_all->member(name).address, "/records");
             if (reply.status == 200) {
                 const json::object &byKey = reply.json.at("runs").as_object();
                 runs += byKey.contains(key) ? byKey.at(key).to_number<std::int64_t>() : 0;
@@ -134,7 +134,7 @@
         return runs;
     }
 
-    std::unique_ptr<fleet> all;
+    std::unique_ptr<fleet> m_all;
 };
 
 TEST_F(answers, completeAlthoughTheEngineIsKilledAfterItsFirstToken)
@@ -146,10 +146,10 @@
     readTokens(*stream, view, 1);
     const std::string name = engineInUse();
     ASSERT_FALSE(name.empty());
-    all->member(name).process->signal(SIGKILL);
+    m_all->member(name).process->signal(SIGKILL);
     readToEnd(*stream, view);
     expectWhole(view, prompt);
-    EXPECT_TRUE(all->waitUntilEnginesAreFree(kMemoryFreeLimit));
+    EXPECT_TRUE(m_all->waitUntilEnginesAreFree(kMemoryFreeLimit));
 }
 
 TEST_F(answers, completeAlthoughAnEnginesStreamsGoSilent)
@@ -161,10 +161,10 @@
     readTokens(*stream, view, 3);
     const std::string name = engineInUse();
     ASSERT_FALSE(name.empty());
-    ASSERT_TRUE(all->setFault(name, R"({"stall_streams":true})"));
+    ASSERT_TRUE(m_all->setFault(name, R"({"stall_streams":true})"));
     readToEnd(*stream, view);
     expectWhole(view, prompt);
-    EXPECT_TRUE(all->waitUntilEnginesAreFree(kMemoryFreeLimit));
+    EXPECT_TRUE(m_all->waitUntilEnginesAreFree(kMemoryFreeLimit));
 }
 
 TEST_F(answers, completeOverANewConnectionWhenTheOldOneGoesSilent)
@@ -176,10 +176,10 @@
     readTokens(*stream, view, 3);
     const std::string name = engineInUse();
     ASSERT_FALSE(name.empty());
-    ASSERT_TRUE(all->setFault(name, R"({"silent":true})"));
+    ASSERT_TRUE(m_all->setFault(name, R"({"silent":true})"));
     readToEnd(*stream, view);
     expectWhole(view, prompt);
-    EXPECT_TRUE(all->waitUntilEnginesAreFree(kMemoryFreeLimit));
+    EXPECT_TRUE(m_all->waitUntilEnginesAreFree(kMemoryFreeLimit));
 }
 
 TEST_F(answers, leaveNoMemoryHeldWhenTheCallerCloses)
@@ -190,7 +190,7 @@
     readTokens(*stream, view, 2);
     ASSERT_FALSE(engineInUse().empty());
     stream.reset();
-    EXPECT_TRUE(all->waitUntilEnginesAreFree(kMemoryFreeLimit));
+    EXPECT_TRUE(m_all->waitUntilEnginesAreFree(kMemoryFreeLimit));
 }
 
 TEST_F(answers, areFinishedBeforeAPlannedStopEnds)
@@ -221,34 +221,34 @@
 
 TEST_F(answers, moveOnWhenEnginesRefuseOrAreFull)
 {
-    ASSERT_TRUE(all->setFault("prefill-1", R"({"refuse":true})"));
-    ASSERT_TRUE(all->setFault("decode-1", R"({"refuse":true})"));
-    ASSERT_TRUE(all->setFault("decode-2", R"({"stall_transfers":true})"));
+    ASSERT_TRUE(m_all->setFault("prefill-1", R"({"refuse":true})"));
+    ASSERT_TRUE(m_all->setFault("decode-1", R"({"refuse":true})"));
+    ASSERT_TRUE(m_all->setFault("decode-2", R"({"stall_transfers":true})"));
     const std::string prompt = "opening hours and prices";
     const auto stream = openStream(entry(), prompt);
     ASSERT_TRUE(stream);
     caller_view view;
     readToEnd(*stream, view);
     expectWhole(view, prompt);
-    EXPECT_TRUE(all->waitUntilEnginesAreFree(kMemoryFreeLimit));
+    EXPECT_TRUE(m_all->waitUntilEnginesAreFree(kMemoryFreeLimit));
 }
 
 TEST_F(answers, tellWhetherABookingMayHaveRun)
 {
     for (const std::string name : {"shop-1", "shop-2"}) {
-        ASSERT_TRUE(all->setFault(name, R"({"die_after_run":true})"));
+        ASSERT_TRUE(m_all->setFault(name, R"({"die_after_run":true})"));
     }
     const auto lost = book("slot-1");
     EXPECT_EQ(lost.json.at("error").at("verdict"), "may_have_run");
     EXPECT_FALSE(lost.fields.contains("retry-after"));
     EXPECT_EQ(runsOf("slot-1"), 1);
     for (const std::string name : {"shop-1", "shop-2"}) {
-        ASSERT_TRUE(all->setFault(name, R"({"die_before_run":true})"));
+        ASSERT_TRUE(m_all->setFault(name, R"({"die_before_run":true})"));
     }
     EXPECT_EQ(book("slot-2").json.at("error").at("verdict"), "may_have_run");
     EXPECT_EQ(runsOf("slot-2"), 0);
     for (const std::string name : {"shop-1", "shop-2"}) {
-        ASSERT_TRUE(all->setFault(name, "{}"));
+        ASSERT_TRUE(m_all->setFault(name, "{}"));
     }
     EXPECT_EQ(book("slot-1").json.at("error").at("verdict"), "may_have_run");
     EXPECT_EQ(runsOf("slot-1"), 1);
@@ -256,8 +256,8 @@
 
 TEST_F(answers, runABookingOnceHoweverOftenItIsSent)
 {
-    all->member("shop-1").process->signal(SIGKILL);
-    all->member("shop-1").process->waitForEnd(kLimit);
+    m_all->member("shop-1").process->signal(SIGKILL);
+    m_all->member("shop-1").process->waitForEnd(kLimit);
     const auto first = book("slot-3");
     const auto second = book("slot-3");
     EXPECT_EQ(first.status, 200U);
--- a/tests/router_core_test.cpp
+++ b/tests/router_core_test.cpp
@@ -26,7 +26,7 @@
 constexpr instant kStart{1h};
 constexpr duration kBookingMemory = 9min; ///< A little less than the core's.
 
-std::uint64_t g_steps = 0; ///< Core steps of all runs of this process.
+std::uint64_t coreSteps = 0; ///< Of all runs of this process.
 
 /// One random move; what it means depends on the state it meets, so that any part of a run is a run.
 struct move
@@ -270,7 +270,7 @@
     void leave(std::uint32_t choice)
     {
         if (!m_callers.empty()) {
-            leaveCaller(std::next(m_callers.begin(), choice % m_callers.size())->first);
+            leaveCaller(std::next(m_callers.begin(), static_cast<std::ptrdiff_t>(choice % m_callers.size()))->first);
         }
     }
 
@@ -286,7 +286,7 @@
         if (m_cancels.empty()) {
             return;
         }
-        const auto chosen = std::next(m_cancels.begin(), choice % m_cancels.size());
+        const auto chosen = std::next(m_cancels.begin(), static_cast<std::ptrdiff_t>(choice % m_cancels.size()));
         const auto [attempt, held] = *chosen;
         m_cancels.erase(chosen);
         if (done) {
@@ -309,7 +309,7 @@
         if (m_attempts.empty()) {
             return std::nullopt;
         }
-        return std::next(m_attempts.begin(), choice / 8 % m_attempts.size())->first;
+        return std::next(m_attempts.begin(), static_cast<std::ptrdiff_t>(choice / 8 % m_attempts.size()))->first;
     }
 
     void closeAttempt(attempt_id id, verdict outcome)
@@ -397,7 +397,7 @@
 
     void step(core_event event)
     {
-        ++g_steps;
+        ++coreSteps;
         for (core_action &action : m_core->handle(m_now, std::move(event))) {
             std::visit([this](auto &typed) { on(typed); }, action);
         }
@@ -607,5 +607,5 @@
         world.apply(next);
     }
     world.end();
-    testing::Test::RecordProperty("core_steps", std::to_string(g_steps));
+    testing::Test::RecordProperty("core_steps", std::to_string(coreSteps));
 }
