--- a/include/heatherroute/core_action.h
+++ b/include/heatherroute/core_action.h
@@ -148,6 +148,21 @@
     std::string record;
 };
 
+/// Send a message to a peer. Not answered: whoever needs an answer asks again.
+struct send_to_peer
+{
+    std::string address;
+    peer_body body;
+    bool isFrame = false; ///< Over TCP rather than in a datagram.
+};
+
+/// Ask an engine for its load. Answered by exactly one load_reported.
+struct poll_load
+{
+    std::string upstreamName;
+    std::string address;
+};
+
 using core_action = std::variant<start_prefill,
                                  start_decode,
                                  resume_decode,
@@ -160,8 +175,10 @@
                                  answer_document,
                                  fail_caller,
                                  log_line,
+                                 poll_load,
                                  read_log,
                                  append_log,
-                                 stop_process>;
+                                 stop_process,
+                                 send_to_peer>;
 
 } // namespace heatherroute
--- a/include/heatherroute/core_event.h
+++ b/include/heatherroute/core_event.h
@@ -9,6 +9,7 @@
 
 #include "heatherroute/config_replica.h"
 #include "heatherroute/inventory.h"
+#include "heatherroute/peer_message.h"
 #include "heatherroute/time.h"
 #include "heatherroute/verdict.h"
 
@@ -75,6 +76,7 @@
 {
     caller_id caller;
     std::string zone; ///< The caller's availability zone when it names one.
+    std::string callerHost; ///< The caller's IP number, which tells callers apart.
 };
 
 /// A caller has closed, stopped reading, or gone silent.
@@ -186,6 +188,36 @@
     std::string reason;
 };
 
+/// A peer's message has come.
+struct peer_received
+{
+    std::string fromAddress; ///< Of the sender over UDP, of the connection over TCP.
+    member_id sender;
+    peer_body body;
+};
+
+/// The platform has listed its VMs. The list lags: it says where peers may be, never that one is or isn't.
+struct vms_listed
+{
+    std::vector<std::string> addresses; ///< IP numbers, with or without a port.
+};
+
+/// What an engine told of its load; late.
+struct engine_load
+{
+    std::uint32_t running = 0; ///< Requests that hold a decode slot, or prefills that run.
+    std::uint32_t queued = 0; ///< Prefills that wait.
+    std::uint32_t usedPieces = 0;
+    bool operator==(const engine_load &) const = default;
+};
+
+/// The outcome of poll_load; without a load when the engine gave no answer.
+struct load_reported
+{
+    std::string upstreamName;
+    std::optional<engine_load> load;
+};
+
 using core_event = std::variant<tick,
                                 generation_requested,
                                 service_requested,
@@ -202,6 +234,9 @@
                                 owner_requested,
                                 log_read,
                                 log_forgotten,
-                                log_unavailable>;
+                                log_unavailable,
+                                peer_received,
+                                vms_listed,
+                                load_reported>;
 
 } // namespace heatherroute
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -161,7 +161,7 @@
 
 void checkRelations(const entry_values &values, const found_keys &found, problem_list &problems)
 {
-    const membership_settings &membership = values.membership;
+    const membership_timing &membership = values.membership;
     relation_checker checker(found, problems);
     checker.require(membership.probeTimeout < membership.probeInterval, "membership.probe_timeout_ms", "less than", "membership.probe_interval_ms");
     checker.require(membership.suspicionTimeout >= membership.probeInterval, "membership.suspicion_timeout_ms", "at least", "membership.probe_interval_ms");
@@ -193,11 +193,16 @@
     return entry_settings(std::move(values));
 }
 
-std::string_view toString(placement_policy value) noexcept
+std::string_view toString(placement_kind value) noexcept
 {
     return detail::kPlacementNames.nameOf(value);
 }
 
+std::optional<placement_kind> placementKindFrom(std::string_view name) noexcept
+{
+    return detail::kPlacementNames.find(name);
+}
+
 std::string_view toString(log_level value) noexcept
 {
     return detail::kLogLevelNames.nameOf(value);
