heatherbench control: time in force and cost per entry on real processes

Starts a platform stand-in and entries on loopback, publishes changes, and takes the times from the entries' logs afterwards, so that nothing is polled while it measures.

--- a/bench/heatherbench.cpp
+++ b/bench/heatherbench.cpp
@@ -19,6 +19,7 @@
 };
 
 constexpr command kCommands[] = {
+    {"control", "time until a change is in force everywhere, and what control costs an entry", heatherroute::bench::runControlCommand},
     {"demo", "requests of both users' kinds through running entries, checked byte by byte", heatherroute::bench::runDemo},
     {"relay", "what an entry adds to the time and CPU of a token, against a direct stream", heatherroute::bench::runRelay},
 };
--- a/bench/heatherbench_commands.h
+++ b/bench/heatherbench_commands.h
@@ -7,6 +7,9 @@
 namespace heatherroute::bench
 {
 
+/// Runs `heatherbench control` with @p arguments; returns the exit code.
+int runControlCommand(const std::vector<std::string> &arguments, std::ostream &out);
+
 /// Runs `heatherbench demo` with @p arguments; returns the exit code.
 int runDemo(const std::vector<std::string> &arguments, std::ostream &out);
 
