--- a/bench/heatherbench_control_relay.h
+++ b/bench/heatherbench_control_relay.h
@@ -27,7 +27,7 @@
 {
 public:
     /// Listens on a loopback port that the kernel chooses.
-    counting_relay(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint target);
+    counting_relay(boost::asio::io_context &context, const boost::asio::ip::tcp::endpoint &target);
 
     boost::asio::ip::tcp::endpoint endpoint() const;
     void setOpen(bool open);
--- a/bench/heatherbench_control_run.cpp
+++ b/bench/heatherbench_control_run.cpp
@@ -12,6 +12,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <map>
 #include <set>
 #include <sstream>
@@ -87,7 +88,7 @@
 class change_source
 {
 public:
-    change_source(asio::ip::tcp::endpoint platform, std::size_t upstreams)
+    change_source(const asio::ip::tcp::endpoint &platform, std::size_t upstreams)
         : m_platform(platform)
         , m_upstreams(upstreams)
     { }
@@ -218,7 +219,7 @@
     return decisions;
 }
 
-net::http_result getNow(asio::io_context &context, asio::ip::tcp::endpoint endpoint, const std::string &target, const std::string &body = {})
+net::http_result getNow(asio::io_context &context, const asio::ip::tcp::endpoint &endpoint, const std::string &target, const std::string &body = {})
 {
     net::http_call call;
     call.endpoint = endpoint;
@@ -286,6 +287,11 @@
         measure();
         awaitAgreement();
         m_result.agreed = haveAgreed();
+        if (!m_result.agreed) {
+            for (const fleet_entry &entry : m_fleet.entries()) {
+                std::cerr << entry.name << " is at " << positionOf(m_context, entry) << " of " << m_source.next() << '\n';
+            }
+        }
         readTimes();
         return m_result;
     }
@@ -359,8 +365,8 @@
         }
         const std::size_t frozen = std::max<std::size_t>(1, m_fleet.entries().size() / kFrozenShare);
         for (std::size_t i = 0; i < frozen; ++i) {
-            m_fleet.entries()[i].process->signal(on ? SIGSTOP : SIGCONT);
             m_resumedAt[m_fleet.entries()[i].name] = wall_clock::now();
+            m_fleet.entries()[i].process->signal(on ? SIGSTOP : SIGCONT);
         }
     }
 
@@ -399,14 +405,16 @@
                     continue;
                 }
                 m_result.rejected += found->second.accepted ? 0 : 1;
-                const bool isFromResuming = resumed != m_resumedAt.end() && found->second.at >= resumed->second;
+                // The log counts whole milliseconds, and an entry may act before the measurement has noted that it goes on.
+                const bool isFromResuming = resumed != m_resumedAt.end() && found->second.at + std::chrono::milliseconds(1) >= resumed->second;
                 const wall_time from = isFromResuming ? std::max(sentAt, resumed->second) : sentAt;
                 const double ms = std::chrono::duration<double, std::milli>(found->second.at - from).count();
-                lastMs[publishId] = std::max(lastMs[publishId], ms);
+                lastMs[publishId] = std::max({lastMs[publishId], ms, 0.0});
             }
         }
         m_result.published = m_source.sentAt().size();
         std::vector<double> sorted;
+        sorted.reserve(lastMs.size());
         for (const auto &[publishId, ms] : lastMs) {
             sorted.push_back(ms);
         }
