Callers' errors, metrics, readable state, one log line per request

Cause: connections over the limit were closed without a word, 413 and 431 could be lost to a reset because unread bytes remained, a caller that didn't read held its exchange until the write timeout, limits.max_requests_per_connection had no effect, and two spellings of a path (.., //, escapes) could fall under different rules about repetition.

Resolving .. was ruled out, since services differ in what they make of it.

heatherctl where got no answer: the event was a temporary inside an await, which g++ 12 copies bytewise; it is made apart now.

--- a/apps/heatherctl.cpp
+++ b/apps/heatherctl.cpp
@@ -39,6 +39,7 @@
     add("half", "the half that is published", cxxopts::value<std::string>()->default_value(""));
     add("operator", "who publishes", cxxopts::value<std::string>()->default_value("operator"));
     add("publish-id", "publish the same id again after an unknown outcome", cxxopts::value<std::string>()->default_value(""));
+    add("format", "form of a dump: json or text", cxxopts::value<std::string>()->default_value("json"));
     add("timeout-s", "longest wait for the outcome", cxxopts::value<unsigned>()->default_value("30"));
     options.add_options("hidden")("command", "", cxxopts::value<std::string>())("arguments", "", cxxopts::value<std::vector<std::string>>());
     options.parse_positional({"command", "arguments"});
@@ -54,7 +55,7 @@
                  (a file with 'upstreams' or 'rules' at its top is an inventory)
   publish FILE   publish the inventory of a half (--log, --half); prints the decision, then waits for --entries
   status         print what each of --entries has applied and has in flight
-  dump           print the state dump of each of --entries
+  dump           print the state dump of each of --entries (--format json or text)
   drain          ask each of --entries for a graceful shutdown
   where NAME     print who owns the upstream NAME, as each of --entries sees it
   settings-doc   print the page that describes each setting
@@ -163,6 +164,15 @@
     return heatherroute::control::publish(order, std::cout);
 }
 
+int runDump(const std::vector<std::string> &entries, const std::string &format)
+{
+    using heatherroute::control::dump_format;
+    if (format != "json" && format != "text") {
+        return usageError("--format takes json or text");
+    }
+    return heatherroute::control::printDump(entries, format == "text" ? dump_format::Text : dump_format::Json, std::cout);
+}
+
 int runCommand(const std::string &command, const std::vector<std::string> &arguments, const cxxopts::ParseResult &options)
 {
     const std::vector<std::string> entries = entriesOf(options);
@@ -183,7 +193,7 @@
         return heatherroute::control::printStatus(entries, std::cout);
     }
     if (command == "dump") {
-        return heatherroute::control::printDump(entries, std::cout);
+        return runDump(entries, options["format"].as<std::string>());
     }
     if (command == "drain") {
         return heatherroute::control::drain(entries, std::cout);
--- a/src/control/commands.cpp
+++ b/src/control/commands.cpp
@@ -11,6 +11,7 @@
 #include "control/blocking_call.h"
 #include "control/publisher.h"
 #include "node/core_time.h"
+#include "telemetry/text_table.h"
 
 namespace heatherroute::control
 {
@@ -151,23 +152,42 @@
 int printStatus(const std::vector<std::string> &entries, std::ostream &out)
 {
     int code = kExitSuccess;
+    std::vector<std::vector<std::string>> rows{
+        {"ADDRESS", "ENTRY", "HALF", "ZONE", "STOPPING", "GENERATIONS", "CALLS", "REVISION", "NEXT", "AGE_MS", "CUT_OFF"}};
     for (const std::string &entry : entries) {
         const auto state = stateOf(entry);
         if (!state) {
-            out << entry << " no answer\n";
+            rows.push_back({entry, "no answer"});
             code = kExitUnreachable;
             continue;
         }
-        out << entry << " entry=" << textOf(*state, "entry") << " half=" << textOf(*state, "half") << " zone=" << textOf(*state, "zone")
-            << " stopping=" << textOf(*state, "stopping") << " generations=" << textOf(*state, "generations")
-            << " service_calls=" << textOf(*state, "service_calls") << " configuration=" << textOf(*state, "configuration") << '\n';
+        const json::value *member = state->if_contains("configuration");
+        const json::object configuration = member != nullptr && member->is_object() ? member->get_object() : json::object{};
+        std::vector<std::string> row{entry};
+        for (const char *key : {"entry", "half", "zone", "stopping", "generations", "service_calls"}) {
+            row.push_back(textOf(*state, key));
+        }
+        for (const char *key : {"revision", "next", "freshness_ms", "cut_off"}) {
+            row.push_back(textOf(configuration, key));
+        }
+        rows.push_back(std::move(row));
     }
+    out << alignedTable(rows);
     return code;
 }
 
-int printDump(const std::vector<std::string> &entries, std::ostream &out)
+int printDump(const std::vector<std::string> &entries, dump_format format, std::ostream &out)
 {
-    return forEachEntry(entries, "GET", "/debug/state", out);
+    if (format == dump_format::Json) {
+        return forEachEntry(entries, "GET", "/debug/state", out);
+    }
+    int code = kExitSuccess;
+    for (const std::string &entry : entries) {
+        const auto body = askEntry(entry, "GET", "/debug/state?format=text");
+        out << "address  " << entry << '\n' << (body ? *body : std::string("no answer\n")) << '\n';
+        code = body ? code : kExitUnreachable;
+    }
+    return code;
 }
 
 int drain(const std::vector<std::string> &entries, std::ostream &out)
--- a/src/control/commands.h
+++ b/src/control/commands.h
@@ -36,8 +36,14 @@
 /// Prints a line for each entry: its revision, age of what it knows, requests in flight.
 int printStatus(const std::vector<std::string> &entries, std::ostream &out);
 
+/// How a state dump is printed.
+enum class dump_format {
+    Json, ///< One line per entry.
+    Text, ///< To read.
+};
+
 /// Prints the state dump of each entry.
-int printDump(const std::vector<std::string> &entries, std::ostream &out);
+int printDump(const std::vector<std::string> &entries, dump_format format, std::ostream &out);
 
 /// Asks each entry for a graceful shutdown.
 int drain(const std::vector<std::string> &entries, std::ostream &out);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -76,6 +76,10 @@
 }
 
 constexpr std::size_t kFirstReadBytes = 4096;
+constexpr unsigned kStatusFull = 503;
+constexpr std::size_t kMaxRefusals = 64; ///< Connections over the limit that are being told so; more are closed at once.
+constexpr std::size_t kMaxDroppedBytes = 256 * 1024;
+constexpr std::chrono::milliseconds kCloseTime{500};
 
 /// Ends a read that takes too long but leaves the connection open, so that the peer can be told.
 class read_deadline
@@ -206,6 +210,13 @@
         m_watch->hook = std::move(hook);
     }
 
+    void abort() override
+    {
+        m_watch->markClosed();
+        beast::error_code ignored;
+        m_stream.socket().cancel(ignored);
+    }
+
     bool isClosed() const noexcept override
     {
         return m_watch->closed;
@@ -350,15 +361,40 @@
             if (error) {
                 continue;
             }
+            socket.set_option(tcp::no_delay(true), error);
             if (self->m_connections >= self->m_limits.maxConnections) {
-                socket.close(error);
+                if (self->m_refusals < kMaxRefusals) {
+                    asio::co_spawn(self->m_context, refuseConnection(self, std::move(socket)), asio::detached);
+                }
                 continue;
             }
-            socket.set_option(tcp::no_delay(true), error);
             asio::co_spawn(self->m_context, serve(self, std::move(socket)), asio::detached);
         }
     }
 
+    static asio::awaitable<void> refuseConnection(std::shared_ptr<impl> self, tcp::socket socket)
+    {
+        ++self->m_refusals;
+        beast::tcp_stream stream(std::move(socket));
+        co_await self->sendRefusal(stream, kStatusFull, "too many connections are open at this entry");
+        co_await closeGently(stream);
+        --self->m_refusals;
+    }
+
+    /// Ends the sending half and drops what still arrives for a while, because closing a socket with unread bytes resets the
+    /// connection and may take the answer away from the peer.
+    static asio::awaitable<void> closeGently(beast::tcp_stream &stream)
+    {
+        beast::error_code error;
+        stream.socket().shutdown(tcp::socket::shutdown_send, error);
+        stream.expires_after(kCloseTime);
+        std::string dropped(kFirstReadBytes, '\0');
+        std::size_t total = 0;
+        while (!error && total < kMaxDroppedBytes) {
+            total += co_await stream.async_read_some(asio::buffer(dropped), asio::redirect_error(asio::use_awaitable, error));
+        }
+    }
+
     static asio::awaitable<void> serve(std::shared_ptr<impl> self, tcp::socket socket)
     {
         ++self->m_connections;
@@ -367,15 +403,17 @@
         const std::string remoteAddress = error ? std::string{} : remote.address().to_string();
         beast::tcp_stream stream(std::move(socket));
         beast::flat_buffer buffer;
-        bool goOn = true;
+        std::size_t left = self->m_limits.maxRequestsPerConnection;
+        bool goOn = left > 0;
         while (goOn && self->m_acceptor.is_open()) {
-            goOn = co_await self->serveOne(stream, buffer, remoteAddress);
+            --left;
+            goOn = co_await self->serveOne(stream, buffer, remoteAddress, left > 0);
         }
-        stream.socket().shutdown(tcp::socket::shutdown_send, error);
+        co_await closeGently(stream);
         --self->m_connections;
     }
 
-    asio::awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer, const std::string &remoteAddress)
+    asio::awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer, const std::string &remoteAddress, bool mayKeepAlive)
     {
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
@@ -404,7 +442,7 @@
             co_await refuse(stream, deadline.hasPassed() ? beast::error_code(beast::error::timeout) : error);
             co_return false;
         }
-        co_return co_await answer(stream, parser.release(), remoteAddress);
+        co_return co_await answer(stream, parser.release(), remoteAddress, mayKeepAlive);
     }
 
     /// Invites the body of a request that asked first.
@@ -423,15 +461,20 @@
         if (status == 0 || !stream.socket().is_open()) {
             co_return;
         }
+        co_await sendRefusal(stream, status, error.message());
+    }
+
+    asio::awaitable<void> sendRefusal(beast::tcp_stream &stream, unsigned status, std::string reason)
+    {
         auto watch = std::make_shared<close_watch>();
         responder out(stream, m_limits, false, watch);
-        co_await out.send(m_badRequest(status, error.message()));
+        co_await out.send(m_badRequest(status, reason));
     }
 
-    asio::awaitable<bool> answer(beast::tcp_stream &stream, http::request<http::string_body> message, const std::string &remoteAddress)
+    asio::awaitable<bool> answer(beast::tcp_stream &stream, http::request<http::string_body> message, const std::string &remoteAddress, bool mayKeepAlive)
     {
         auto watch = std::make_shared<close_watch>();
-        responder out(stream, m_limits, message.keep_alive(), watch);
+        responder out(stream, m_limits, mayKeepAlive && message.keep_alive(), watch);
         asio::co_spawn(m_context, watchForClose(stream.socket(), watch), asio::detached);
         co_await m_handler(takeRequest(std::move(message), remoteAddress), out);
         watch->active = false;
@@ -446,6 +489,7 @@
     http_handler m_handler;
     http_bad_request_handler m_badRequest;
     std::size_t m_connections = 0;
+    std::size_t m_refusals = 0;
 };
 
 std::unique_ptr<http_server> http_server::make(asio::io_context &context,
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -32,6 +32,7 @@
     std::size_t maxHeaderBytes = 16 * 1024;
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
     std::size_t maxConnections = 4096;
+    std::size_t maxRequestsPerConnection = 1000; ///< The answer to the last one tells the peer that the connection ends.
     std::chrono::milliseconds headerTimeout{10'000};
     std::chrono::milliseconds bodyTimeout{30'000};
     std::chrono::milliseconds idleTimeout{60'000};
@@ -86,6 +87,8 @@
     virtual boost::asio::awaitable<bool> endStream() = 0;
     /// Sets @p hook to be called once when the peer closes before the answer is complete.
     virtual void onClosed(std::function<void()> hook) = 0;
+    /// Gives the peer up: a write that waits for it fails at once and its connection is closed.
+    virtual void abort() = 0;
     /// Whether the peer is known to be gone.
     virtual bool isClosed() const noexcept = 0;
 };
@@ -99,6 +102,9 @@
 /**
  * An HTTP/1.1 server with bounded memory and time per connection.
  *
+ * A request that can't be read and a connection over the limit get an answer before the connection ends. A peer that closes its
+ * sending half while its answer is made counts as gone, because a closed socket looks the same.
+ *
  * Not thread safe: make, use and destroy it on the thread that runs the io_context.
  */
 class http_server
--- a/src/node/caller_duty.cpp
+++ b/src/node/caller_duty.cpp
@@ -3,6 +3,9 @@
 #include <string>
 
 #include "node/caller_answer.h"
+#include "node/caller_metrics.h"
+#include "node/core_time.h"
+#include "node/service_path.h"
 #include "node/session_table.h"
 
 namespace heatherroute::node
@@ -17,16 +20,21 @@
 constexpr unsigned kOk = 200;
 constexpr const char *kJson = "application/json";
 
-/// Splits "/svc/NAME/rest?query" into name and "/rest?query".
-void splitServiceTarget(const std::string &target, service_requested &call)
+/// Splits "/svc/NAME/rest?query" into name and "/rest?query", in normal form.
+bool splitServiceTarget(const std::string &target, service_requested &call, last_reason *reason)
 {
-    const std::string rest = target.substr(kServicePrefix.size());
+    const auto normal = normalTarget(target, reason);
+    if (!normal) {
+        return false;
+    }
+    const std::string rest = normal->substr(kServicePrefix.size());
     const auto end = rest.find_first_of("/?");
     call.service = rest.substr(0, end);
     call.path = end == std::string::npos ? "/" : rest.substr(end);
     if (call.path.front() == '?') {
         call.path.insert(0, "/");
     }
+    return true;
 }
 
 fail_caller badRequest(unsigned status, std::string code, std::string message)
@@ -48,7 +56,11 @@
     bool listen(asio::io_context &context, const asio::ip::tcp::endpoint &endpoint, last_reason *reason)
     {
         const auto handler = [this](net::http_request request, net::http_responder &out) { return serve(std::move(request), out); };
-        m_server = net::http_server::make(context, endpoint, m_limits.http, handler, unreadableAnswer, reason);
+        const auto unreadable = [this](unsigned status, std::string_view why) {
+            finish({"unreadable", "-", {}, "unreadable_request", std::string(toString(verdict::NotRun)), status, {}});
+            return unreadableAnswer(status, why);
+        };
+        m_server = net::http_server::make(context, endpoint, m_limits.http, handler, unreadable, reason);
         return m_server != nullptr;
     }
 
@@ -57,6 +69,16 @@
         return m_server->endpoint();
     }
 
+    void setLog(std::function<void(log_line)> log)
+    {
+        m_log = std::move(log);
+    }
+
+    metrics_snapshot metrics()
+    {
+        return m_metrics.snapshot(m_server->connectionCount(), m_sessions.size());
+    }
+
     void deliver(caller_id caller, core_action action)
     {
         const auto found = m_sessions.find(caller);
@@ -65,7 +87,7 @@
         }
         found->push(std::move(action));
         if (found->queuedBytes() > m_limits.maxBufferedBytes) {
-            found->close();
+            found->cut();
         }
     }
 
@@ -74,12 +96,37 @@
     struct exchange
     {
         net::http_responder &out;
-        std::string requestName;
+        std::string kind;
         bool stream = false;
         bool headSent = false;
-        std::string text;
+        std::string requestName{};
+        std::string team{};
+        std::string text{};
+        instant arrived = coreNow();
+        std::optional<instant> lastTokens{};
+        std::string outcome = "caller_gone";
+        verdict result = verdict::MayHaveRun;
+        unsigned status = 0;
     };
 
+    void finish(const request_end &end)
+    {
+        m_metrics.onEnd(end);
+        if (m_log) {
+            m_log(endLine(end));
+        }
+    }
+
+    asio::awaitable<void> refuse(std::string kind, const net::http_request &request, net::http_responder &out, fail_caller failure)
+    {
+        // An invalid id must not reach the log unchecked; the line carries a dash in its place.
+        last_reason ignored;
+        const auto traits = parseTraits(request, &ignored);
+        const std::string name = traits && !traits->requestName.empty() ? traits->requestName : "-";
+        finish({std::move(kind), name, traits ? traits->team : std::string{}, failure.code, std::string(toString(failure.outcome)), failure.status, {}});
+        co_await out.send(errorAnswer(failure));
+    }
+
     asio::awaitable<void> serve(net::http_request request, net::http_responder &out)
     {
         const std::string_view path = request.path();
@@ -90,31 +137,35 @@
         } else if (path.starts_with(kServicePrefix)) {
             co_await serveService(std::move(request), out);
         } else {
-            co_await out.send(errorAnswer(badRequest(404, "unknown_path", "no such path")));
+            co_await refuse("other", request, out, badRequest(404, "unknown_path", "no such path"));
         }
     }
 
     asio::awaitable<void> serveCompletion(const net::http_request &request, net::http_responder &out)
     {
         if (request.method != "POST") {
-            co_await out.send(errorAnswer(badRequest(405, "method_not_allowed", "completions take POST")));
+            co_await refuse("completion", request, out, badRequest(405, "method_not_allowed", "completions take POST"));
             co_return;
         }
         last_reason reason;
         auto parsed = parseCompletion(request, &reason);
         if (!parsed) {
-            co_await out.send(errorAnswer(badRequest(400, "invalid_request", reason.text())));
+            co_await refuse("completion", request, out, badRequest(400, "invalid_request", reason.text()));
             co_return;
         }
-        exchange state{out, {}, parsed->stream, false, {}};
+        exchange state{out, "completion", parsed->stream};
         co_await exchangeWithCore(std::move(parsed->generation), state);
     }
 
     asio::awaitable<void> serveEntries(const net::http_request &request, net::http_responder &out)
     {
+        if (request.method != "GET") {
+            co_await refuse("entry", request, out, badRequest(405, "method_not_allowed", "this path takes GET"));
+            co_return;
+        }
         entries_requested event;
         event.zone = std::string(request.query("zone"));
-        exchange state{out, {}, false, false, {}};
+        exchange state{out, "entry"};
         co_await exchangeWithCore(std::move(event), state);
     }
 
@@ -123,16 +174,19 @@
         last_reason reason;
         auto traits = parseTraits(request, &reason);
         if (!traits) {
-            co_await out.send(errorAnswer(badRequest(400, "invalid_request", reason.text())));
+            co_await refuse("service", request, out, badRequest(400, "invalid_request", reason.text()));
             co_return;
         }
         service_requested event;
+        if (!splitServiceTarget(request.target, event, &reason)) {
+            co_await refuse("service", request, out, badRequest(400, "invalid_path", reason.text()));
+            co_return;
+        }
         event.traits = std::move(*traits);
         event.method = request.method;
-        splitServiceTarget(request.target, event);
         event.contentType = std::string(request.header("Content-Type"));
         event.body = std::move(request.body);
-        exchange state{out, {}, false, false, {}};
+        exchange state{out, "service"};
         co_await exchangeWithCore(std::move(event), state);
     }
 
@@ -151,7 +205,9 @@
         if constexpr (requires { event.traits; }) {
             nameRequest(event.traits, id);
             state.requestName = event.traits.requestName;
+            state.team = event.traits.team;
         }
+        own->onCut([&state] { state.out.abort(); });
         state.out.onClosed([weak = std::weak_ptr<session>(own)] {
             if (const auto alive = weak.lock()) {
                 alive->close();
@@ -167,15 +223,29 @@
             }
         }
         state.out.onClosed({});
+        own->onCut({});
         if (own->isClosed() || state.out.isClosed()) {
             co_await m_toCore.push(caller_gone{id});
+            co_await tellHalfClosed(state);
         }
         m_sessions.close(id);
+        finish({state.kind, state.requestName, state.team, state.outcome, std::string(toString(state.result)), state.status, coreNow() - state.arrived});
+    }
+
+    /// A peer that closed only its sending half can still read why its request ended.
+    static asio::awaitable<void> tellHalfClosed(exchange &state)
+    {
+        if (state.outcome != "caller_gone" || state.headSent) {
+            co_return;
+        }
+        fail_caller failure{{}, 400, "connection_half_closed", "the connection was closed before the answer", verdict::MayHaveRun, std::nullopt};
+        co_await state.out.send(errorAnswer(failure));
     }
 
     /// Writes one action; returns whether more follow.
     asio::awaitable<bool> write(core_action action, exchange &state)
     {
+        noteEnd(action, state);
         if (auto *tokens = std::get_if<deliver_tokens>(&action)) {
             co_return co_await writeTokens(*tokens, state);
         }
@@ -191,8 +261,41 @@
         co_return false;
     }
 
+    static void noteEnd(const core_action &action, exchange &state)
+    {
+        if (const auto *failure = std::get_if<fail_caller>(&action)) {
+            state.outcome = failure->code;
+            state.result = failure->outcome;
+            state.status = state.headSent ? kOk : failure->status;
+        } else if (const auto *answer = std::get_if<finish_service_call>(&action)) {
+            noteDone(state, answer->status);
+        } else if (const auto *document = std::get_if<answer_document>(&action)) {
+            noteDone(state, document->status);
+        } else if (std::holds_alternative<finish_generation>(action)) {
+            noteDone(state, kOk);
+        }
+    }
+
+    static void noteDone(exchange &state, unsigned status)
+    {
+        state.outcome = "done";
+        state.result = verdict::Ran;
+        state.status = status;
+    }
+
+    void noteTokens(const deliver_tokens &tokens, exchange &state)
+    {
+        const instant now = coreNow();
+        if (!state.lastTokens) {
+            m_metrics.onFirstToken(now - state.arrived);
+        }
+        m_metrics.onTokens(state.lastTokens ? now - *state.lastTokens : duration{}, tokens.texts.size());
+        state.lastTokens = now;
+    }
+
     asio::awaitable<bool> writeTokens(const deliver_tokens &tokens, exchange &state)
     {
+        noteTokens(tokens, state);
         std::string data;
         std::uint32_t offset = tokens.offset;
         for (const std::string &text : tokens.texts) {
@@ -267,6 +370,8 @@
     session_table m_sessions;
     caller_limits m_limits;
     channel<core_event> &m_toCore;
+    caller_metrics m_metrics;
+    std::function<void(log_line)> m_log;
     std::unique_ptr<net::http_server> m_server;
 };
 
@@ -291,6 +396,16 @@
     return m_impl->endpoint();
 }
 
+void caller_duty::setLog(std::function<void(log_line)> log)
+{
+    m_impl->setLog(std::move(log));
+}
+
+metrics_snapshot caller_duty::metrics()
+{
+    return m_impl->metrics();
+}
+
 void caller_duty::deliver(caller_id caller, core_action action)
 {
     m_impl->deliver(caller, std::move(action));
--- a/src/node/caller_duty.h
+++ b/src/node/caller_duty.h
@@ -3,13 +3,16 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <functional>
 #include <memory>
 
 #include "heatherroute/core_action.h"
 #include "heatherroute/core_event.h"
 #include "heatherroute/last_reason.h"
+#include "heatherroute/log_line.h"
 #include "net/http_server.h"
 #include "node/channel.h"
+#include "telemetry/metric_values.h"
 
 namespace heatherroute::node
 {
@@ -45,6 +48,10 @@
 
     /// The address that is listened on.
     boost::asio::ip::tcp::endpoint endpoint() const;
+    /// Sets who gets the line about each request that has ended; it must not wait. Precondition: the thread has not started.
+    void setLog(std::function<void(log_line)> log);
+    /// The metrics as they are now. Call on the duty's thread.
+    metrics_snapshot metrics();
     /// Hands @p action to the exchange it is for; dropped when that has ended.
     void deliver(caller_id caller, core_action action);
 
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -10,6 +10,7 @@
 #include "node/caller_duty.h"
 #include "node/core_duty.h"
 #include "node/duty_thread.h"
+#include "node/log_relay.h"
 #include "node/operator_duty.h"
 #include "node/platform_duty.h"
 #include "node/session_table.h"
@@ -88,6 +89,7 @@
     limits.http.headerTimeout = settings.headerTimeout;
     limits.http.bodyTimeout = settings.bodyTimeout;
     limits.http.idleTimeout = settings.idleTimeout;
+    limits.http.maxRequestsPerConnection = settings.maxRequestsPerConnection;
     limits.maxBufferedBytes = settings.maxBufferedBytesPerStream;
     return limits;
 }
@@ -195,6 +197,8 @@
             m_core->addOutput(*output);
         }
         m_core->setRoute(outputOf);
+        m_callers->setLog([this](log_line line) { m_log.post(std::move(line)); });
+        m_operators->addMetrics(m_callerThread.context(), [this] { return m_callers->metrics(); });
         consume(m_toCallers, m_callerThread.context(), [this](core_action action) { m_callers->deliver(callerOf(action), std::move(action)); });
         consume(m_toOperators, m_operatorThread.context(), [this](core_action action) { m_operators->deliver(callerOf(action), std::move(action)); });
         consume(m_toUpstreams, m_upstreamThread.context(), [this](core_action action) { m_upstreams->perform(std::move(action)); });
@@ -245,6 +249,7 @@
     node::channel<core_action> m_toMain{kChannelCapacity};
 
     asio::io_context m_main{1};
+    node::log_relay m_log{m_main};
     asio::signal_set m_signals;
     asio::steady_timer m_flushTimer{m_main};
     int m_exitCode = 0;
--- a/src/node/operator_duty.cpp
+++ b/src/node/operator_duty.cpp
@@ -1,11 +1,15 @@
 #include "node/operator_duty.h"
 
+#include <boost/asio/co_spawn.hpp>
+
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "node/caller_answer.h"
 #include "node/session_table.h"
+#include "node/state_text.h"
 #include "telemetry/log.h"
 
 namespace heatherroute::node
@@ -19,6 +23,8 @@
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kMethodNotAllowed = 405;
+constexpr const char *kPlainText = "text/plain; charset=utf-8";
+constexpr const char *kMetricsText = "text/plain; version=0.0.4; charset=utf-8";
 
 fail_caller failureOf(unsigned status, std::string code, std::string message)
 {
@@ -63,6 +69,11 @@
         return m_server->endpoint();
     }
 
+    void addMetrics(asio::io_context &context, std::function<metrics_snapshot()> snapshot)
+    {
+        m_sources.emplace_back(&context, std::move(snapshot));
+    }
+
     void deliver(caller_id caller, core_action action)
     {
         const auto found = m_sessions.find(caller);
@@ -76,9 +87,14 @@
     {
         const std::string_view path = request.path();
         if (path == "/debug/state") {
-            co_await ask(dump_requested{}, out);
+            co_await ask(dump_requested{}, out, request.query("format") == "text");
+        } else if (path == "/metrics") {
+            co_await serveMetrics(out);
         } else if (path == "/admin/where") {
-            co_await ask(owner_requested{{}, std::string(request.query("upstream"))}, out);
+            // Made apart from the await, because g++ 12 copies such a temporary byte by byte and the string then points astray.
+            owner_requested event;
+            event.upstreamName = std::string(request.query("upstream"));
+            co_await ask(std::move(event), out);
         } else if (path == "/admin/drain" || path == "/admin/log-level") {
             co_await change(request, out);
         } else {
@@ -107,8 +123,9 @@
         co_await out.send(std::move(done));
     }
 
+    /// Asks the core; empty when the peer has gone.
     template<typename Event>
-    asio::awaitable<void> ask(Event event, net::http_responder &out)
+    asio::awaitable<std::optional<core_action>> askCore(Event event, net::http_responder &out)
     {
         const auto [id, own] = m_sessions.open();
         event.caller = id;
@@ -121,19 +138,51 @@
         std::optional<core_action> action = co_await own->next();
         m_sessions.close(id);
         out.onClosed({});
+        co_return action;
+    }
+
+    template<typename Event>
+    asio::awaitable<void> ask(Event event, net::http_responder &out, bool asText = false)
+    {
+        std::optional<core_action> action = co_await askCore(std::move(event), out);
         if (!action) {
             co_return;
         }
         if (auto *document = std::get_if<answer_document>(&*action)) {
             net::http_answer answer;
             answer.status = document->status;
-            answer.body = std::move(document->body);
+            answer.body = asText ? stateText(document->body) : std::move(document->body);
+            answer.contentType = asText ? kPlainText : answer.contentType;
             co_await out.send(std::move(answer));
         } else if (const auto *failure = std::get_if<fail_caller>(&*action)) {
             co_await out.send(errorAnswer(*failure));
         }
     }
 
+    asio::awaitable<void> serveMetrics(net::http_responder &out)
+    {
+        std::optional<core_action> action = co_await askCore(dump_requested{}, out);
+        const answer_document *document = action ? std::get_if<answer_document>(&*action) : nullptr;
+        if (document == nullptr) {
+            co_return;
+        }
+        metrics_snapshot all = stateMetrics(document->body);
+        for (const auto &[context, snapshot] : m_sources) {
+            const metrics_snapshot part = co_await asio::co_spawn(*context, runThere(snapshot), asio::use_awaitable);
+            all.merge(part);
+        }
+        net::http_answer answer;
+        answer.body = toPrometheusText(all);
+        answer.contentType = kMetricsText;
+        co_await out.send(std::move(answer));
+    }
+
+    static asio::awaitable<metrics_snapshot> runThere(std::function<metrics_snapshot()> snapshot)
+    {
+        co_return snapshot();
+    }
+
+    std::vector<std::pair<asio::io_context *, std::function<metrics_snapshot()>>> m_sources;
     session_table m_sessions;
     channel<core_event> &m_toCore;
     std::unique_ptr<net::http_server> m_server;
@@ -160,6 +209,11 @@
     return m_impl->endpoint();
 }
 
+void operator_duty::addMetrics(asio::io_context &context, std::function<metrics_snapshot()> snapshot)
+{
+    m_impl->addMetrics(context, std::move(snapshot));
+}
+
 void operator_duty::deliver(caller_id caller, core_action action)
 {
     m_impl->deliver(caller, std::move(action));
--- a/src/node/operator_duty.h
+++ b/src/node/operator_duty.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 
 #include "heatherroute/core_action.h"
@@ -11,12 +12,13 @@
 #include "heatherroute/last_reason.h"
 #include "net/http_server.h"
 #include "node/channel.h"
+#include "telemetry/metric_values.h"
 
 namespace heatherroute::node
 {
 
 /**
- * Serves the operators' port: state dump, ownership, log level, graceful shutdown.
+ * Serves the operators' port: metrics, state dump, ownership, log level, graceful shutdown.
  *
  * Belongs to the thread that runs its io_context; make it before the thread starts and destroy it after the thread ended.
  */
@@ -35,6 +37,9 @@
 
     /// The address that is listened on.
     boost::asio::ip::tcp::endpoint endpoint() const;
+    /// Adds a duty whose metrics are shown: @p snapshot runs on @p context, so the duties share nothing. Precondition: the thread has
+    /// not started.
+    void addMetrics(boost::asio::io_context &context, std::function<metrics_snapshot()> snapshot);
     /// Hands @p action to the exchange it is for; dropped when that has ended.
     void deliver(caller_id caller, core_action action);
 
--- a/src/node/session_table.h
+++ b/src/node/session_table.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -51,7 +52,22 @@
         return m_closed;
     }
 
-    /// Text bytes that wait to be written.
+    /// Sets what ends a write that waits for the peer; called by cut().
+    void onCut(std::function<void()> hook)
+    {
+        m_onCut = std::move(hook);
+    }
+
+    /// Gives up a peer that does not read.
+    void cut()
+    {
+        close();
+        if (m_onCut) {
+            m_onCut();
+        }
+    }
+
+    /// Bytes that wait to be written, with what it costs to hold them.
     std::size_t queuedBytes() const noexcept
     {
         return m_queuedBytes;
@@ -76,10 +92,10 @@
 private:
     static std::size_t sizeOf(const core_action &action)
     {
-        std::size_t bytes = 0;
+        std::size_t bytes = sizeof(core_action);
         if (const auto *tokens = std::get_if<deliver_tokens>(&action)) {
             for (const std::string &text : tokens->texts) {
-                bytes += text.size();
+                bytes += sizeof(text) + text.size();
             }
         }
         return bytes;
@@ -89,6 +105,7 @@
     std::deque<core_action> m_queue;
     std::size_t m_queuedBytes = 0;
     bool m_closed = false;
+    std::function<void()> m_onCut;
 };
 
 /**
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -2,6 +2,7 @@
 
 #include <easylogging++.h>
 
+#include <array>
 #include <atomic>
 #include <cstdio>
 
@@ -18,6 +19,7 @@
 
 std::atomic<log_level> currentLevel = log_level::Info;
 std::atomic<log_format> currentFormat = log_format::KeyValue;
+std::array<std::atomic<std::uint64_t>, 4> writtenLines{}; ///< By level.
 
 /// Replaces easylogging++'s own writer, which uses standard output and files.
 class standard_error_writer : public el::LogDispatchCallback
@@ -63,11 +65,17 @@
     return currentLevel;
 }
 
+std::uint64_t writtenLogLines(log_level level) noexcept
+{
+    return writtenLines[static_cast<std::size_t>(level)].load(std::memory_order_relaxed);
+}
+
 void writeLog(const log_line &line)
 {
     if (line.level < currentLevel) {
         return;
     }
+    writtenLines.at(static_cast<std::size_t>(line.level)).fetch_add(1, std::memory_order_relaxed);
     const std::string text = formatLogLine(line, currentFormat, std::chrono::system_clock::now());
     switch (line.level) {
     case log_level::Debug:
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -4,6 +4,7 @@
 #include "heatherroute/settings.h"
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 
 namespace heatherroute
@@ -29,6 +30,9 @@
 /// Writes @p line when its severity is high enough. Thread safe.
 void writeLog(const log_line &line);
 
+/// The number of lines of @p level written so far. Thread safe.
+std::uint64_t writtenLogLines(log_level level) noexcept;
+
 /// @p line as one line of text without its end; @p time becomes the field `time`, in UTC. Thread safe.
 std::string formatLogLine(const log_line &line, log_format format, std::chrono::system_clock::time_point time);
 
