--- a/bench/heatherbench.cpp
+++ b/bench/heatherbench.cpp
@@ -20,6 +20,7 @@
 
 constexpr command kCommands[] = {
     {"demo", "requests of both users' kinds through running entries, checked byte by byte", heatherroute::bench::runDemo},
+    {"load", "goodput of each placement policy on real processes under load", heatherroute::bench::runLoad},
     {"relay", "what an entry adds to the time and CPU of a token, against a direct stream", heatherroute::bench::runRelay},
 };
 
--- a/bench/heatherbench_commands.h
+++ b/bench/heatherbench_commands.h
@@ -10,6 +10,9 @@
 /// Runs `heatherbench demo` with @p arguments; returns the exit code.
 int runDemo(const std::vector<std::string> &arguments, std::ostream &out);
 
+/// Runs `heatherbench load` with @p arguments; returns the exit code.
+int runLoad(const std::vector<std::string> &arguments, std::ostream &out);
+
 /// Runs `heatherbench relay` with @p arguments; returns the exit code.
 int runRelay(const std::vector<std::string> &arguments, std::ostream &out);
 
