--- a/src/core/engine_selector.cpp
+++ b/src/core/engine_selector.cpp
@@ -192,6 +192,7 @@
 
 void engine_selector::noCapacity(const std::string &name)
 {
+    followConfiguration();
     const auto known = m_engines.find(name);
     const upstream_table::entry *upstream = m_upstreams.find(name);
     if (known == m_engines.end() || upstream == nullptr) {
