--- a/bench/heatherbench_commands.h
+++ b/bench/heatherbench_commands.h
@@ -13,6 +13,9 @@
 /// Runs `heatherbench demo` with @p arguments; returns the exit code.
 int runDemo(const std::vector<std::string> &arguments, std::ostream &out);
 
+/// Runs `heatherbench load` with @p arguments; returns the exit code.
+int runLoad(const std::vector<std::string> &arguments, std::ostream &out);
+
 /// Runs `heatherbench relay` with @p arguments; returns the exit code.
 int runRelay(const std::vector<std::string> &arguments, std::ostream &out);
 
