--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -362,6 +362,7 @@
                 continue;
             }
             socket.set_option(tcp::no_delay(true), error);
+            socket.set_option(asio::socket_base::send_buffer_size(static_cast<int>(self->m_limits.sendBufferBytes)), error);
             if (self->m_connections >= self->m_limits.maxConnections) {
                 if (self->m_refusals < kMaxRefusals) {
                     asio::co_spawn(self->m_context, refuseConnection(self, std::move(socket)), asio::detached);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -32,6 +32,7 @@
     std::size_t maxHeaderBytes = 16 * 1024;
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
     std::size_t maxConnections = 4096;
+    std::size_t sendBufferBytes = 256 * 1024; ///< Asked of the kernel, which else holds megabytes for a peer that doesn't read.
     std::size_t maxRequestsPerConnection = 1000; ///< The answer to the last one tells the peer that the connection ends.
     std::chrono::milliseconds headerTimeout{10'000};
     std::chrono::milliseconds bodyTimeout{30'000};
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -90,6 +90,7 @@
     limits.http.bodyTimeout = settings.bodyTimeout;
     limits.http.idleTimeout = settings.idleTimeout;
     limits.http.maxRequestsPerConnection = settings.maxRequestsPerConnection;
+    limits.http.sendBufferBytes = settings.maxBufferedBytesPerStream;
     limits.maxBufferedBytes = settings.maxBufferedBytesPerStream;
     return limits;
 }
--- /dev/null
+++ b/tests/http_server_test.cpp
@@ -0,0 +1,66 @@
+#include "net/http_server.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <thread>
+
+#include "node/service_path.h"
+
+using namespace heatherroute;
+namespace asio = boost::asio;
+
+TEST(HttpServer, ConnectionsOverTheLimitAreToldAndOthersGoOn)
+{
+    asio::io_context context;
+    net::http_limits limits;
+    limits.maxConnections = 2;
+    const auto handler = [](net::http_request request, net::http_responder &out) -> asio::awaitable<void> {
+        net::http_answer answer;
+        answer.body = request.target;
+        co_await out.send(std::move(answer));
+    };
+    const auto refuse = [](unsigned status, std::string_view why) { return net::http_answer{status, std::string(why), "text/plain", {}}; };
+    last_reason reason;
+    auto server = net::http_server::make(context, {asio::ip::make_address("127.0.0.1"), 0}, limits, handler, refuse, &reason);
+    ASSERT_TRUE(server) << reason.text();
+    const auto endpoint = server->endpoint();
+    std::thread thread([&context] { context.run(); });
+    asio::io_context own;
+    const auto ask = [](asio::ip::tcp::socket &socket) {
+        asio::write(socket, asio::buffer(std::string_view("GET /x HTTP/1.1\r\n\r\n")));
+        std::array<char, 512> answer{};
+        return std::string(answer.data(), socket.read_some(asio::buffer(answer)));
+    };
+    std::array<asio::ip::tcp::socket, 2> served{asio::ip::tcp::socket(own), asio::ip::tcp::socket(own)};
+    for (auto &socket : served) {
+        socket.connect(endpoint);
+        EXPECT_TRUE(ask(socket).starts_with("HTTP/1.1 200"));
+    }
+    for (int i = 0; i < 100; ++i) {
+        asio::ip::tcp::socket extra(own);
+        extra.connect(endpoint);
+        std::string answer;
+        boost::system::error_code error;
+        asio::read(extra, asio::dynamic_buffer(answer), error);
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << i << answer;
+    }
+    for (auto &socket : served) {
+        EXPECT_TRUE(ask(socket).starts_with("HTTP/1.1 200"));
+    }
+    context.stop();
+    thread.join();
+}
+
+TEST(HttpServer, OneSpellingOfAPathIsLeft)
+{
+    EXPECT_EQ(node::normalTarget("/svc/s/%70ay%2a/?q=%2e", nullptr), "/svc/s/pay%2A/?q=%2e");
+    for (const std::string path : {"", "a", "/a/./b", "/a/..", "/a//b", "/a/%2E%2e", "/a\\b", "/a%5cb", "/a%2Fb", "/a%", "/a%2", "/a%00"}) {
+        EXPECT_FALSE(node::normalTarget(path, nullptr)) << path;
+    }
+    EXPECT_EQ(node::normalTarget("/a/", nullptr), "/a/");
+}
