--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -78,7 +78,7 @@
 constexpr std::size_t kFirstReadBytes = 4096;
 constexpr unsigned kStatusFull = 503;
 constexpr std::size_t kMaxRefusals = 64; ///< Connections over the limit that are being told so; more are closed at once.
-constexpr std::size_t kMaxDroppedBytes = 256 * 1024;
+constexpr std::size_t kMaxDroppedBytes = std::size_t{256} * 1024;
 constexpr std::chrono::milliseconds kCloseTime{500};
 
 /// Ends a read that takes too long but leaves the connection open, so that the peer can be told.
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -29,10 +29,10 @@
 /// Bounds on what one connection may cost. All sizes in bytes.
 struct http_limits
 {
-    std::size_t maxHeaderBytes = 16 * 1024;
-    std::size_t maxBodyBytes = 4 * 1024 * 1024;
+    std::size_t maxHeaderBytes = std::size_t{16} * 1024;
+    std::size_t maxBodyBytes = std::size_t{4} * 1024 * 1024;
     std::size_t maxConnections = 4096;
-    std::size_t sendBufferBytes = 256 * 1024; ///< Asked of the kernel, which else holds megabytes for a peer that doesn't read.
+    std::size_t sendBufferBytes = std::size_t{256} * 1024; ///< Asked of the kernel, which else holds megabytes for a peer that doesn't read.
     std::size_t maxRequestsPerConnection = 1000; ///< The answer to the last one tells the peer that the connection ends.
     std::chrono::milliseconds headerTimeout{10'000};
     std::chrono::milliseconds bodyTimeout{30'000};
--- a/src/node/caller_duty.h
+++ b/src/node/caller_duty.h
@@ -21,7 +21,7 @@
 struct caller_limits
 {
     net::http_limits http;
-    std::size_t maxBufferedBytes = 1024 * 1024; ///< Text that waits for a caller who reads slowly.
+    std::size_t maxBufferedBytes = std::size_t{1024} * 1024; ///< Text that waits for a caller who reads slowly.
     bool operator==(const caller_limits &) const = default;
 };
 
--- a/src/node/session_table.h
+++ b/src/node/session_table.h
@@ -95,7 +95,7 @@
         std::size_t bytes = sizeof(core_action);
         if (const auto *tokens = std::get_if<deliver_tokens>(&action)) {
             for (const std::string &text : tokens->texts) {
-                bytes += sizeof(text) + text.size();
+                bytes += sizeof(std::string) + text.size();
             }
         }
         return bytes;
--- a/src/settings/yaml_reader.cpp
+++ b/src/settings/yaml_reader.cpp
@@ -32,7 +32,7 @@
 
 constexpr std::size_t kMaxNameLength = 64;
 constexpr std::uint32_t kMaxPort = 65535;
-constexpr std::size_t kMaxTextBytes = 16 * 1024 * 1024;
+constexpr std::size_t kMaxTextBytes = std::size_t{16} * 1024 * 1024;
 constexpr std::size_t kMaxDepth = 32;
 constexpr std::size_t kMaxEventsPerByte = 4;
 
--- a/tests/process_bad_input_test.cpp
+++ b/tests/process_bad_input_test.cpp
@@ -92,7 +92,7 @@
 
 class bad_input : public testing::Test
 {
-protected:
+public:
     void SetUp() override
     {
         platform = startProgram("fake_platform", {});
@@ -169,7 +169,7 @@
 
 class bad_input_with_engines : public bad_input
 {
-protected:
+public:
     std::string inventoryText() override
     {
         prefill = startProgram("fake_engine", {"--role", "prefill", "--model", "m", "--zone", "z"});
