--- a/src/core/engine_selector.h
+++ b/src/core/engine_selector.h
@@ -94,12 +94,7 @@
     void onTick();
 
 private:
-    struct pool_key
-    {
-        upstream_kind kind = upstream_kind::DecodeEngine;
-        std::string model;
-        auto operator<=>(const pool_key &) const = default;
-    };
+    using pool_key = std::pair<upstream_kind, std::string>; ///< The kind of its engines and their model.
     /// An engine in the replica table, and what others seem to hold on it.
     struct known_engine
     {
