--- a/bench/heatherbench_load.cpp
+++ b/bench/heatherbench_load.cpp
@@ -15,6 +15,7 @@
 #include <fstream>
 #include <ostream>
 #include <random>
+#include <sstream>
 #include <stdexcept>
 
 #include "heatherbench_client.h"
@@ -135,6 +136,15 @@
     return all;
 }
 
+std::string settingsOf(const std::string &name, const std::string &half, const std::string &zone, const std::string &platform, const std::string &policy)
+{
+    std::ostringstream text;
+    text << "name: " << name << "\nhalf: " << half << "\nzone: " << zone << "\nregion: region\n"
+         << "listen: {callers: \"127.0.0.1:0\", operators: \"127.0.0.1:0\", peers: \"127.0.0.1:0\"}\n"
+         << "platform: {log: \"" << platform << "\", vms: \"" << platform << "\"}\nplacement: {policy: " << policy << "}\n";
+    return text.str();
+}
+
 /// The processes of one cell; all end with it.
 class cell_processes
 {
@@ -150,13 +160,11 @@
         std::string operators;
         for (unsigned i = 0; i < setup.entries; ++i) {
             const std::string name = kind.half + "-" + std::to_string(i);
-            const std::string file = write(name + ".yaml",
-                                           "name: " + name + "\nhalf: " + kind.half + "\nzone: zone-" + std::to_string(i)
-                                               + "\nregion: region\nlisten: {callers: \"127.0.0.1:0\", operators: \"127.0.0.1:0\", peers: \"127.0.0.1:0\"}\n"
-                                               + "platform: {log: \"" + platform + "\", vms: \"" + platform + "\"}\nplacement: {policy: " + policy + "}\n");
+            const std::string file = write(name + ".yaml", settingsOf(name, kind.half, "zone-" + std::to_string(i), platform, policy));
             const auto listening = start("heatherrouted", {"--settings", file});
             entries.push_back(*net::parseEndpoint(listening.at(0)));
-            operators += (i == 0 ? "" : ",") + listening.at(2);
+            operators += i == 0 ? "" : ",";
+            operators += listening.at(2);
         }
         const std::string file = write("inventory.yaml", inventory);
         last_reason reason;
@@ -218,7 +226,7 @@
 
     std::string write(const std::string &name, const std::string &text)
     {
-        const std::string path = m_setup.work + "/" + name;
+        std::string path = m_setup.work + "/" + name;
         std::ofstream(path) << text;
         return path;
     }
@@ -349,6 +357,7 @@
     add("entries", "number of entries", cxxopts::value<unsigned>()->default_value("3"));
     add("seed", "of the arrivals", cxxopts::value<std::uint64_t>()->default_value("1"));
     std::vector<const char *> words;
+    words.reserve(arguments.size());
     for (const std::string &argument : arguments) {
         words.push_back(argument.c_str());
     }
