--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -258,12 +258,18 @@
         m_core->setRoute(outputOf);
         m_callers->setLog([this](log_line line) { m_log.post(std::move(line)); });
         m_operators->addMetrics(m_callerThread.context(), [this] { return m_callers->metrics(); });
-        consume(m_toCallers, m_callerThread.context(), [this](core_action action) { m_callers->deliver(callerOf(action), std::move(action)); });
-        consume(m_toOperators, m_operatorThread.context(), [this](core_action action) { m_operators->deliver(callerOf(action), std::move(action)); });
+        consume(m_toCallers, m_callerThread.context(), [this](core_action action) {
+            const caller_id caller = callerOf(action);
+            m_callers->deliver(caller, std::move(action));
+        });
+        consume(m_toOperators, m_operatorThread.context(), [this](core_action action) {
+            const caller_id caller = callerOf(action);
+            m_operators->deliver(caller, std::move(action));
+        });
         consume(m_toUpstreams, m_upstreamThread.context(), [this](core_action action) { m_upstreams->perform(std::move(action)); });
         consume(m_toPlatform, m_platformThread.context(), [this](core_action action) { m_platform->perform(std::move(action)); });
         consume(m_toPeers, m_peerThread.context(), [this](const core_action &action) { m_peers->perform(action); });
-        consume(m_toMain, m_main, [this](core_action action) { performMain(action); });
+        consume(m_toMain, m_main, [this](const core_action &action) { performMain(action); });
     }
 
     static void consume(node::channel<core_action> &output, asio::io_context &context, std::function<void(core_action)> perform)
