--- a/tests/process_peers_test.cpp
+++ b/tests/process_peers_test.cpp
@@ -74,7 +74,7 @@
 
 std::string settingsFile(const std::string &name, const program &platform, const std::string &seed)
 {
-    const std::string file = std::filesystem::path(testing::TempDir()) / ("peers_test_" + std::to_string(::getpid()) + "_" + name + ".yaml");
+    std::string file = std::filesystem::path(testing::TempDir()) / ("peers_test_" + std::to_string(::getpid()) + "_" + name + ".yaml");
     std::ofstream out(file);
     out << "name: " << name << "\nhalf: north\nzone: a1\nregion: a\n"
         << "listen: {callers: '127.0.0.1:0', operators: '127.0.0.1:0', peers: '127.0.0.1:0'}\n"
