--- a/bench/heatherbench_process.cpp
+++ b/bench/heatherbench_process.cpp
@@ -106,7 +106,12 @@
 
 std::optional<process_usage> bench_process::usage() const
 {
-    const std::filesystem::path process = "/proc/" + std::to_string(m_pid);
+    return usageOf(m_pid);
+}
+
+std::optional<process_usage> usageOf(pid_t pid)
+{
+    const std::filesystem::path process = "/proc/" + std::to_string(pid);
     std::ifstream status(process / "status");
     process_usage usage;
     std::string word;
--- a/bench/heatherbench_process.h
+++ b/bench/heatherbench_process.h
@@ -22,6 +22,9 @@
     std::uint64_t anonymousBytes = 0; ///< Resident without pages of files, which processes of one program share.
 };
 
+/// What the kernel says of process @p pid; empty when it has ended. Thread safe.
+std::optional<process_usage> usageOf(pid_t pid);
+
 /**
  * A program of the project that a measurement has started.
  *
--- a/bench/heatherbench_relay.cpp
+++ b/bench/heatherbench_relay.cpp
@@ -3,15 +3,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 
-#include <fstream>
 #include <ostream>
-#include <sstream>
-
-#include <unistd.h>
 
 #include "heatherbench_client.h"
 #include "heatherbench_commands.h"
 #include "heatherbench_options.h"
+#include "heatherbench_process.h"
 
 namespace heatherroute::bench
 {
@@ -24,8 +21,6 @@
 
 constexpr double kMedian = 0.5;
 constexpr double kHigh = 0.95;
-constexpr double kMicrosecondsPerSecond = 1e6;
-constexpr std::size_t kUserTimeField = 14;
 
 /// Where the relay is measured.
 struct relay_setup
@@ -35,6 +30,7 @@
     asio::ip::tcp::endpoint decode;
     std::string model;
     std::uint32_t rounds = 0;
+    std::uint32_t streams = 0;
     std::uint32_t maxTokens = 0;
     int entryPid = 0;
 };
@@ -59,23 +55,6 @@
     }
 };
 
-/// CPU time that process @p pid has used; 0 when it can't be read.
-std::chrono::microseconds cpuOf(int pid)
-{
-    std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
-    std::string line;
-    std::getline(file, line);
-    std::istringstream fields(line.substr(std::min(line.size(), line.rfind(')') + 1)));
-    std::string field;
-    double ticks = 0;
-    for (std::size_t index = 3; fields >> field; ++index) {
-        if (index == kUserTimeField || index == kUserTimeField + 1) {
-            ticks += std::stod(field);
-        }
-    }
-    return std::chrono::microseconds(static_cast<std::int64_t>(ticks / static_cast<double>(sysconf(_SC_CLK_TCK)) * kMicrosecondsPerSecond));
-}
-
 completion_order orderOf(const relay_setup &setup, std::uint32_t round)
 {
     completion_order order;
@@ -87,9 +66,9 @@
 }
 
 /// Alternates the two ways, so that what the machine does meanwhile falls on both.
-asio::awaitable<void> measure(const relay_setup &setup, relay_samples &through, relay_samples &direct)
+asio::awaitable<void> measure(const relay_setup &setup, std::uint32_t first, relay_samples &through, relay_samples &direct)
 {
-    for (std::uint32_t round = 0; round < setup.rounds; ++round) {
+    for (std::uint32_t round = first; round < first + setup.rounds; ++round) {
         const completion_order order = orderOf(setup, round);
         direct.add(co_await completeDirectly(setup.prefill, setup.decode, "relay-" + std::to_string(round), order));
         through.add(co_await complete(order));
@@ -120,6 +99,7 @@
     add("decode", "address of a decode engine", cxxopts::value<std::string>());
     add("model", "model of the engines", cxxopts::value<std::string>()->default_value("assistant"));
     add("rounds", "pairs of streams", cxxopts::value<std::uint32_t>()->default_value("40"));
+    add("streams", "pairs that run at once", cxxopts::value<std::uint32_t>()->default_value("1"));
     add("max-tokens", "tokens of a stream", cxxopts::value<std::uint32_t>()->default_value("64"));
     const cxxopts::ParseResult parsed = parseArguments(options, arguments);
     if (parsed.count("help") > 0) {
@@ -138,20 +118,24 @@
                             *decode,
                             parsed["model"].as<std::string>(),
                             parsed["rounds"].as<std::uint32_t>(),
+                            parsed["streams"].as<std::uint32_t>(),
                             parsed["max-tokens"].as<std::uint32_t>(),
                             parsed["entry-pid"].as<int>()};
     relay_samples through;
     relay_samples direct;
-    const auto cpuBefore = cpuOf(setup.entryPid);
+    const auto before = usageOf(setup.entryPid);
     const auto start = bench_clock::now();
     asio::io_context context(1);
-    asio::co_spawn(context, measure(setup, through, direct), asio::detached);
+    for (std::uint32_t stream = 0; stream < setup.streams; ++stream) {
+        asio::co_spawn(context, measure(setup, stream * setup.rounds, through, direct), asio::detached);
+    }
     context.run();
-    const double cpu = static_cast<double>((cpuOf(setup.entryPid) - cpuBefore).count());
+    const auto after = usageOf(setup.entryPid);
     json::object report{{"through_entry", summaryOf(through)}, {"direct", summaryOf(direct)}};
     report["seconds"] = std::chrono::duration<double>(bench_clock::now() - start).count();
-    if (setup.entryPid != 0 && through.tokens > 0) {
-        report["entry_cpu_us_per_token"] = cpu / static_cast<double>(through.tokens);
+    if (before && after && through.tokens > 0) {
+        const std::chrono::duration<double, std::micro> cpu = after->cpu - before->cpu;
+        report["entry_cpu_us_per_token"] = cpu.count() / static_cast<double>(through.tokens);
     }
     out << json::serialize(report) << '\n';
     return through.failed + direct.failed == 0 ? 0 : 1;
--- a/src/settings/settings_table.cpp
+++ b/src/settings/settings_table.cpp
@@ -289,11 +289,11 @@
 void addGroupKeys(key_list &keys)
 {
     keys.push_back(millisecondsKey(
-        "membership.probe_interval_ms", 10, 1000, [](entry_values & v) -> auto & { return v.membership.probeInterval; }, "Time between two probes of peers."));
+        "membership.probe_interval_ms", 10, 400, [](entry_values & v) -> auto & { return v.membership.probeInterval; }, "Time between two probes of peers."));
     keys.push_back(millisecondsKey(
         "membership.probe_timeout_ms",
         5,
-        300,
+        120,
         [](entry_values & v) -> auto & { return v.membership.probeTimeout; },
         "Time for an answer to a direct probe before other entries are asked to probe; less than the probe interval."));
     keys.push_back(countKey(
--- a/tests/config_replica_test.cpp
+++ b/tests/config_replica_test.cpp
@@ -1,5 +1,5 @@
 #include "heatherroute/config_replica.h"
-#include "heatherroute/update_queue.h"
+#include "update_queue.h"
 
 #include <gtest/gtest.h>
 
