Core tick every 20 ms instead of 10

Cause: an idle entry spent most of its processor time on waking the core. Ruled out: the load polls (another thread) and the number of upstreams. No timer of the core is shorter than 80 ms.

--- a/src/node/core_duty.cpp
+++ b/src/node/core_duty.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds kTickInterval{10};
+constexpr std::chrono::milliseconds kTickInterval{20};
 /// Events taken from one input before the others have their turn.
 constexpr unsigned kEventsPerTurn = 64;
 
