--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -28,7 +28,10 @@
 namespace
 {
 
-constexpr std::size_t kChannelCapacity = 4096;
+/// Values between the core and the duties that carry answers. Every slot is memory that an entry at rest holds too.
+constexpr std::size_t kDataChannelCapacity = 1024;
+/// Values between the core and all other duties.
+constexpr std::size_t kControlChannelCapacity = 256;
 /// Time for the last answers to leave after the core has ended.
 constexpr std::chrono::milliseconds kFlushTime{200};
 
@@ -303,18 +306,18 @@
         });
     }
 
-    node::channel<core_event> m_fromCallers{kChannelCapacity};
-    node::channel<core_event> m_fromUpstreams{kChannelCapacity};
-    node::channel<core_event> m_fromPlatform{kChannelCapacity};
-    node::channel<core_event> m_fromOperators{kChannelCapacity};
-    node::channel<core_event> m_fromMain{kChannelCapacity};
-    node::channel<core_event> m_fromPeers{kChannelCapacity};
-    node::channel<core_action> m_toCallers{kChannelCapacity};
-    node::channel<core_action> m_toUpstreams{kChannelCapacity};
-    node::channel<core_action> m_toPlatform{kChannelCapacity};
-    node::channel<core_action> m_toOperators{kChannelCapacity};
-    node::channel<core_action> m_toMain{kChannelCapacity};
-    node::channel<core_action> m_toPeers{kChannelCapacity};
+    node::channel<core_event> m_fromCallers{kDataChannelCapacity};
+    node::channel<core_event> m_fromUpstreams{kDataChannelCapacity};
+    node::channel<core_event> m_fromPlatform{kControlChannelCapacity};
+    node::channel<core_event> m_fromOperators{kControlChannelCapacity};
+    node::channel<core_event> m_fromMain{kControlChannelCapacity};
+    node::channel<core_event> m_fromPeers{kControlChannelCapacity};
+    node::channel<core_action> m_toCallers{kDataChannelCapacity};
+    node::channel<core_action> m_toUpstreams{kDataChannelCapacity};
+    node::channel<core_action> m_toPlatform{kControlChannelCapacity};
+    node::channel<core_action> m_toOperators{kControlChannelCapacity};
+    node::channel<core_action> m_toMain{kControlChannelCapacity};
+    node::channel<core_action> m_toPeers{kControlChannelCapacity};
 
     asio::io_context m_main{1};
     node::log_relay m_log{m_main};
