--- a/apps/heatherctl.cpp
+++ b/apps/heatherctl.cpp
@@ -60,7 +60,7 @@
   where NAME     print who owns the upstream NAME, as each of --entries sees it
   settings-doc   print the page that describes each setting
 
-Exit codes: 0 done, 1 wrong usage, 2 faults found, 3 publication rejected, 4 no answer in time
+Exit codes: 0 done, 1 wrong usage, 2 faults found, 3 publication rejected, 4 no answer in time, or an error
 )";
 }
 
--- a/src/control/commands.cpp
+++ b/src/control/commands.cpp
@@ -25,7 +25,8 @@
 constexpr std::chrono::milliseconds kEntryTimeout{2'000};
 constexpr unsigned kFirstErrorStatus = 300;
 
-std::optional<std::string> askEntry(const std::string &address, const std::string &method, const std::string &target)
+/// The answer of an entry, of whatever status; empty when there is none.
+std::optional<net::http_answer> askEntry(const std::string &address, const std::string &method, const std::string &target)
 {
     const auto endpoint = net::parseEndpoint(address);
     if (!endpoint) {
@@ -36,21 +37,17 @@
     call.method = method;
     call.target = target;
     call.progressTimeout = kEntryTimeout;
-    net::http_result result = callAndWait(std::move(call));
-    if (!result.answer || result.answer->status >= kFirstErrorStatus) {
-        return std::nullopt;
-    }
-    return std::move(result.answer->body);
+    return callAndWait(std::move(call)).answer;
 }
 
 std::optional<json::object> stateOf(const std::string &address)
 {
-    const auto body = askEntry(address, "GET", "/debug/state");
-    if (!body) {
+    const auto answer = askEntry(address, "GET", "/debug/state");
+    if (!answer || answer->status >= kFirstErrorStatus) {
         return std::nullopt;
     }
     json::error_code error;
-    json::value document = json::parse(*body, error);
+    json::value document = json::parse(answer->body, error);
     if (error || !document.is_object()) {
         return std::nullopt;
     }
@@ -107,9 +104,9 @@
 {
     int code = kExitSuccess;
     for (const std::string &entry : entries) {
-        const auto body = askEntry(entry, method, target);
-        out << entry << ": " << (body ? *body : std::string("no answer")) << '\n';
-        if (!body) {
+        const auto answer = askEntry(entry, method, target);
+        out << entry << ": " << (answer ? answer->body : std::string("no answer")) << '\n';
+        if (!answer || answer->status >= kFirstErrorStatus) {
             code = kExitUnreachable;
         }
     }
@@ -183,9 +180,9 @@
     }
     int code = kExitSuccess;
     for (const std::string &entry : entries) {
-        const auto body = askEntry(entry, "GET", "/debug/state?format=text");
-        out << "address  " << entry << '\n' << (body ? *body : std::string("no answer\n")) << '\n';
-        code = body ? code : kExitUnreachable;
+        const auto answer = askEntry(entry, "GET", "/debug/state?format=text");
+        out << "address  " << entry << '\n' << (answer ? answer->body : std::string("no answer\n")) << '\n';
+        code = answer && answer->status < kFirstErrorStatus ? code : kExitUnreachable;
     }
     return code;
 }
--- a/src/control/commands.h
+++ b/src/control/commands.h
@@ -16,7 +16,7 @@
 inline constexpr int kExitUsage = 1;
 inline constexpr int kExitFaulty = 2; ///< Faults found in a file.
 inline constexpr int kExitRejected = 3; ///< Another operator got there first, or the change does not fit.
-inline constexpr int kExitUnreachable = 4; ///< Something did not answer in time.
+inline constexpr int kExitUnreachable = 4; ///< Something gave no answer in time, or answered with an error.
 
 /// What `heatherctl publish` is asked to do.
 struct publish_order
--- a/src/core/generation_flow.cpp
+++ b/src/core/generation_flow.cpp
@@ -223,7 +223,7 @@
     m_attempts.erase(event.attempt);
     const std::string &engine = work->phase == generation_phase::Decoding ? work->decodeName : work->prefillName;
     m_context.log(log_level::Warning,
-                  "attempt failed",
+                  "attempt_failed",
                   {requestIdField(work->request.traits.requestName), upstreamField(engine), {"reason", event.reason}, verdictField(event.outcome)});
     if (endIfLate(*work)) {
         return true;
--- a/src/core/service_flow.cpp
+++ b/src/core/service_flow.cpp
@@ -204,7 +204,7 @@
 void service_flow::fail(call &work, unsigned status, const std::string &code, const std::string &message)
 {
     m_context.log(log_level::Warning,
-                  "service call failed",
+                  "service_call_failed",
                   {requestIdField(work.request.traits.requestName), upstreamField(work.upstreamName), {"code", code}, verdictField(work.outcome)});
     // A time to come back would invite a second run of a call that may have run once.
     const bool mayRepeat = work.outcome == verdict::NotRun || work.idempotent;
