Only a second signal cuts requests: drains by several operators are one stop

Cause: any second stop counted as the order to end at once, so two operators who drained the same entry, or a drain followed by the platform's SIGTERM, cut every stream (the new test failed with may_have_run on all eight). Ruled out: making drain refuse a second call, since the signal after a drain is the usual way a VM ends. Change: a stop names its origin; only the second signal cuts. After: the test passes, and the core's state test, which sends repeated signals, is unchanged.

--- a/bench/heatherbench_control_relay.cpp
+++ b/bench/heatherbench_control_relay.cpp
@@ -39,7 +39,7 @@
     tcp::socket to;
 };
 
-asio::awaitable<void> pump(std::shared_ptr<relay_pair> pair, tcp::socket &source, tcp::socket &sink, std::shared_ptr<std::uint64_t> bytes)
+asio::awaitable<void> pump(std::shared_ptr<relay_pair> /*keepsAlive*/, tcp::socket &source, tcp::socket &sink, std::shared_ptr<std::uint64_t> bytes)
 {
     std::array<char, kBufferBytes> buffer{};
     while (true) {
--- a/include/heatherroute/core_event.h
+++ b/include/heatherroute/core_event.h
@@ -148,9 +148,17 @@
     bool done = false;
 };
 
-/// An operator or a signal asks for a graceful shutdown; a second one ends it at once.
+/// Who asks for a stop.
+enum class stop_origin {
+    Operator, ///< Through the operators' port; several operators may ask for the same stop.
+    Signal, ///< A signal to the process.
+};
+
+/// A graceful shutdown is asked for; a second signal cuts what still runs.
 struct stop_requested
-{ };
+{
+    stop_origin origin = stop_origin::Signal;
+};
 
 /// Time has passed. Sent every few milliseconds; carries the core's timers.
 struct tick
--- a/src/core/router_core.cpp
+++ b/src/core/router_core.cpp
@@ -142,10 +142,14 @@
         m_cancels.onFinished(event);
     }
 
-    void on(stop_requested &)
+    void on(stop_requested &event)
     {
+        const bool secondSignal = event.origin == stop_origin::Signal && m_stopSignalled;
+        m_stopSignalled = m_stopSignalled || event.origin == stop_origin::Signal;
+        if (secondSignal) {
+            cutAll("a second signal came");
+        }
         if (m_stopping) {
-            cutAll("a second stop was asked for");
             return;
         }
         m_stopping = true;
@@ -333,6 +337,7 @@
     generation_flow m_generations;
     service_flow m_services;
     bool m_stopping = false;
+    bool m_stopSignalled = false;
     bool m_ended = false;
     bool m_wasCutOff = true;
     instant m_summaryAt{};
--- a/src/node/operator_duty.cpp
+++ b/src/node/operator_duty.cpp
@@ -109,7 +109,7 @@
             co_return;
         }
         if (request.path() == "/admin/drain") {
-            co_await m_toCore.push(stop_requested{});
+            co_await m_toCore.push(stop_requested{stop_origin::Operator});
         } else {
             const auto level = parseLevel(request.query("level"));
             if (!level) {
--- a/tests/process_answers_test.cpp
+++ b/tests/process_answers_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/json/parse.hpp>
 
 #include <csignal>
+#include <functional>
 #include <thread>
 
 namespace
@@ -134,6 +135,33 @@
         return runs;
     }
 
+    /// Asks for a stop while streams run, and expects every one of them whole and exit code 0.
+    void stopUnderStreams(const std::function<void()> &askToStop)
+    {
+        constexpr std::size_t kStreams = 8;
+        std::vector<std::string> prompts;
+        std::vector<std::unique_ptr<event_stream>> streams;
+        std::vector<caller_view> views(kStreams);
+        for (std::size_t i = 0; i < kStreams; ++i) {
+            prompts.push_back("shop number " + std::to_string(i));
+            streams.push_back(openStream(entry(), prompts.back()));
+            ASSERT_TRUE(streams.back());
+            readTokens(*streams.back(), views[i], 1);
+        }
+        askToStop();
+        std::vector<std::thread> readers;
+        for (std::size_t i = 0; i < kStreams; ++i) {
+            readers.emplace_back([&streams, &views, i] { readToEnd(*streams[i], views[i]); });
+        }
+        for (std::thread &reader : readers) {
+            reader.join();
+        }
+        for (std::size_t i = 0; i < kStreams; ++i) {
+            expectWhole(views[i], prompts[i]);
+        }
+        EXPECT_EQ(entry().process->waitForEnd(kLimit), 0);
+    }
+
     std::unique_ptr<fleet> m_all;
 };
 
@@ -195,28 +223,16 @@
 
 TEST_F(answers, areFinishedBeforeAPlannedStopEnds)
 {
-    constexpr std::size_t kStreams = 8;
-    std::vector<std::string> prompts;
-    std::vector<std::unique_ptr<event_stream>> streams;
-    std::vector<caller_view> views(kStreams);
-    for (std::size_t i = 0; i < kStreams; ++i) {
-        prompts.push_back("shop number " + std::to_string(i));
-        streams.push_back(openStream(entry(), prompts.back()));
-        ASSERT_TRUE(streams.back());
-        readTokens(*streams.back(), views[i], 1);
-    }
-    entry().process->signal(SIGTERM);
-    std::vector<std::thread> readers;
-    for (std::size_t i = 0; i < kStreams; ++i) {
-        readers.emplace_back([&streams, &views, i] { readToEnd(*streams[i], views[i]); });
-    }
-    for (std::thread &reader : readers) {
-        reader.join();
-    }
-    for (std::size_t i = 0; i < kStreams; ++i) {
-        expectWhole(views[i], prompts[i]);
-    }
-    EXPECT_EQ(entry().process->waitForEnd(kLimit), 0);
+    stopUnderStreams([this] { entry().process->signal(SIGTERM); });
+}
+
+TEST_F(answers, completeWhenTwoOperatorsAndASignalAskForTheSameStop)
+{
+    stopUnderStreams([this] {
+        EXPECT_EQ(callHttp(entry().operators, "POST", "/admin/drain").status, 200U);
+        EXPECT_EQ(callHttp(entry().operators, "POST", "/admin/drain").status, 200U);
+        entry().process->signal(SIGTERM);
+    });
 }
 
 TEST_F(answers, moveOnWhenEnginesRefuseOrAreFull)
