Count a prompt's tokens once per placement

A prompt of tens of thousands of words was scanned twice each time a pair was chosen; the count is now taken once.

--- a/src/core/generation_flow.cpp
+++ b/src/core/generation_flow.cpp
@@ -83,8 +83,9 @@
 {
     engine_need need;
     need.model = work.request.model;
-    need.promptTokens = countTokens(work.request.prompt) + work.delivered;
-    need.totalTokens = countTokens(work.request.prompt) + work.request.maxTokens;
+    const std::uint32_t promptTokens = countTokens(work.request.prompt);
+    need.promptTokens = promptTokens + work.delivered;
+    need.totalTokens = promptTokens + work.request.maxTokens;
     need.priority = work.request.traits.priority.value_or(priority_class::Interactive);
     need.avoid = work.avoid;
     return need;
