--- a/tests/process_answers_test.cpp
+++ b/tests/process_answers_test.cpp
@@ -162,52 +162,39 @@
         EXPECT_EQ(entry().process->waitForEnd(kLimit), 0);
     }
 
+    /// Reads some tokens, lets the engine that makes them fail, and expects the whole answer and no memory left behind.
+    void completeAlthough(const std::string &prompt, std::uint32_t tokensBefore, const std::function<void(const std::string &engine)> &fail)
+    {
+        const auto stream = openStream(entry(), prompt);
+        ASSERT_TRUE(stream);
+        caller_view view;
+        readTokens(*stream, view, tokensBefore);
+        const std::string name = engineInUse();
+        ASSERT_FALSE(name.empty());
+        fail(name);
+        ASSERT_FALSE(HasFatalFailure());
+        readToEnd(*stream, view);
+        expectWhole(view, prompt);
+        EXPECT_TRUE(m_all->waitUntilEnginesAreFree(kMemoryFreeLimit));
+    }
+
     std::unique_ptr<fleet> m_all;
 };
 
 TEST_F(answers, completeAlthoughTheEngineIsKilledAfterItsFirstToken)
 {
-    const std::string prompt = "describe the pho stall by the river";
-    const auto stream = openStream(entry(), prompt);
-    ASSERT_TRUE(stream);
-    caller_view view;
-    readTokens(*stream, view, 1);
-    const std::string name = engineInUse();
-    ASSERT_FALSE(name.empty());
-    m_all->member(name).process->signal(SIGKILL);
-    readToEnd(*stream, view);
-    expectWhole(view, prompt);
-    EXPECT_TRUE(m_all->waitUntilEnginesAreFree(kMemoryFreeLimit));
+    completeAlthough("describe the pho stall by the river", 1, [this](const std::string &name) { m_all->member(name).process->signal(SIGKILL); });
 }
 
 TEST_F(answers, completeAlthoughAnEnginesStreamsGoSilent)
 {
-    const std::string prompt = "a family store with a long history";
-    const auto stream = openStream(entry(), prompt);
-    ASSERT_TRUE(stream);
-    caller_view view;
-    readTokens(*stream, view, 3);
-    const std::string name = engineInUse();
-    ASSERT_FALSE(name.empty());
-    ASSERT_TRUE(m_all->setFault(name, R"({"stall_streams":true})"));
-    readToEnd(*stream, view);
-    expectWhole(view, prompt);
-    EXPECT_TRUE(m_all->waitUntilEnginesAreFree(kMemoryFreeLimit));
+    completeAlthough(
+        "a family store with a long history", 3, [this](const std::string &name) { ASSERT_TRUE(m_all->setFault(name, R"({"stall_streams":true})")); });
 }
 
 TEST_F(answers, completeOverANewConnectionWhenTheOldOneGoesSilent)
 {
-    const std::string prompt = "silk and linen, cut to size";
-    const auto stream = openStream(entry(), prompt);
-    ASSERT_TRUE(stream);
-    caller_view view;
-    readTokens(*stream, view, 3);
-    const std::string name = engineInUse();
-    ASSERT_FALSE(name.empty());
-    ASSERT_TRUE(m_all->setFault(name, R"({"silent":true})"));
-    readToEnd(*stream, view);
-    expectWhole(view, prompt);
-    EXPECT_TRUE(m_all->waitUntilEnginesAreFree(kMemoryFreeLimit));
+    completeAlthough("silk and linen, cut to size", 3, [this](const std::string &name) { ASSERT_TRUE(m_all->setFault(name, R"({"silent":true})")); });
 }
 
 TEST_F(answers, leaveNoMemoryHeldWhenTheCallerCloses)
