--- a/apps/heatherrouted.cpp
+++ b/apps/heatherrouted.cpp
@@ -8,7 +8,10 @@
 #include <vector>
 
 #include "heatherroute/entry_node.h"
+#include "heatherroute/relay_node.h"
 #include "heatherroute/settings.h"
+#include "platform/dialect.h"
+#include "platform/store_client.h"
 #include "telemetry/log.h"
 
 namespace
@@ -49,11 +52,29 @@
     return node->run();
 }
 
+/// Serves as a relay on the users' platform.
+int relay(const entry_settings &settings)
+{
+    heatherroute::configureLogging(settings.log());
+    heatherroute::last_reason reason;
+    const auto store = heatherroute::net::parseEndpoint(settings.platform().log);
+    if (!store) {
+        std::cerr << "heatherrouted: platform.log must be IP:port\n";
+        return kExitFailure;
+    }
+    const auto node = heatherroute::relay_node::make(settings, heatherroute::platform::makeDialect(), heatherroute::platform::makeStore(*store), &reason);
+    if (!node) {
+        std::cerr << "heatherrouted: " << reason.text() << '\n';
+        return kExitFailure;
+    }
+    return node->run();
+}
+
 int run(int argc, char **argv)
 {
     cxxopts::Options options("heatherrouted", "An entry of heatherroute: routes callers' requests to prefill and decode engines and plain services.");
     options.add_options()("h,help", "print this text")("version", "print the version")("settings", "the settings file (YAML)", cxxopts::value<std::string>())(
-        "check-settings", "check the settings file and end");
+        "check-settings", "check the settings file and end")("relay", "relay opaque requests on a platform with a store of its own");
     const cxxopts::ParseResult arguments = options.parse(argc, argv);
     if (arguments.count("help") > 0) {
         std::cout << options.help();
@@ -71,7 +92,10 @@
     if (!settings) {
         return kExitFaulty;
     }
-    return arguments.count("check-settings") > 0 ? kExitSuccess : serve(*settings);
+    if (arguments.count("check-settings") > 0) {
+        return kExitSuccess;
+    }
+    return arguments.count("relay") > 0 ? relay(*settings) : serve(*settings);
 }
 
 } // namespace
--- a/include/heatherroute/settings.h
+++ b/include/heatherroute/settings.h
@@ -20,12 +20,20 @@
     Json, ///< One JSON object.
 };
 
+/// Where log lines go.
+enum class log_output {
+    StandardError,
+    StandardOutput,
+};
+
 /// Local addresses as `IP:port`; port 0 lets the kernel choose one.
 struct listen_settings
 {
     std::string callers;
     std::string operators;
     std::string peers; ///< Both UDP and TCP.
+    std::optional<std::string> readiness; ///< Where the platform asks whether the entry takes callers.
+    std::optional<std::string> directory; ///< Where callers ask which entries to use.
 
     bool operator==(const listen_settings &) const = default;
 };
@@ -73,11 +81,12 @@
     bool operator==(const target_settings &) const = default;
 };
 
-/// What the entry writes to standard error.
+/// What the entry logs.
 struct log_settings
 {
     log_level level = log_level::Info; ///< The least severity of the lines written.
     log_format format = log_format::KeyValue;
+    log_output output = log_output::StandardError;
 
     bool operator==(const log_settings &) const = default;
 };
@@ -93,6 +102,19 @@
     bool operator==(const membership_timing &) const = default;
 };
 
+/// How requests are relayed on a platform with a store of its own.
+struct relay_settings
+{
+    double retryShare = 0; ///< Repeats per request of a service within the window.
+    double retrySlack = 0; ///< Repeats of the whole fleet beside that within the window.
+    double retryWindowS = 0;
+    double stopGraceS = 0; ///< From the signal to stop until the platform ends the process.
+    double leaseMs = 0; ///< How long the right to give orders lasts without renewal.
+    double thawMs = 0; ///< How long orders may still arrive after their sender woke up.
+
+    bool operator==(const relay_settings &) const = default;
+};
+
 /// How the entry follows the configuration stream.
 struct config_settings
 {
@@ -124,6 +146,7 @@
     placement_kind placement = placement_kind::OwnerGrants;
     membership_timing membership;
     config_settings config;
+    relay_settings relay;
     std::optional<std::uint64_t> seed;
 
     bool operator==(const entry_values &) const = default;
@@ -208,7 +231,7 @@
     {
         return m_values.stopLimit;
     }
-    /// What the entry writes to standard error.
+    /// What the entry logs.
     const log_settings &log() const noexcept
     {
         return m_values.log;
@@ -228,6 +251,11 @@
     {
         return m_values.config;
     }
+    /// How requests are relayed on a platform with a store of its own.
+    const relay_settings &relay() const noexcept
+    {
+        return m_values.relay;
+    }
     /// The seed of the entry's random choices; empty means that it is taken from the system.
     std::optional<std::uint64_t> seed() const noexcept
     {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,6 +1,9 @@
 #include "net/http_client.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -29,34 +32,60 @@
 public:
     exchange(const asio::any_io_executor &executor, http_call call)
         : m_stream(executor)
+        , m_timer(executor)
         , m_call(std::move(call))
     { }
 
     asio::awaitable<http_result> run(body_hook onBody) override
+    {
+        head_hook onHead = [streams = static_cast<bool>(onBody)](const http_answer &head) -> asio::awaitable<bool> {
+            co_return streams &&head.status < kFirstErrorStatus;
+        };
+        co_return co_await run(std::move(onHead), std::move(onBody));
+    }
+
+    asio::awaitable<http_result> run(head_hook onHead, body_hook onBody) override
     {
         const auto self = shared_from_this();
         beast::error_code error;
-        m_stream.expires_after(m_call.progressTimeout);
+        arm(m_call.connectTimeout.count() > 0 ? m_call.connectTimeout : m_call.progressTimeout);
         co_await m_stream.async_connect(m_call.endpoint, asio::redirect_error(asio::use_awaitable, error));
-        if (error || m_cancelled) {
+        if (error || m_cancelled || m_timedOut) {
             co_return failed(verdict::NotRun, "connect", error);
         }
         m_stream.socket().set_option(tcp::no_delay(true), error);
-        co_await writeRequest(error);
-        if (error) {
-            co_return failed(m_wroteAny ? verdict::MayHaveRun : verdict::NotRun, "write", error);
-        }
-        co_return co_await readAnswer(onBody);
+        arm(m_call.progressTimeout);
+        // An upstream may answer before it has read the whole request, so both directions go on at once.
+        asio::co_spawn(m_stream.get_executor(), writeRequest(self), asio::detached);
+        co_return co_await readAnswer(onHead, onBody);
     }
 
     void cancel() override
     {
         m_cancelled = true;
-        m_stream.close();
+        close();
     }
 
 private:
-    asio::awaitable<void> writeRequest(beast::error_code &error)
+    void arm(std::chrono::milliseconds timeout)
+    {
+        m_timer.expires_after(timeout);
+        m_timer.async_wait([weak = weak_from_this(), this](const beast::error_code &error) {
+            const auto self = weak.lock();
+            if (!error && self) {
+                m_timedOut = true;
+                m_stream.close();
+            }
+        });
+    }
+
+    void close()
+    {
+        m_timer.cancel();
+        m_stream.close();
+    }
+
+    http::request<http::string_body> makeMessage()
     {
         http::request<http::string_body> message;
         message.method_string(m_call.method);
@@ -64,44 +93,56 @@
         message.version(11);
         message.set(http::field::host, m_call.endpoint.address().to_string() + ":" + std::to_string(m_call.endpoint.port()));
         for (const http_field &field : m_call.fields) {
-            message.set(field.name, field.value);
+            if (beast::iequals(field.name, "host")) {
+                message.set(field.name, field.value);
+            } else {
+                message.insert(field.name, field.value);
+            }
         }
-        if (!m_call.body.empty()) {
+        if (!m_call.body.empty() && !m_call.contentType.empty()) {
             message.set(http::field::content_type, m_call.contentType);
-            message.body() = std::move(m_call.body);
         }
+        message.body() = std::move(m_call.body);
         message.keep_alive(false);
         message.prepare_payload();
+        return message;
+    }
+
+    asio::awaitable<void> writeRequest(std::shared_ptr<http_exchange> /*self*/)
+    {
+        const http::request<http::string_body> message = makeMessage();
         http::request_serializer<http::string_body> serializer{message};
-        while (!error && !serializer.is_done()) {
-            m_stream.expires_after(m_call.progressTimeout);
+        beast::error_code error;
+        while (!error && !serializer.is_done() && !m_ended) {
             const std::size_t count = co_await http::async_write_some(m_stream, serializer, asio::redirect_error(asio::use_awaitable, error));
             m_wroteAny = m_wroteAny || count > 0;
         }
     }
 
-    asio::awaitable<http_result> readAnswer(const body_hook &onBody)
+    asio::awaitable<http_result> readAnswer(const head_hook &onHead, const body_hook &onBody)
     {
         http::response_parser<http::buffer_body> parser;
         parser.body_limit(m_call.maxAnswerBytes);
         beast::error_code error;
-        m_stream.expires_after(m_call.progressTimeout);
         co_await http::async_read_header(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error) {
-            co_return failed(verdict::MayHaveRun, "read head", error);
+            co_return failed(m_wroteAny ? verdict::MayHaveRun : verdict::NotRun, "read head", error);
         }
         http_answer answer = headOf(parser.get());
-        const bool streamed = onBody && answer.status < kFirstErrorStatus;
+        arm(m_call.progressTimeout);
+        const bool streamed = co_await onHead(answer);
         while (!parser.is_done()) {
             std::array<char, kBodyChunkBytes> chunk{};
             parser.get().body().data = chunk.data();
             parser.get().body().size = chunk.size();
-            m_stream.expires_after(m_call.progressTimeout);
             co_await http::async_read_some(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
             if (error == http::error::need_buffer) {
                 error = {};
             }
             const std::string_view piece(chunk.data(), chunk.size() - parser.get().body().size);
+            if (!piece.empty()) {
+                arm(m_call.progressTimeout);
+            }
             if (streamed && !m_cancelled && !piece.empty()) {
                 co_await onBody(piece);
             } else if (!streamed) {
@@ -111,7 +152,8 @@
                 co_return failed(verdict::MayHaveRun, "read body", error);
             }
         }
-        m_stream.close();
+        m_ended = true;
+        close();
         co_return http_result{std::move(answer), {}};
     }
 
@@ -128,18 +170,26 @@
 
     http_result failed(verdict outcome, std::string_view step, const beast::error_code &error)
     {
-        m_stream.close();
+        m_ended = true;
+        close();
         std::string reason(step);
         reason += ": ";
-        reason += m_cancelled ? std::string("cancelled") : error.message();
-        return {std::nullopt, {outcome, std::move(reason)}};
+        if (m_cancelled) {
+            reason += "cancelled";
+        } else {
+            reason += m_timedOut ? std::string("timeout") : error.message();
+        }
+        return {std::nullopt, {outcome, std::move(reason)}, m_timedOut};
     }
 
     beast::tcp_stream m_stream;
+    asio::steady_timer m_timer;
     beast::flat_buffer m_buffer;
     http_call m_call;
     bool m_wroteAny = false;
     bool m_cancelled = false;
+    bool m_timedOut = false;
+    bool m_ended = false;
 };
 
 } // namespace
@@ -153,7 +203,7 @@
 {
     const auto executor = co_await asio::this_coro::executor;
     const auto exchange = http_exchange::make(executor, std::move(call));
-    co_return co_await exchange->run({});
+    co_return co_await exchange->run(http_exchange::body_hook{});
 }
 
 std::optional<tcp::endpoint> parseEndpoint(std::string_view text)
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <cctype>
 #include <optional>
+#include <set>
 
 namespace heatherroute::net
 {
@@ -151,10 +152,11 @@
 class responder : public http_responder
 {
 public:
-    responder(beast::tcp_stream &stream, const http_limits &limits, bool keepAlive, std::shared_ptr<close_watch> watch)
+    responder(beast::tcp_stream &stream, const http_limits &limits, bool keepAlive, const bool &draining, std::shared_ptr<close_watch> watch)
         : m_stream(stream)
         , m_limits(limits)
         , m_keepAlive(keepAlive)
+        , m_draining(draining)
         , m_watch(std::move(watch))
     { }
 
@@ -236,10 +238,13 @@
     template<typename Message>
     void setHead(Message &message, const http_answer &answer)
     {
-        message.set(http::field::content_type, answer.contentType);
+        if (!answer.contentType.empty()) {
+            message.set(http::field::content_type, answer.contentType);
+        }
         for (const http_field &field : answer.fields) {
-            message.set(field.name, field.value);
+            message.insert(field.name, field.value);
         }
+        m_keepAlive = m_keepAlive && !m_draining;
         message.keep_alive(m_keepAlive);
     }
 
@@ -255,6 +260,7 @@
     beast::tcp_stream &m_stream;
     const http_limits &m_limits;
     bool m_keepAlive;
+    const bool &m_draining;
     std::shared_ptr<close_watch> m_watch;
     bool m_sent = false;
     bool m_complete = false;
@@ -271,7 +277,10 @@
 
 } // namespace
 
-std::string_view http_request::header(std::string_view name) const noexcept
+namespace
+{
+
+std::string_view valueOf(const std::vector<http_field> &fields, std::string_view name) noexcept
 {
     for (const http_field &field : fields) {
         if (equalsIgnoringCase(field.name, name)) {
@@ -281,6 +290,18 @@
     return {};
 }
 
+} // namespace
+
+std::string_view http_request::header(std::string_view name) const noexcept
+{
+    return valueOf(fields, name);
+}
+
+std::string_view http_answer::header(std::string_view name) const noexcept
+{
+    return valueOf(fields, name);
+}
+
 std::string_view http_request::path() const noexcept
 {
     const std::string_view whole = target;
@@ -352,6 +373,20 @@
         m_acceptor.close(ignored);
     }
 
+    void setLimits(const http_limits &limits)
+    {
+        m_limits = limits;
+    }
+
+    void drain()
+    {
+        m_draining = true;
+        for (tcp::socket *socket : m_idle) {
+            beast::error_code ignored;
+            socket->cancel(ignored);
+        }
+    }
+
 private:
     static asio::awaitable<void> accept(std::shared_ptr<impl> self)
     {
@@ -423,7 +458,9 @@
         read_deadline deadline(stream.socket());
         if (buffer.size() == 0) {
             deadline.arm(m_limits.idleTimeout);
+            m_idle.insert(&stream.socket());
             const std::size_t count = co_await stream.async_read_some(buffer.prepare(kFirstReadBytes), asio::redirect_error(asio::use_awaitable, error));
+            m_idle.erase(&stream.socket());
             buffer.commit(count);
             if (error) {
                 co_return false;
@@ -431,6 +468,9 @@
         }
         deadline.arm(m_limits.headerTimeout);
         co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (!error && hasAmbiguousLength(parser)) {
+            error = http::error::bad_transfer_encoding;
+        }
         if (!error) {
             co_await acceptExpectation(stream, parser, error);
         }
@@ -446,6 +486,13 @@
         co_return co_await answer(stream, parser.release(), remoteAddress, mayKeepAlive);
     }
 
+    /// Whether two readers could disagree on where the body ends, which lets one request hide inside another.
+    static bool hasAmbiguousLength(const http::request_parser<http::string_body> &parser)
+    {
+        const auto &head = parser.get();
+        return head.count(http::field::transfer_encoding) > 0 && !parser.chunked();
+    }
+
     /// Invites the body of a request that asked first.
     asio::awaitable<void> acceptExpectation(beast::tcp_stream &stream, http::request_parser<http::string_body> &parser, beast::error_code &error)
     {
@@ -468,14 +515,14 @@
     asio::awaitable<void> sendRefusal(beast::tcp_stream &stream, unsigned status, std::string reason)
     {
         auto watch = std::make_shared<close_watch>();
-        responder out(stream, m_limits, false, watch);
+        responder out(stream, m_limits, false, m_draining, watch);
         co_await out.send(m_badRequest(status, reason));
     }
 
     asio::awaitable<bool> answer(beast::tcp_stream &stream, http::request<http::string_body> message, const std::string &remoteAddress, bool mayKeepAlive)
     {
         auto watch = std::make_shared<close_watch>();
-        responder out(stream, m_limits, mayKeepAlive && message.keep_alive(), watch);
+        responder out(stream, m_limits, mayKeepAlive && message.keep_alive(), m_draining, watch);
         asio::co_spawn(m_context, watchForClose(stream.socket(), watch), asio::detached);
         co_await m_handler(takeRequest(std::move(message), remoteAddress), out);
         watch->active = false;
@@ -489,8 +536,10 @@
     http_limits m_limits;
     http_handler m_handler;
     http_bad_request_handler m_badRequest;
+    std::set<tcp::socket *> m_idle; ///< Sockets that wait for the first byte of a request.
     std::size_t m_connections = 0;
     std::size_t m_refusals = 0;
+    bool m_draining = false;
 };
 
 std::unique_ptr<http_server> http_server::make(asio::io_context &context,
@@ -531,4 +580,14 @@
     m_impl->stopAccepting();
 }
 
+void http_server::setLimits(const http_limits &limits)
+{
+    m_impl->setLimits(limits);
+}
+
+void http_server::drain()
+{
+    m_impl->drain();
+}
+
 } // namespace heatherroute::net
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -63,8 +63,10 @@
 {
     unsigned status = 200;
     std::string body;
-    std::string contentType = "application/json";
-    std::vector<http_field> fields;
+    std::string contentType = "application/json"; ///< Not sent when empty.
+    std::vector<http_field> fields; ///< Sent in this order; names may repeat.
+    /// The value of header @p name, compared without regard to case; empty when absent.
+    std::string_view header(std::string_view name) const noexcept;
     bool operator==(const http_answer &) const = default;
 };
 
@@ -128,6 +130,10 @@
     std::size_t connectionCount() const noexcept;
     /// Stops accepting; open exchanges go on.
     void stopAccepting();
+    /// Replaces the limits on sizes and times; exchanges that have begun keep the earlier ones in part.
+    void setLimits(const http_limits &limits);
+    /// Ends idle connections and tells the peers of all others to close them. New connections are still accepted.
+    void drain();
 
 private:
     class impl;
--- /dev/null
+++ b/src/node/phase_orders.cpp
@@ -0,0 +1,85 @@
+#include "node/phase_orders.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "node/boot_clock.h"
+#include "node/relay_call.h"
+
+namespace heatherroute::node
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+std::string nameOf(engine_phase phase)
+{
+    return phase == engine_phase::Prefill ? "prefill" : "decode";
+}
+
+} // namespace
+
+phase_orders::phase_orders(relay_state &state, std::chrono::milliseconds takeOverWait)
+    : m_state(state)
+    , m_takeOverWait(takeOverWait)
+{ }
+
+void phase_orders::setLease(const lease_changed &lease)
+{
+    m_lease = lease;
+}
+
+bool phase_orders::mayOrder() const
+{
+    const std::int64_t now = bootMilliseconds();
+    return m_lease.holds && now < m_lease.validUntilMs && now >= m_lease.heldSinceMs + m_takeOverWait.count();
+}
+
+void phase_orders::advance(instant now)
+{
+    if (!mayOrder() || !m_state.routes || !m_pending.empty()) {
+        return;
+    }
+    for (const auto &[name, spec] : m_state.routes->services()) {
+        const std::vector<const registration *> engines = spec.engine ? m_state.registry.usable(name) : std::vector<const registration *>{};
+        if (engines.empty()) {
+            continue;
+        }
+        phase_planner &planner = m_state.planners.try_emplace(name, phase_planner::make({})).first->second;
+        const auto move = planner.plan(now, engines, m_state.desk.loads());
+        const registration *run = move ? m_state.registry.find(move->id) : nullptr;
+        if (run != nullptr) {
+            m_pending.insert(run->id);
+            asio::co_spawn(m_state.executor, order(*run, move->to), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> phase_orders::order(registration run, engine_phase to)
+{
+    net::http_call ask = aimedAt(m_state, run, m_state.dialect.makeReportCall(run.id), m_state.timing.engineCallTimeout);
+    const net::http_result told = co_await net::performCall(std::move(ask));
+    const auto report = told.answer ? m_state.dialect.readReport(*told.answer) : std::nullopt;
+    std::string outcome = "no_report";
+    const std::uint64_t token = m_lease.fencingToken;
+    // The lease is looked at again, as the report took its time.
+    if (report && !report->busy && report->phase != to && mayOrder()) {
+        phase_order given;
+        given.instance = run.id;
+        given.phase = to;
+        given.holder = m_state.entryName;
+        given.fencingToken = token;
+        given.expectedOrders = report->ordersAccepted;
+        net::http_call call = aimedAt(m_state, run, m_state.dialect.makePhaseOrder(given), m_state.timing.engineCallTimeout);
+        const net::http_result result = co_await net::performCall(std::move(call));
+        outcome = result.answer ? "status_" + std::to_string(result.answer->status) : result.failure.reason;
+    } else if (report) {
+        outcome = report->busy ? "busy" : "not_needed";
+    }
+    m_pending.erase(run.id);
+    m_state.log(log_level::Info, "phase_ordered", {upstreamField(run.id), {"to", nameOf(to)}, {"fencing_token", std::to_string(token)}, {"outcome", outcome}});
+}
+
+} // namespace heatherroute::node
--- /dev/null
+++ b/src/node/relay_call.cpp
@@ -0,0 +1,188 @@
+#include "node/relay_call.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace heatherroute::node
+{
+
+namespace asio = boost::asio;
+using net::http_answer;
+using net::http_call;
+using net::http_exchange;
+using net::http_result;
+
+namespace
+{
+
+/// Time of a request whose caller names none, on a route without a timeout.
+constexpr duration kDefaultTime = std::chrono::seconds(30);
+
+std::chrono::milliseconds toMilliseconds(duration value)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value);
+}
+
+} // namespace
+
+void relay_call::shared_state::interrupt() const
+{
+    if (exchange) {
+        exchange->cancel();
+    }
+    if (waiting != nullptr) {
+        waiting->cancel();
+    }
+}
+
+relay_call::relay_call(relay_state &state, net::http_request request, net::http_responder &responder)
+    : m_state(state)
+    , m_request(std::move(request))
+    , m_facts(state.dialect.readRequest(m_request))
+    , m_responder(responder)
+    , m_routes(state.routes)
+    , m_startedAt(coreNow())
+    , m_deadline(m_startedAt + kDefaultTime)
+    , m_shared(std::make_shared<shared_state>())
+    , m_timer(state.executor)
+{
+    m_responder.onClosed([shared = m_shared] {
+        shared->gone = true;
+        shared->interrupt();
+    });
+    m_shared->gone = m_responder.isClosed();
+}
+
+relay_call::~relay_call()
+{
+    m_responder.onClosed({});
+    m_timer.cancel();
+}
+
+void relay_call::begin(const route &matched)
+{
+    m_route = &matched;
+    duration time = m_facts.timeLeft.value_or(kDefaultTime);
+    if (matched.timeout.count() > 0) {
+        time = std::min<duration>(time, matched.timeout);
+    }
+    m_deadline = m_startedAt + time;
+    m_timer.expires_after(std::max(time, duration::zero()));
+    m_timer.async_wait([shared = m_shared](const boost::system::error_code &error) {
+        if (!error) {
+            shared->late = true;
+            shared->interrupt();
+        }
+    });
+}
+
+duration relay_call::timeLeft() const
+{
+    return std::max(m_deadline - coreNow(), duration::zero());
+}
+
+duration relay_call::age() const
+{
+    return coreNow() - m_startedAt;
+}
+
+asio::awaitable<http_result> relay_call::perform(const registration &run, http_call call)
+{
+    const auto collect = [](const http_answer &) -> asio::awaitable<bool> { co_return false; };
+    const auto ignore = [](std::string_view) -> asio::awaitable<void> { co_return; };
+    co_return co_await perform(run, std::move(call), collect, ignore);
+}
+
+asio::awaitable<http_result> relay_call::perform(const registration &run, http_call call, http_exchange::head_hook onHead, http_exchange::body_hook onBody)
+{
+    if (isOver()) {
+        co_return http_result{std::nullopt, {verdict::NotRun, "the request is over"}, false};
+    }
+    const auto endpoint = net::parseEndpoint(run.address);
+    if (!endpoint) {
+        co_return http_result{std::nullopt, {verdict::NotRun, "not an address: " + run.address}, false};
+    }
+    call.endpoint = *endpoint;
+    const auto exchange = http_exchange::make(m_state.executor, std::move(call));
+    m_shared->exchange = exchange;
+    http_result result = co_await exchange->run(std::move(onHead), std::move(onBody));
+    m_shared->exchange.reset();
+    co_return result;
+}
+
+http_call relay_call::forward(const upstream_directions &directions) const
+{
+    http_call call;
+    call.method = m_request.method;
+    call.target = m_request.target;
+    call.body = m_request.body;
+    call.contentType.clear();
+    call.fields = m_state.dialect.upstreamFields(m_request, directions);
+    call.connectTimeout = m_state.timing.connectTimeout;
+    call.progressTimeout = std::max(toMilliseconds(timeLeft()), m_state.timing.leastTime);
+    return call;
+}
+
+asio::awaitable<void> relay_call::wait(std::chrono::milliseconds time)
+{
+    if (isOver()) {
+        co_return;
+    }
+    asio::steady_timer timer(m_state.executor, time);
+    m_shared->waiting = &timer;
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    m_shared->waiting = nullptr;
+}
+
+asio::awaitable<void> relay_call::refuse(unsigned status, std::string code, std::optional<duration> retryAfter)
+{
+    http_answer answer;
+    answer.status = status;
+    answer.fields = m_state.dialect.refusalFields(m_facts.id, retryAfter);
+    answer.body = "{\"error\":\"" + code + "\"}";
+    co_await m_responder.send(std::move(answer));
+}
+
+asio::awaitable<void> relay_call::pass(http_answer answer)
+{
+    answer.fields = m_state.dialect.callerFields(answer);
+    answer.contentType.clear();
+    co_await m_responder.send(std::move(answer));
+}
+
+void relay_call::finish(const relay_end &end)
+{
+    const std::string kind = m_route == nullptr ? "unrouted" : std::string(toString(m_route->kind));
+    const double seconds = std::chrono::duration<double>(age()).count();
+    m_state.metrics.counter("heatherroute_requests_total", "Requests of callers by end.", {{"kind", kind}, {"outcome", end.outcome}}).value += 1;
+    m_state.metrics.histogram("heatherroute_request_seconds", "Time from a request's arrival to its end.", exponentialBounds(0.005, 2.0, 12), {{"kind", kind}})
+        .observe(seconds);
+    m_state.log(end.outcome == "answered" ? log_level::Info : log_level::Warning,
+                "request_ended",
+                {requestIdField(m_facts.id),
+                 {"kind", kind},
+                 {"route", m_route == nullptr ? m_facts.path : m_route->name},
+                 {"config_version", m_routes ? std::to_string(m_routes->version()) : "none"},
+                 {"outcome", end.outcome},
+                 {"status", std::to_string(end.status)},
+                 {"reason", end.reason},
+                 verdictField(end.ran),
+                 upstreamField(end.upstream),
+                 {"took_ms", std::to_string(toMilliseconds(age()).count())},
+                 {"left_ms", std::to_string(toMilliseconds(timeLeft()).count())}});
+}
+
+http_call aimedAt(const relay_state &state, const registration &run, http_call call, std::chrono::milliseconds timeout)
+{
+    if (const auto endpoint = net::parseEndpoint(run.address)) {
+        call.endpoint = *endpoint;
+    }
+    call.connectTimeout = std::min(state.timing.connectTimeout, timeout);
+    call.progressTimeout = timeout;
+    return call;
+}
+
+} // namespace heatherroute::node
--- /dev/null
+++ b/src/node/relay_duty.cpp
@@ -0,0 +1,442 @@
+#include "node/relay_duty.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "core/entry_directory.h"
+#include "net/http_server.h"
+#include "node/boot_clock.h"
+#include "node/phase_orders.h"
+#include "node/plain_relay.h"
+#include "node/relay_call.h"
+#include "node/stream_relay.h"
+
+namespace heatherroute::node
+{
+
+namespace asio = boost::asio;
+using net::http_answer;
+using net::http_request;
+using net::http_responder;
+using net::http_server;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds kTickInterval{100};
+/// How long callers may keep the directory's answer.
+constexpr std::chrono::seconds kDirectoryLifetime{3};
+/// Entries of the caller's zone below which others are named too, so that one loss leaves a choice.
+constexpr std::size_t kEnoughNearEntries = 2;
+constexpr std::size_t kMostEntriesNamed = 64;
+/// Entries that compete for the right to give orders.
+constexpr std::size_t kLeaseCandidates = 2;
+/// After the signal to stop: when idle connections of callers are ended.
+constexpr std::chrono::milliseconds kDrainAfter{600};
+/// After the signal to stop: the earliest end, so that callers whose answer of the directory still names this entry are served.
+constexpr std::chrono::milliseconds kLeastStop{3'000};
+/// Before the end of the grace: when what still runs is cut.
+constexpr std::chrono::milliseconds kStopMargin{500};
+/// How long callers should stay away from an entry that knows no configuration yet.
+constexpr duration kStartingWait = std::chrono::milliseconds(400);
+constexpr unsigned kStatusOk = 200;
+constexpr unsigned kStatusNotFound = 404;
+constexpr unsigned kStatusUnavailable = 503;
+constexpr std::uint32_t kFullLoadPermille = 1000;
+/// Bytes of a body and of a head before a configuration sets the limits.
+constexpr std::size_t kDefaultBodyBytes = std::size_t{4} * 1024 * 1024;
+constexpr std::size_t kDefaultHeaderBytes = std::size_t{16} * 1024;
+/// Idle connections are kept for a little longer than callers were told, so that a request doesn't cross their end.
+constexpr std::chrono::milliseconds kIdleMargin{2'000};
+/// Of health checks: how long one may take.
+constexpr std::chrono::milliseconds kProbeTimeout{500};
+
+} // namespace
+
+class relay_duty::impl
+{
+public:
+    impl(asio::io_context &context,
+         relay_duty_settings settings,
+         platform_dialect dialect,
+         channel<member_event> &toMembers,
+         channel<store_event> &toStore,
+         std::function<void(log_line)> log)
+        : m_context(context)
+        , m_settings(std::move(settings))
+        , m_state(context.get_executor(), std::move(dialect), m_settings.retries, m_settings.seed)
+        , m_orders(m_state, m_settings.takeOverWait)
+        , m_toMembers(toMembers)
+        , m_toStore(toStore)
+        , m_tick(context)
+        , m_stopTimer(context)
+    {
+        m_state.writeLog = std::move(log);
+        m_state.entryName = m_settings.entryName;
+    }
+
+    bool open(last_reason *reason)
+    {
+        const auto bad = [](unsigned status, std::string_view why) {
+            http_answer answer;
+            answer.status = status;
+            answer.body = "{\"error\":\"" + std::string(why) + "\"}";
+            return answer;
+        };
+        m_limits.maxHeaderBytes = kDefaultHeaderBytes;
+        m_limits.maxBodyBytes = kDefaultBodyBytes;
+        const auto serveCaller = [this](http_request request, http_responder &responder) { return serve(std::move(request), responder); };
+        const auto serveReadiness = [this](http_request request, http_responder &responder) { return answerReadiness(std::move(request), responder); };
+        const auto serveDirectory = [this](http_request request, http_responder &responder) { return answerDirectory(std::move(request), responder); };
+        m_callers = http_server::make(m_context, m_settings.callers, m_limits, serveCaller, bad, reason);
+        m_readiness = m_callers ? http_server::make(m_context, m_settings.readiness, {}, serveReadiness, bad, reason) : nullptr;
+        m_directory = m_readiness ? http_server::make(m_context, m_settings.directory, {}, serveDirectory, bad, reason) : nullptr;
+        return m_directory != nullptr;
+    }
+
+    void start()
+    {
+        asio::post(m_context, [this] { tick(); });
+    }
+
+    void take(relay_event event)
+    {
+        std::visit([this](auto &typed) { on(typed); }, event);
+    }
+
+    void stop(std::function<void()> onStopped)
+    {
+        m_stoppingSince = coreNow();
+        m_onStopped = std::move(onStopped);
+        m_state.log(log_level::Info, "stopping", {{"in_flight", std::to_string(m_inFlight)}});
+        tell(m_toMembers, member_event(members_leave{}));
+        tell(m_toStore, store_event(store_stop{}));
+        checkStopped();
+    }
+
+    metrics_snapshot metrics() const
+    {
+        return m_state.metrics.snapshot();
+    }
+
+private:
+    bool isReady() const
+    {
+        return m_state.routes != nullptr && m_state.registry.isComplete() && !m_stoppingSince;
+    }
+
+    // Callers.
+
+    asio::awaitable<void> serve(http_request request, http_responder &responder)
+    {
+        ++m_inFlight;
+        relay_call call(m_state, std::move(request), responder);
+        co_await route(call);
+        --m_inFlight;
+    }
+
+    asio::awaitable<void> route(relay_call &call)
+    {
+        if (!m_state.routes || !m_state.registry.isComplete()) {
+            const auto back = returnAfter(m_state.returns, kStartingWait, call.facts().timeLeft.value_or(kStartingWait * 3), m_state.draw());
+            co_await call.refuse(kStatusUnavailable, "starting", back);
+            call.finish({"refused", kStatusUnavailable, "this entry has no configuration yet", verdict::NotRun, ""});
+            co_return;
+        }
+        const heatherroute::route *matched = m_state.routes->find(call.facts().host, call.facts().path);
+        if (matched == nullptr) {
+            co_await call.refuse(kStatusNotFound, "no route", std::nullopt);
+            call.finish({"refused", kStatusNotFound, "no route for " + call.facts().host + call.facts().path, verdict::NotRun, ""});
+            co_return;
+        }
+        call.begin(*matched);
+        if (matched->generates) {
+            co_await relayStream(call);
+        } else {
+            co_await relayPlain(call);
+        }
+    }
+
+    // The platform and callers that look for entries.
+
+    asio::awaitable<void> answerReadiness(http_request request, http_responder &responder)
+    {
+        const bool known = m_state.dialect.isReadinessQuestion(request);
+        http_answer answer;
+        answer.status = known ? (isReady() ? kStatusOk : kStatusUnavailable) : kStatusNotFound;
+        co_await responder.send(std::move(answer));
+    }
+
+    asio::awaitable<void> answerDirectory(http_request request, http_responder &responder)
+    {
+        const auto query = m_state.dialect.readEntryQuery(request);
+        http_answer answer;
+        if (query) {
+            answer = m_state.dialect.makeEntryAnswer(entriesNear(query->zone), kDirectoryLifetime);
+        } else {
+            answer.status = kStatusNotFound;
+        }
+        co_await responder.send(std::move(answer));
+    }
+
+    std::vector<std::string> entriesNear(const std::string &zone)
+    {
+        member self;
+        self.id.name = m_settings.entryName;
+        self.callerAddress = m_settings.callerAddress;
+        self.zone = m_settings.zone;
+        std::vector<const member *> known;
+        for (const member &other : m_others) {
+            known.push_back(&other);
+        }
+        if (isReady()) {
+            known.push_back(&self);
+        }
+        std::vector<std::string> near;
+        std::vector<std::string> all;
+        for (const member *one : known) {
+            if (one->state != member_state::Alive) {
+                continue;
+            }
+            all.push_back(one->callerAddress);
+            if (one->zone == zone) {
+                near.push_back(one->callerAddress);
+            }
+        }
+        std::vector<std::string> named = near.size() >= kEnoughNearEntries ? near : all;
+        std::shuffle(named.begin(), named.end(), m_state.random);
+        named.resize(std::min(named.size(), kMostEntriesNamed));
+        return named;
+    }
+
+    // Other duties.
+
+    void on(routes_read &event)
+    {
+        if (m_state.routes && event.routes->version() <= m_state.routes->version()) {
+            return;
+        }
+        m_state.routes = std::move(event.routes);
+        const caller_bounds &bounds = m_state.routes->bounds();
+        if (bounds.maxHeaderBytes > 0) {
+            m_limits.maxHeaderBytes = bounds.maxHeaderBytes;
+        }
+        if (bounds.maxBodyBytes > 0) {
+            m_limits.maxBodyBytes = bounds.maxBodyBytes;
+        }
+        if (bounds.headerTimeout.count() > 0) {
+            m_limits.headerTimeout = bounds.headerTimeout;
+        }
+        if (bounds.idleTimeout.count() > 0) {
+            m_limits.idleTimeout = bounds.idleTimeout + kIdleMargin;
+        }
+        m_callers->setLimits(m_limits);
+        m_state.log(log_level::Info, "config_in_force", {{"version", std::to_string(m_state.routes->version())}});
+        tellReadiness();
+    }
+
+    void on(upstreams_reported &event)
+    {
+        const instant now = coreNow();
+        std::set<std::string> ids;
+        for (const registration &report : event.reports) {
+            ids.insert(report.id);
+            m_state.registry.onReport(now, report);
+        }
+        for (const std::string &id : event.removed) {
+            m_state.registry.onRemoved(now, id);
+        }
+        if (event.isWhole) {
+            m_state.registry.onComplete(now, ids);
+        }
+        tellReadiness();
+    }
+
+    void on(store_reached &event)
+    {
+        if (event.reached) {
+            m_state.registry.onStoreBack(coreNow());
+        } else {
+            m_state.registry.onStoreLost(coreNow());
+        }
+    }
+
+    void on(lease_changed &event)
+    {
+        m_orders.setLease(event);
+    }
+
+    void on(members_changed &event)
+    {
+        m_others = std::move(event.others);
+        m_state.retries.setFleet(m_others.size() + 1);
+        wantLease();
+    }
+
+    /// Only the first few entries by name compete for the lease, since each renewal is a call to the store.
+    void wantLease()
+    {
+        std::size_t before = 0;
+        for (const member &other : m_others) {
+            before += other.state == member_state::Alive && other.id.name < m_settings.entryName ? 1 : 0;
+        }
+        const bool wanted = before < kLeaseCandidates && !m_stoppingSince;
+        if (wanted != m_leaseWanted) {
+            m_leaseWanted = wanted;
+            tell(m_toStore, store_event(lease_wanted{wanted}));
+        }
+    }
+
+    void tellReadiness()
+    {
+        const bool ready = isReady();
+        if (ready == m_toldReady) {
+            return;
+        }
+        m_toldReady = ready;
+        m_state.log(log_level::Info, ready ? "ready" : "not_ready", {});
+        own_summary told;
+        told.summary.configRevision = m_state.routes ? m_state.routes->version() : 0;
+        told.summary.loadPermille = ready ? 0 : kFullLoadPermille;
+        tell(m_toMembers, member_event(std::move(told)));
+    }
+
+    /// Hands @p event to another duty; waits without blocking while its ring is full.
+    template<typename Event>
+    void tell(channel<Event> &to, Event event)
+    {
+        if (!to.tryPush(event)) {
+            asio::co_spawn(m_context, to.push(std::move(event)), asio::detached);
+        }
+    }
+
+    // Time.
+
+    void tick()
+    {
+        const instant now = coreNow();
+        m_state.registry.advance(now);
+        for (const std::string &id : m_state.judge.advance(now)) {
+            if (const registration *run = m_state.registry.find(id)) {
+                asio::co_spawn(m_context, probe(*run), asio::detached);
+            } else {
+                m_state.judge.noteProbe(now, id, false);
+            }
+        }
+        m_orders.advance(now);
+        wantLease();
+        m_tick.expires_after(kTickInterval);
+        m_tick.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                tick();
+            }
+        });
+    }
+
+    /// Asks an upstream that was set aside whether it is well.
+    asio::awaitable<void> probe(registration run)
+    {
+        const service_spec *spec = m_state.routes ? m_state.routes->service(run.service) : nullptr;
+        net::http_call call;
+        call.method = "GET";
+        call.target = spec != nullptr ? spec->healthPath : "/";
+        call = aimedAt(m_state, run, std::move(call), kProbeTimeout);
+        const net::http_result result = co_await net::performCall(std::move(call));
+        const bool well = result.answer && result.answer->status == kStatusOk && m_state.dialect.readInstance(*result.answer) == run.id;
+        m_state.judge.noteProbe(coreNow(), run.id, well);
+        m_state.log(log_level::Info, "upstream_probed", {upstreamField(run.id), {"well", well ? "true" : "false"}, {"health", m_state.judge.stateOf(run.id)}});
+    }
+
+    void checkStopped()
+    {
+        const duration since = coreNow() - *m_stoppingSince;
+        if (since >= kDrainAfter && !m_drained) {
+            m_drained = true;
+            m_callers->drain();
+        }
+        const bool idle = m_inFlight == 0 && since >= kLeastStop;
+        const bool late = since >= m_settings.stopGrace - kStopMargin;
+        if (idle || late) {
+            m_state.log(log_level::Info, "stopped", {{"cut", std::to_string(m_inFlight)}});
+            m_callers->stopAccepting();
+            m_onStopped();
+            return;
+        }
+        m_stopTimer.expires_after(kTickInterval);
+        m_stopTimer.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                checkStopped();
+            }
+        });
+    }
+
+    asio::io_context &m_context;
+    relay_duty_settings m_settings;
+    relay_state m_state;
+    phase_orders m_orders;
+    channel<member_event> &m_toMembers;
+    channel<store_event> &m_toStore;
+    asio::steady_timer m_tick;
+    asio::steady_timer m_stopTimer;
+    net::http_limits m_limits;
+    std::unique_ptr<http_server> m_callers;
+    std::unique_ptr<http_server> m_readiness;
+    std::unique_ptr<http_server> m_directory;
+    std::vector<member> m_others;
+    std::size_t m_inFlight = 0;
+    std::optional<instant> m_stoppingSince;
+    std::function<void()> m_onStopped;
+    bool m_drained = false;
+    bool m_toldReady = false;
+    bool m_leaseWanted = false;
+};
+
+std::unique_ptr<relay_duty> relay_duty::make(asio::io_context &context,
+                                             relay_duty_settings settings,
+                                             platform_dialect dialect,
+                                             channel<member_event> &toMembers,
+                                             channel<store_event> &toStore,
+                                             std::function<void(log_line)> log,
+                                             last_reason *reason)
+{
+    auto implementation = std::make_unique<impl>(context, std::move(settings), std::move(dialect), toMembers, toStore, std::move(log));
+    if (!implementation->open(reason)) {
+        return nullptr;
+    }
+    return std::unique_ptr<relay_duty>(new relay_duty(std::move(implementation)));
+}
+
+relay_duty::relay_duty(std::unique_ptr<impl> implementation)
+    : m_impl(std::move(implementation))
+{ }
+
+relay_duty::~relay_duty() = default;
+
+void relay_duty::start()
+{
+    m_impl->start();
+}
+
+void relay_duty::take(relay_event event)
+{
+    m_impl->take(std::move(event));
+}
+
+void relay_duty::stop(std::function<void()> onStopped)
+{
+    m_impl->stop(std::move(onStopped));
+}
+
+metrics_snapshot relay_duty::metrics() const
+{
+    return m_impl->metrics();
+}
+
+} // namespace heatherroute::node
--- /dev/null
+++ b/src/node/relay_state.cpp
@@ -0,0 +1,76 @@
+#include "node/relay_state.h"
+
+#include <utility>
+
+namespace heatherroute::node
+{
+
+namespace
+{
+
+constexpr double kPlainGain = 0.1; ///< Weight of the newest time of a plain request.
+constexpr double kPlainSeconds = 0.02; ///< Time of a plain request before any was seen.
+
+} // namespace
+
+relay_state::relay_state(boost::asio::any_io_executor relayExecutor, platform_dialect relayDialect, retry_limit limit, std::uint64_t seed)
+    : executor(std::move(relayExecutor))
+    , dialect(std::move(relayDialect))
+    , random(seed)
+    , judge(upstream_judge::make({}))
+    , registry(upstream_registry::make({},
+                                       [this](const registration &run, const std::string &change) {
+                                           if (change == "removed") {
+                                               judge.remove(run.id);
+                                           } else if (change == "added" || change == "restarted" || change == "phase") {
+                                               judge.add(run);
+                                           }
+                                           log(log_level::Info,
+                                               "upstream_changed",
+                                               {upstreamField(run.id),
+                                                {"change", change},
+                                                {"service", run.service},
+                                                {"address", run.address},
+                                                {"started_at", std::to_string(run.startedAt)},
+                                                {"sequence", std::to_string(run.sequence)}});
+                                       }))
+    , retries(retry_pool::make(limit))
+    , desk(engine_desk::make({}))
+{ }
+
+std::vector<upstream_candidate> relay_state::candidates(const std::vector<const registration *> &runs) const
+{
+    std::vector<upstream_candidate> result;
+    result.reserve(runs.size());
+    for (const registration *run : runs) {
+        const auto found = inFlight.find(run->id);
+        result.push_back({run, judge.weight(run->id), found == inFlight.end() ? 0.0 : static_cast<double>(found->second)});
+    }
+    return result;
+}
+
+void relay_state::log(log_level level, std::string event, std::vector<log_field> fields) const
+{
+    if (writeLog) {
+        writeLog({level, std::move(event), std::move(fields)});
+    }
+}
+
+double relay_state::draw()
+{
+    return std::uniform_real_distribution<double>(0.0, 1.0)(random);
+}
+
+duration relay_state::expectedPlain(const std::string &service) const
+{
+    const auto found = plainTimes.find(service);
+    const double seconds = found == plainTimes.end() ? kPlainSeconds : found->second.value(kPlainSeconds);
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
+void relay_state::notePlain(const std::string &service, duration took)
+{
+    plainTimes[service].observe(std::chrono::duration<double>(took).count(), kPlainGain);
+}
+
+} // namespace heatherroute::node
--- /dev/null
+++ b/src/node/store_duty.cpp
@@ -0,0 +1,361 @@
+#include "node/store_duty.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+
+#include "node/boot_clock.h"
+#include "node/core_time.h"
+
+namespace heatherroute::node
+{
+
+namespace asio = boost::asio;
+
+class store_duty::impl : public std::enable_shared_from_this<store_duty::impl>
+{
+public:
+    impl(asio::io_context &context,
+         store_duty_settings settings,
+         platform_store store,
+         channel<relay_event> &toRelay,
+         channel<member_event> &toMembers,
+         std::function<void(log_line)> log)
+        : m_context(context)
+        , m_settings(std::move(settings))
+        , m_store(std::move(store))
+        , m_toRelay(toRelay)
+        , m_toMembers(toMembers)
+        , m_log(std::move(log))
+        , m_random(std::random_device{}())
+    { }
+
+    void start()
+    {
+        m_lastAnswer = coreNow();
+        asio::co_spawn(m_context, followConfiguration(shared_from_this()), asio::detached);
+        asio::co_spawn(m_context, followRegistrations(shared_from_this()), asio::detached);
+        asio::co_spawn(m_context, followEntries(shared_from_this()), asio::detached);
+        asio::co_spawn(m_context, keepLease(shared_from_this()), asio::detached);
+    }
+
+    void take(const store_event &event)
+    {
+        if (const auto *wanted = std::get_if<lease_wanted>(&event)) {
+            m_leaseWanted = wanted->wanted;
+        } else {
+            m_leaseWanted = false;
+            m_stopping = true;
+        }
+    }
+
+private:
+    /// One stream that is followed: where the next read goes on, and how often it failed in a row.
+    struct position
+    {
+        store_stream stream = store_stream::Configuration;
+        std::optional<std::uint64_t> next; ///< Empty when the newest records must be read first.
+        std::uint32_t failures = 0;
+    };
+
+    /// Reads the next records, or the newest ones when history is unknown. @p isWhole tells which.
+    asio::awaitable<keyed_page> readNext(position &at, std::chrono::milliseconds wait, bool &isWhole)
+    {
+        isWhole = !at.next.has_value();
+        keyed_page page;
+        if (isWhole) {
+            page = co_await m_store.readNewest(at.stream);
+        } else {
+            page = co_await m_store.readFrom(at.stream, *at.next, wait);
+        }
+        if (page.outcome == store_outcome::Done) {
+            at.next = page.next;
+            at.failures = 0;
+            co_await noteReached();
+        } else if (page.outcome == store_outcome::HistoryGone) {
+            log(log_level::Info, "store_history_gone", {{"stream", nameOf(at.stream)}, {"from", std::to_string(at.next.value_or(0))}});
+            at.next.reset();
+        } else {
+            at.failures += 1;
+            co_await noteFailed(at, page.reason);
+        }
+        co_return page;
+    }
+
+    static std::string nameOf(store_stream stream)
+    {
+        switch (stream) {
+        case store_stream::Configuration:
+            return "configuration";
+        case store_stream::Registrations:
+            return "registrations";
+        case store_stream::Entries:
+            return "entries";
+        }
+        return "unknown";
+    }
+
+    asio::awaitable<void> noteReached()
+    {
+        m_lastAnswer = coreNow();
+        if (!m_reached) {
+            m_reached = true;
+            log(log_level::Info, "store_regained", {});
+            relay_event event = store_reached{true};
+            co_await m_toRelay.push(std::move(event));
+        }
+    }
+
+    asio::awaitable<void> noteFailed(const position &at, const std::string &reason)
+    {
+        const duration silent = coreNow() - m_lastAnswer;
+        if (m_reached && silent >= m_settings.lostAfter) {
+            m_reached = false;
+            log(log_level::Warning, "store_lost", {{"stream", nameOf(at.stream)}, {"reason", reason}, {"silent_ms", std::to_string(silent.count() / 1000)}});
+            relay_event event = store_reached{false};
+            co_await m_toRelay.push(std::move(event));
+        }
+    }
+
+    asio::awaitable<void> pause(std::chrono::milliseconds time)
+    {
+        asio::steady_timer timer(m_context, time);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
+    /// After a failure, a pause that grows and differs between entries, so that they don't all return to the store at once.
+    std::chrono::milliseconds pauseAfter(const position &at)
+    {
+        constexpr std::uint32_t kMostDoublings = 5;
+        const auto grown = m_settings.firstPause * (1U << std::min(at.failures, kMostDoublings));
+        const auto bound = std::min<std::chrono::milliseconds>(grown, m_settings.longestPause);
+        return std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(bound.count() / 2, bound.count())(m_random));
+    }
+
+    static asio::awaitable<void> followConfiguration(std::shared_ptr<impl> self)
+    {
+        position at;
+        at.stream = store_stream::Configuration;
+        while (!self->m_stopping) {
+            bool isWhole = false;
+            const keyed_page page = co_await self->readNext(at, self->m_settings.configWait, isWhole);
+            for (const keyed_record &record : page.records) {
+                co_await self->offerRoutes(record);
+            }
+            if (page.outcome == store_outcome::Unavailable) {
+                co_await self->pause(self->pauseAfter(at));
+            } else if (isWhole && self->m_version == 0) {
+                // Nothing is published yet; the next read waits for it.
+                co_await self->pause(self->m_settings.firstPause);
+            }
+        }
+    }
+
+    asio::awaitable<void> offerRoutes(const keyed_record &record)
+    {
+        last_reason reason;
+        auto routes = m_store.decodeRoutes(record, &reason);
+        if (!routes) {
+            if (!reason.text().empty()) {
+                log(log_level::Error, "config_unreadable", {{"key", record.key}, {"reason", reason.text()}});
+            }
+            co_return;
+        }
+        if (routes->version() <= m_version) {
+            co_return;
+        }
+        m_version = routes->version();
+        log(log_level::Info, "config_read", {{"version", std::to_string(m_version)}, {"routes", std::to_string(routes->size())}});
+        relay_event event = routes_read{std::make_shared<const route_table>(std::move(*routes))};
+        co_await m_toRelay.push(std::move(event));
+    }
+
+    static asio::awaitable<void> followRegistrations(std::shared_ptr<impl> self)
+    {
+        position at;
+        at.stream = store_stream::Registrations;
+        while (!self->m_stopping) {
+            bool isWhole = false;
+            const keyed_page page = co_await self->readNext(at, std::chrono::milliseconds(0), isWhole);
+            if (page.outcome == store_outcome::Done) {
+                relay_event event = self->decode(page, isWhole);
+                co_await self->m_toRelay.push(std::move(event));
+                co_await self->pause(self->m_settings.registrationInterval);
+            } else if (page.outcome == store_outcome::Unavailable) {
+                co_await self->pause(self->pauseAfter(at));
+            }
+        }
+    }
+
+    upstreams_reported decode(const keyed_page &page, bool isWhole)
+    {
+        // Only the newest record of each key counts.
+        std::map<std::string, const keyed_record *> newest;
+        for (const keyed_record &record : page.records) {
+            newest[record.key] = &record;
+        }
+        upstreams_reported reported;
+        reported.isWhole = isWhole;
+        for (const auto &[key, record] : newest) {
+            last_reason reason;
+            auto report = record->value ? m_store.decodeRegistration(*record, &reason) : std::nullopt;
+            if (report) {
+                reported.reports.push_back(std::move(*report));
+            } else if (record->value) {
+                noteUnreadable(key, reason.text());
+            } else {
+                reported.removed.push_back(key);
+            }
+        }
+        return reported;
+    }
+
+    /// Logs an entry that names no upstream, once for each key.
+    void noteUnreadable(const std::string &key, const std::string &reason)
+    {
+        constexpr std::size_t kMostRemembered = 1024;
+        if (m_unreadable.size() < kMostRemembered && m_unreadable.insert(key).second) {
+            log(log_level::Warning, "registration_unreadable", {upstreamField(key), {"reason", reason}});
+        }
+    }
+
+    static asio::awaitable<void> followEntries(std::shared_ptr<impl> self)
+    {
+        position at;
+        at.stream = store_stream::Entries;
+        bool published = false;
+        while (!self->m_stopping) {
+            if (!published) {
+                keyed_record record{self->m_settings.entryName, self->m_settings.peerAddress};
+                const store_outcome outcome = co_await self->m_store.append(store_stream::Entries, std::move(record));
+                published = outcome == store_outcome::Done;
+            }
+            bool isWhole = false;
+            const keyed_page page = co_await self->readNext(at, self->m_settings.entriesWait, isWhole);
+            if (page.outcome == store_outcome::Done) {
+                co_await self->tellEntries(page);
+            }
+            if (page.outcome != store_outcome::HistoryGone) {
+                co_await self->pause(page.outcome == store_outcome::Done ? self->m_settings.firstPause : self->pauseAfter(at));
+            }
+        }
+    }
+
+    asio::awaitable<void> tellEntries(const keyed_page &page)
+    {
+        for (const keyed_record &record : page.records) {
+            if (record.value) {
+                m_entries[record.key] = *record.value;
+            }
+        }
+        entry_addresses known;
+        for (const auto &[name, address] : m_entries) {
+            known.addresses.push_back(address);
+        }
+        member_event event = std::move(known);
+        co_await m_toMembers.push(std::move(event));
+    }
+
+    static asio::awaitable<void> keepLease(std::shared_ptr<impl> self)
+    {
+        while (true) {
+            if (self->m_leaseWanted) {
+                co_await self->renewLease();
+            } else if (self->m_isMember) {
+                self->m_isMember = false;
+                co_await self->tellLease(false, 0);
+                co_await self->m_store.leaveLease(self->m_settings.entryName);
+            }
+            co_await self->pause(self->m_settings.leaseInterval);
+        }
+    }
+
+    asio::awaitable<void> renewLease()
+    {
+        lease_request request{m_settings.entryName, m_settings.leaseLifetime, m_generation};
+        const std::int64_t sentAt = bootMilliseconds();
+        const lease_answer answer = co_await m_store.joinLease(std::move(request));
+        if (answer.outcome == store_outcome::Unavailable) {
+            log(log_level::Warning, "lease_not_renewed", {{"reason", answer.reason}, {"generation", std::to_string(m_generation)}});
+            co_return;
+        }
+        if (answer.outcome != store_outcome::Done) {
+            m_generation = 0;
+            co_await tellLease(false, sentAt);
+            co_return;
+        }
+        m_isMember = true;
+        m_generation = answer.generation;
+        co_await tellLease(answer.holds, sentAt);
+    }
+
+    asio::awaitable<void> tellLease(bool holds, std::int64_t sentAt)
+    {
+        const std::int64_t until = sentAt + m_settings.leaseLifetime.count() - m_settings.leaseMargin.count();
+        // A lease that ran out meanwhile may have been another's, so it begins anew.
+        const bool goesOn = m_lease.holds && holds && sentAt <= m_lease.validUntilMs;
+        lease_changed now{holds, m_generation, until, goesOn ? m_lease.heldSinceMs : bootMilliseconds()};
+        if (now.holds != m_lease.holds || (holds && now.fencingToken != m_lease.fencingToken) || (holds && !goesOn)) {
+            log(log_level::Info,
+                holds ? "lease_held" : "lease_not_held",
+                {{"generation", std::to_string(m_generation)}, {"goes_on", goesOn ? "true" : "false"}});
+        }
+        m_lease = now;
+        relay_event event = now;
+        co_await m_toRelay.push(std::move(event));
+    }
+
+    void log(log_level level, std::string event, std::vector<log_field> fields) const
+    {
+        m_log({level, std::move(event), std::move(fields)});
+    }
+
+    asio::io_context &m_context;
+    store_duty_settings m_settings;
+    platform_store m_store;
+    channel<relay_event> &m_toRelay;
+    channel<member_event> &m_toMembers;
+    std::function<void(log_line)> m_log;
+    std::mt19937_64 m_random;
+    instant m_lastAnswer{};
+    bool m_reached = true;
+    bool m_stopping = false;
+    bool m_leaseWanted = false;
+    bool m_isMember = false;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_generation = 0;
+    lease_changed m_lease;
+    std::map<std::string, std::string> m_entries;
+    std::set<std::string> m_unreadable;
+};
+
+store_duty::store_duty(asio::io_context &context,
+                       store_duty_settings settings,
+                       platform_store store,
+                       channel<relay_event> &toRelay,
+                       channel<member_event> &toMembers,
+                       std::function<void(log_line)> log)
+    : m_impl(std::make_shared<impl>(context, std::move(settings), std::move(store), toRelay, toMembers, std::move(log)))
+{ }
+
+store_duty::~store_duty() = default;
+
+void store_duty::start()
+{
+    m_impl->start();
+}
+
+void store_duty::take(const store_event &event)
+{
+    m_impl->take(event);
+}
+
+} // namespace heatherroute::node
--- /dev/null
+++ b/src/node/store_duty.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "heatherroute/log_line.h"
+#include "node/channel.h"
+#include "node/relay_event.h"
+#include "relay/platform_store.h"
+
+namespace heatherroute::node
+{
+
+/// How the platform's store is followed.
+struct store_duty_settings
+{
+    std::string entryName;
+    std::string peerAddress; ///< Published, so that other entries find this one.
+    std::chrono::milliseconds configWait{10'000}; ///< How long one read waits for a configuration; changes are rare.
+    std::chrono::milliseconds registrationInterval{900}; ///< Between two reads of upstreams' reports; each read costs.
+    std::chrono::milliseconds entriesWait{20'000}; ///< How long one read waits for entries that start.
+    std::chrono::milliseconds firstPause{150}; ///< After a failure; doubles with each further one.
+    std::chrono::milliseconds longestPause{1'000};
+    std::chrono::milliseconds lostAfter{1'500}; ///< Without an answer, after which the store counts as lost.
+    std::chrono::milliseconds leaseLifetime{3'000};
+    std::chrono::milliseconds leaseInterval{900}; ///< Between two renewals.
+    std::chrono::milliseconds leaseMargin{700}; ///< Before its end, from when on the lease isn't used.
+};
+
+/**
+ * Follows the platform's store for the relay: configuration, upstreams, other entries, and the right to give orders.
+ *
+ * Belongs to the thread that runs its io_context; make it before the thread starts and destroy it after the thread ended.
+ */
+class store_duty
+{
+public:
+    store_duty(boost::asio::io_context &context,
+               store_duty_settings settings,
+               platform_store store,
+               channel<relay_event> &toRelay,
+               channel<member_event> &toMembers,
+               std::function<void(log_line)> log);
+    ~store_duty();
+    store_duty(const store_duty &) = delete;
+    store_duty &operator=(const store_duty &) = delete;
+
+    /// Starts to follow the store. Precondition: called once, before the thread starts.
+    void start();
+    /// Takes in what another duty says. On the duty's thread.
+    void take(const store_event &event);
+
+private:
+    class impl;
+    std::shared_ptr<impl> m_impl;
+};
+
+} // namespace heatherroute::node
--- /dev/null
+++ b/src/node/stream_relay.cpp
@@ -0,0 +1,500 @@
+#include "node/stream_relay.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace heatherroute::node
+{
+
+namespace asio = boost::asio;
+using net::http_answer;
+using net::http_call;
+using net::http_result;
+
+namespace
+{
+
+constexpr unsigned kFirstSuccess = 200;
+constexpr unsigned kFirstRedirect = 300;
+constexpr unsigned kStatusBadGateway = 502;
+constexpr unsigned kStatusUnavailable = 503;
+constexpr unsigned kStatusTimeout = 504;
+constexpr std::uint32_t kMostPrefills = 3; ///< Engines asked for the same prompt.
+constexpr std::uint32_t kMostDecodes = 3; ///< Engines asked to generate before the caller is told.
+constexpr double kPrefillPatience = 5.0; ///< Times the expected time of a prefill before its engine is given up.
+constexpr std::chrono::milliseconds kLeastPrefillTimeout{700};
+constexpr std::chrono::milliseconds kFullWait{1000}; ///< How long engines that are full are expected to stay so.
+constexpr std::chrono::milliseconds kNoEngineWait{1500};
+/// Time of a plain part of a decode that placement compares with: from sending to the first event.
+constexpr duration kExpectedFirstEvent = std::chrono::milliseconds(60);
+
+/// A decode engine whose memory is reserved.
+struct reservation
+{
+    registration run;
+    std::string id; ///< Empty when the engine takes no reservations.
+    std::uint32_t tokens = 0;
+};
+
+/// A KV cache that was computed.
+struct prefilled
+{
+    registration run;
+    std::string handle;
+};
+
+enum class stage_end : std::uint8_t {
+    Done,
+    NotRun, ///< May be tried on other engines.
+    Ended, ///< The request is over; nothing is left to try.
+};
+
+asio::awaitable<void> fireAndForget(http_call call)
+{
+    co_await net::performCall(std::move(call));
+}
+
+class stream_relay
+{
+public:
+    explicit stream_relay(relay_call &call)
+        : m_call(call)
+        , m_state(call.state())
+    { }
+
+    ~stream_relay()
+    {
+        giveBack();
+        freeHandle();
+    }
+
+    stream_relay(const stream_relay &) = delete;
+    stream_relay &operator=(const stream_relay &) = delete;
+
+    asio::awaitable<void> run()
+    {
+        const route_target *target = pickTarget(m_call.matched(), m_state.draw());
+        m_service = target != nullptr ? target->service : std::string();
+        m_prompt = m_call.facts().prompt.value_or(prompt_facts{});
+        m_state.retries.noteRequest(coreNow(), m_service);
+        std::uint32_t decodes = 0;
+        while (decodes < kMostDecodes) {
+            const bool reserved = co_await reserve();
+            if (!reserved) {
+                break;
+            }
+            const bool computed = co_await compute();
+            if (!computed) {
+                break;
+            }
+            const bool allowed = decodes == 0 || m_state.retries.tryRepeat(coreNow(), m_service);
+            if (!allowed) {
+                m_reason = "retry_budget_used_up";
+                break;
+            }
+            ++decodes;
+            const stage_end end = co_await decode();
+            if (end != stage_end::NotRun) {
+                break;
+            }
+        }
+        co_await conclude();
+    }
+
+private:
+    std::vector<upstream_candidate> enginesIn(engine_phase phase) const
+    {
+        return m_state.candidates(m_state.registry.usable(m_service, phase));
+    }
+
+    /// Reserves memory at some decode engine, waiting a while when all are full.
+    asio::awaitable<bool> reserve()
+    {
+        if (m_reserved) {
+            co_return true;
+        }
+        const instant giveUpAt = coreNow() + m_state.desk.settings().longestWait;
+        while (!m_call.isOver()) {
+            const bool anyEngine = !enginesIn(engine_phase::Decode).empty() && !enginesIn(engine_phase::Prefill).empty();
+            if (!anyEngine) {
+                m_reason = "no_engine";
+                co_return false;
+            }
+            const bool taken = co_await askRound();
+            if (taken) {
+                co_return true;
+            }
+            if (coreNow() >= giveUpAt) {
+                m_reason = "engines_full";
+                co_return false;
+            }
+            co_await m_call.wait(std::chrono::duration_cast<std::chrono::milliseconds>(m_state.desk.settings().askInterval));
+        }
+        co_return false;
+    }
+
+    /// Asks each decode engine that isn't known to be full once.
+    asio::awaitable<bool> askRound()
+    {
+        std::vector<registration> order;
+        for (const registration *run : m_state.desk.decodeOrder(coreNow(), enginesIn(engine_phase::Decode), m_state.random)) {
+            order.push_back(*run);
+        }
+        for (const registration &run : order) {
+            const bool taken = co_await ask(run);
+            if (taken) {
+                co_return true;
+            }
+            if (m_call.isOver()) {
+                co_return false;
+            }
+        }
+        co_return false;
+    }
+
+    asio::awaitable<bool> ask(registration run)
+    {
+        const std::uint32_t tokens = m_state.desk.reservedTokens(m_prompt);
+        http_call call = m_state.dialect.makeReservation(run.id, tokens, reservationLifetime());
+        call = aimedAt(m_state, run, std::move(call), m_state.timing.engineCallTimeout);
+        const http_result result = co_await m_call.perform(run, std::move(call));
+        if (!result.answer) {
+            if (!m_call.isOver()) {
+                m_state.judge.noteFailure(coreNow(), run.id);
+                m_state.desk.noteFull(coreNow(), run.id);
+                logTry(run, "reserve", result.failure.reason, verdict::NotRun);
+            }
+            co_return false;
+        }
+        const answer_facts facts = m_state.dialect.readAnswer(*result.answer);
+        if (facts.wrongInstance) {
+            m_state.registry.onDisplaced(coreNow(), run.id);
+            co_return false;
+        }
+        const auto id = result.answer->status == kFirstSuccess ? m_state.dialect.readReservation(*result.answer) : std::nullopt;
+        if (!id) {
+            m_state.desk.noteFull(coreNow(), run.id);
+            m_refusals += 1;
+            co_return false;
+        }
+        m_state.desk.addDecode(run.id, tokens);
+        m_reserved = reservation{run, *id, tokens};
+        m_reservationSent = false;
+        co_return true;
+    }
+
+    std::chrono::milliseconds reservationLifetime() const
+    {
+        constexpr std::chrono::milliseconds kDefaultLifetime{2000};
+        const service_spec *spec = m_state.routes ? m_state.routes->service(m_service) : nullptr;
+        const bool known = spec != nullptr && spec->engine && spec->engine->maxReservation.count() > 0;
+        return known ? spec->engine->maxReservation : kDefaultLifetime;
+    }
+
+    /// Has some prefill engine compute the prompt's KV cache.
+    asio::awaitable<bool> compute()
+    {
+        if (m_computed) {
+            co_return true;
+        }
+        std::set<std::string> tried;
+        while (tried.size() < kMostPrefills && !m_call.isOver()) {
+            std::vector<upstream_candidate> engines = enginesIn(engine_phase::Prefill);
+            std::erase_if(engines, [&tried](const upstream_candidate &engine) { return tried.count(engine.run->id) > 0; });
+            const auto order = m_state.desk.prefillOrder(engines, m_state.random);
+            if (order.empty()) {
+                m_reason = "no_prefill_engine";
+                co_return false;
+            }
+            if (m_prefills > 0 && !m_state.retries.tryRepeat(coreNow(), m_service)) {
+                m_reason = "retry_budget_used_up";
+                co_return false;
+            }
+            const registration run = *order.front();
+            tried.insert(run.id);
+            const bool done = co_await prefillAt(run);
+            if (done) {
+                co_return true;
+            }
+        }
+        co_return false;
+    }
+
+    asio::awaitable<bool> prefillAt(registration run)
+    {
+        m_prefills += 1;
+        upstream_directions directions;
+        directions.instance = run.id;
+        directions.timeLeft = m_call.timeLeft();
+        directions.prefillOnly = true;
+        http_call call = m_call.forward(directions);
+        const duration expected = m_state.desk.expectedPrefill(m_prompt.promptTokens);
+        const auto patience =
+            std::chrono::milliseconds(static_cast<std::int64_t>(kPrefillPatience * std::chrono::duration<double, std::milli>(expected).count()));
+        call.progressTimeout = std::min(call.progressTimeout, std::max(patience, kLeastPrefillTimeout));
+        const instant sentAt = coreNow();
+        m_state.desk.addPrefill(run.id, m_prompt.promptTokens);
+        http_result result = co_await m_call.perform(run, std::move(call));
+        m_state.desk.removePrefill(run.id, m_prompt.promptTokens);
+        const duration took = coreNow() - sentAt;
+        if (!result.answer) {
+            if (!m_call.isOver()) {
+                m_state.judge.noteFailure(coreNow(), run.id);
+                logTry(run, "prefill", result.failure.reason, verdict::NotRun);
+                m_reason = "prefill_failed";
+            }
+            co_return false;
+        }
+        const answer_facts facts = m_state.dialect.readAnswer(*result.answer);
+        if (facts.wrongInstance) {
+            m_state.registry.onDisplaced(coreNow(), run.id);
+        }
+        const auto handle = result.answer->status == kFirstSuccess ? m_state.dialect.readPrefill(*result.answer) : std::nullopt;
+        if (!handle) {
+            if (!facts.notRun) {
+                m_state.judge.noteFailure(coreNow(), run.id);
+            }
+            m_reason = "prefill_refused";
+            logTry(run, "prefill", "status_" + std::to_string(result.answer->status), verdict::NotRun);
+            co_return false;
+        }
+        m_state.judge.noteSuccess(coreNow(), run.id, took, std::max(expected, duration(1)));
+        m_state.desk.notePrefill(m_prompt.promptTokens, took);
+        planner().notePrefill(
+            std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(m_prompt.promptTokens / m_state.desk.settings().tokensPerMs)));
+        m_computed = prefilled{run, *handle};
+        co_return true;
+    }
+
+    phase_planner &planner()
+    {
+        return m_state.planners.try_emplace(m_service, phase_planner::make({})).first->second;
+    }
+
+    /// Has the engine with the reservation generate, and passes its answer on.
+    asio::awaitable<stage_end> decode()
+    {
+        const registration run = m_reserved->run;
+        upstream_directions directions;
+        directions.instance = run.id;
+        directions.timeLeft = m_call.timeLeft();
+        directions.source = kv_handle{m_computed->run.address, m_computed->handle};
+        directions.reservation = m_reserved->id;
+        http_call call = m_call.forward(directions);
+        m_upstream = run.id;
+        m_sentAt = coreNow();
+        m_reservationSent = true;
+        auto onHead = [this](const http_answer &head) { return begin(head); };
+        auto onBody = [this](std::string_view piece) { return passOn(piece); };
+        http_result result = co_await m_call.perform(run, std::move(call), onHead, onBody);
+        co_return co_await settle(run, std::move(result));
+    }
+
+    /// Decides from the head of the answer whether it is streamed to the caller.
+    asio::awaitable<bool> begin(http_answer head)
+    {
+        const answer_facts facts = m_state.dialect.readAnswer(head);
+        const bool success = head.status >= kFirstSuccess && head.status < kFirstRedirect;
+        const bool ours = facts.requestId.empty() || facts.requestId == m_call.facts().id;
+        if (!success || !facts.sealed || facts.altered || !ours) {
+            co_return false;
+        }
+        m_started = true;
+        http_answer answer;
+        answer.status = head.status;
+        answer.contentType.clear();
+        answer.fields = m_state.dialect.callerFields(head);
+        co_await m_call.responder().beginStream(std::move(answer));
+        co_return true;
+    }
+
+    asio::awaitable<void> passOn(std::string_view piece)
+    {
+        if (!m_firstAt) {
+            m_firstAt = coreNow();
+            m_state.judge.noteSuccess(*m_firstAt, m_upstream, *m_firstAt - m_sentAt, kExpectedFirstEvent);
+        }
+        std::string data(piece);
+        co_await m_call.responder().write(std::move(data));
+    }
+
+    asio::awaitable<stage_end> settle(registration run, http_result result)
+    {
+        m_ranFor = coreNow() - m_sentAt;
+        if (m_started) {
+            const double memory = memoryOf(run.service);
+            if (memory > 0) {
+                planner().noteDecode(m_ranFor, (m_prompt.promptTokens + m_prompt.expectedOutputTokens.value_or(0) / 2.0) / memory);
+            }
+            m_complete = result.answer.has_value();
+            if (m_complete) {
+                co_await m_call.responder().endStream();
+            } else if (!m_call.isOver()) {
+                m_state.judge.noteFailure(coreNow(), run.id);
+                logTry(run, "decode", result.failure.reason, verdict::Ran);
+            }
+            m_reason = result.failure.reason;
+            m_computed.reset();
+            co_return stage_end::Ended;
+        }
+        if (!result.answer) {
+            co_return settleFailure(run, result);
+        }
+        co_return co_await settleAnswer(run, std::move(*result.answer));
+    }
+
+    stage_end settleFailure(const registration &run, const http_result &result)
+    {
+        m_reason = "decode_failed: " + result.failure.reason;
+        if (m_call.isOver()) {
+            m_ran = result.failure.outcome;
+            return stage_end::Ended;
+        }
+        m_state.judge.noteFailure(coreNow(), run.id);
+        logTry(run, "decode", result.failure.reason, result.failure.outcome);
+        if (result.failure.outcome == verdict::NotRun) {
+            giveBack();
+            return stage_end::NotRun;
+        }
+        m_ran = verdict::MayHaveRun;
+        return stage_end::Ended;
+    }
+
+    asio::awaitable<stage_end> settleAnswer(registration run, http_answer answer)
+    {
+        const answer_facts facts = m_state.dialect.readAnswer(answer);
+        const bool success = answer.status >= kFirstSuccess && answer.status < kFirstRedirect;
+        logTry(run, "decode", "status_" + std::to_string(answer.status), facts.notRun ? verdict::NotRun : verdict::Ran);
+        if (facts.notRun) {
+            if (facts.wrongInstance) {
+                m_state.registry.onDisplaced(coreNow(), run.id);
+            }
+            m_state.desk.noteFull(coreNow(), run.id);
+            giveBack();
+            // The engine may have tried to fetch the handle in vain, so another prefill is the safe way on.
+            freeHandle();
+            m_reason = "decode_refused";
+            co_return stage_end::NotRun;
+        }
+        m_state.judge.noteFailure(coreNow(), run.id);
+        m_ran = verdict::MayHaveRun;
+        m_reason = "decode_answer_unusable";
+        if (!success) {
+            m_passed = answer.status;
+            co_await m_call.pass(std::move(answer));
+        }
+        co_return stage_end::Ended;
+    }
+
+    double memoryOf(const std::string &service) const
+    {
+        const service_spec *spec = m_state.routes ? m_state.routes->service(service) : nullptr;
+        return spec != nullptr && spec->engine ? static_cast<double>(spec->engine->memoryTokens) : 0.0;
+    }
+
+    /// Answers the caller when no stream did, and writes how it ended.
+    asio::awaitable<void> conclude()
+    {
+        giveBack();
+        freeHandle();
+        if (m_call.isGone()) {
+            m_call.finish({"caller_gone", 0, "the caller closed its connection", m_started ? verdict::Ran : m_ran, m_upstream});
+        } else if (m_started) {
+            if (!m_complete) {
+                m_call.responder().abort();
+            }
+            m_call.finish({m_complete ? "answered" : "broken", kFirstSuccess, m_reason, verdict::Ran, m_upstream});
+        } else if (m_passed) {
+            m_call.finish({"answered", *m_passed, m_reason, verdict::Ran, m_upstream});
+        } else if (m_ran == verdict::NotRun && !m_call.isLate()) {
+            co_await refuse();
+        } else {
+            const unsigned status = m_call.isLate() ? kStatusTimeout : kStatusBadGateway;
+            co_await m_call.refuse(status, "failed", std::nullopt);
+            m_call.finish({"failed", status, m_reason, m_ran, m_upstream});
+        }
+    }
+
+    asio::awaitable<void> refuse()
+    {
+        const duration wait = m_reason == "no_engine" ? kNoEngineWait : kFullWait;
+        const auto back = returnAfter(m_state.returns, wait, m_call.timeLeft(), m_state.draw());
+        co_await m_call.refuse(kStatusUnavailable, m_reason, back);
+        m_call.finish({"refused", kStatusUnavailable, m_reason + ", reservations refused: " + std::to_string(m_refusals), verdict::NotRun, m_upstream});
+    }
+
+    /// Gives the reservation back; one that was sent with a request ends with it.
+    void giveBack()
+    {
+        if (!m_reserved) {
+            return;
+        }
+        m_state.desk.removeDecode(m_reserved->run.id, m_reserved->tokens);
+        if (!m_reservationSent && !m_reserved->id.empty()) {
+            send(m_reserved->run, m_state.dialect.dropReservation(m_reserved->run.id, m_reserved->id));
+        }
+        m_reserved.reset();
+    }
+
+    /// Frees a KV cache that no engine has fetched.
+    void freeHandle()
+    {
+        if (!m_computed) {
+            return;
+        }
+        send(m_computed->run, m_state.dialect.freeHandle(m_computed->run.id, m_computed->handle));
+        m_computed.reset();
+    }
+
+    void send(const registration &run, http_call call)
+    {
+        call = aimedAt(m_state, run, std::move(call), m_state.timing.engineCallTimeout);
+        asio::co_spawn(m_state.executor, fireAndForget(std::move(call)), asio::detached);
+    }
+
+    void logTry(const registration &run, const std::string &stage, const std::string &reason, verdict ran) const
+    {
+        m_state.log(log_level::Warning,
+                    "try_failed",
+                    {requestIdField(m_call.facts().id),
+                     upstreamField(run.id),
+                     {"stage", stage},
+                     {"reason", reason},
+                     verdictField(ran),
+                     {"health", m_state.judge.stateOf(run.id)},
+                     {"run_started_at", std::to_string(run.startedAt)},
+                     {"run_sequence", std::to_string(run.sequence)}});
+    }
+
+    relay_call &m_call;
+    relay_state &m_state;
+    std::string m_service;
+    prompt_facts m_prompt;
+    std::optional<reservation> m_reserved;
+    std::optional<prefilled> m_computed;
+    std::string m_upstream;
+    std::string m_reason;
+    instant m_sentAt{};
+    std::optional<instant> m_firstAt;
+    duration m_ranFor{};
+    std::optional<unsigned> m_passed; ///< The status of an upstream's own failure that was passed on.
+    verdict m_ran = verdict::NotRun;
+    std::uint32_t m_prefills = 0;
+    std::uint32_t m_refusals = 0;
+    bool m_reservationSent = false;
+    bool m_started = false;
+    bool m_complete = false;
+};
+
+} // namespace
+
+asio::awaitable<void> relayStream(relay_call &call)
+{
+    stream_relay relay(call);
+    co_await relay.run();
+}
+
+} // namespace heatherroute::node
--- /dev/null
+++ b/src/relay/phase_planner.cpp
@@ -0,0 +1,96 @@
+#include "relay/phase_planner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace heatherroute
+{
+
+namespace
+{
+
+/// How long an engine that was ordered to move may still report its old phase.
+constexpr duration kMoveInProgress = std::chrono::seconds(12);
+
+double secondsOf(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+} // namespace
+
+phase_planner phase_planner::make(const phase_plan_settings &settings)
+{
+    return phase_planner(settings);
+}
+
+phase_planner::phase_planner(const phase_plan_settings &settings)
+    : m_settings(settings)
+{ }
+
+void phase_planner::notePrefill(duration computing)
+{
+    m_prefill.observe(secondsOf(computing), m_settings.gain);
+}
+
+void phase_planner::noteDecode(duration ran, double memoryPart)
+{
+    m_decode.observe(secondsOf(ran) * memoryPart, m_settings.gain);
+}
+
+std::size_t phase_planner::wantedPrefill(std::size_t engines) const
+{
+    if (engines < m_settings.fewestPrefill + m_settings.fewestDecode) {
+        return std::min(engines, m_settings.fewestPrefill);
+    }
+    const double prefill = m_settings.prefillHeadroom * m_prefill.value(secondsOf(m_settings.prefillCost));
+    const double decode = m_decode.value(secondsOf(m_settings.decodeCost));
+    const double share = prefill / (prefill + decode);
+    const auto wanted = static_cast<std::size_t>(std::lround(share * static_cast<double>(engines)));
+    return std::clamp(wanted, m_settings.fewestPrefill, engines - m_settings.fewestDecode);
+}
+
+std::optional<phase_move> phase_planner::plan(instant now, const std::vector<const registration *> &engines, const std::map<std::string, double> &loadOf)
+{
+    std::erase_if(m_moved, [now](const auto &entry) { return now - entry.second > kMoveInProgress; });
+    std::size_t prefill = 0;
+    std::vector<const registration *> movable;
+    for (const registration *engine : engines) {
+        // An engine on its way counts where it goes.
+        const bool moving = m_moved.count(engine->id) > 0;
+        const bool isPrefill = engine->phase == engine_phase::Prefill;
+        prefill += (isPrefill != moving) ? 1 : 0;
+        if (!moving) {
+            movable.push_back(engine);
+        }
+    }
+    const std::size_t wanted = wantedPrefill(engines.size());
+    if (prefill == wanted) {
+        m_differsSince.reset();
+        return std::nullopt;
+    }
+    if (!m_differsSince) {
+        m_differsSince = now;
+    }
+    // A pool without any engine serves nobody, so it isn't waited for.
+    const bool urgent = prefill == 0 || prefill == engines.size();
+    if ((!urgent && now - *m_differsSince < m_settings.patience) || now - m_lastMove < m_settings.pauseBetween) {
+        return std::nullopt;
+    }
+    const engine_phase from = prefill > wanted ? engine_phase::Prefill : engine_phase::Decode;
+    std::erase_if(movable, [from](const registration *engine) { return engine->phase != from; });
+    if (movable.empty()) {
+        return std::nullopt;
+    }
+    const auto load = [&loadOf](const registration *engine) {
+        const auto found = loadOf.find(engine->id);
+        return found == loadOf.end() ? 0.0 : found->second;
+    };
+    const registration *idlest =
+        *std::min_element(movable.begin(), movable.end(), [&](const registration *left, const registration *right) { return load(left) < load(right); });
+    m_lastMove = now;
+    m_moved.emplace(idlest->id, now);
+    return phase_move{idlest->id, from == engine_phase::Prefill ? engine_phase::Decode : engine_phase::Prefill};
+}
+
+} // namespace heatherroute
--- /dev/null
+++ b/src/relay/phase_planner.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <compare>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "heatherroute/rate_book.h"
+#include "heatherroute/registration.h"
+#include "heatherroute/time.h"
+
+namespace heatherroute
+{
+
+/// What planning starts from and how calm it is.
+struct phase_plan_settings
+{
+    /// Engine time that one request takes of a prefill engine, before any was seen.
+    duration prefillCost = std::chrono::milliseconds(95);
+    /// Engine time that one request takes of a decode engine: its part of the memory times how long it runs, before any was seen.
+    duration decodeCost = std::chrono::milliseconds(290);
+    /// Room for bursts in the prefill pool against that of the decode pool.
+    double prefillHeadroom = 1.0;
+    double gain = 0.02; ///< Weight of the newest request.
+    std::size_t fewestPrefill = 1;
+    std::size_t fewestDecode = 1;
+    duration patience = std::chrono::seconds(3); ///< How long the plan must differ before an engine is moved.
+    duration pauseBetween = std::chrono::milliseconds(1'500); ///< Between two orders.
+
+    auto operator<=>(const phase_plan_settings &) const = default;
+};
+
+/// An engine to move.
+struct phase_move
+{
+    std::string id;
+    engine_phase to = engine_phase::Decode;
+
+    auto operator<=>(const phase_move &) const = default;
+};
+
+/**
+ * How many engines of a service prefill and how many decode.
+ *
+ * Load pattern: the pools as registered don't fit the mix of prompt and output lengths, or engines of the smaller pool crash
+ * or leave. The ratio follows the engine time that a request takes of either pool, learned from finished requests; it doesn't
+ * depend on the rate of requests, so a burst doesn't move it. Pure; not thread safe. Instants must not decrease.
+ */
+class phase_planner
+{
+public:
+    static phase_planner make(const phase_plan_settings &settings);
+
+    /// A prefill took @p computing of an engine.
+    void notePrefill(duration computing);
+    /// A generation that held @p memoryPart of a decode engine's memory ran for @p ran.
+    void noteDecode(duration ran, double memoryPart);
+
+    /// How many of @p engines should prefill.
+    std::size_t wantedPrefill(std::size_t engines) const;
+    /// The engine to move now, if any. @p engines are those in use; @p loadOf gives the work in hand of one, to move an idle one.
+    std::optional<phase_move> plan(instant now, const std::vector<const registration *> &engines, const std::map<std::string, double> &loadOf);
+
+private:
+    explicit phase_planner(const phase_plan_settings &settings);
+
+    phase_plan_settings m_settings;
+    learned_mean m_prefill;
+    learned_mean m_decode;
+    std::optional<instant> m_differsSince;
+    instant m_lastMove{};
+    std::map<std::string, instant> m_moved; ///< Engines that were ordered to move, by when.
+};
+
+} // namespace heatherroute
--- /dev/null
+++ b/src/relay/platform_store.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "heatherroute/last_reason.h"
+#include "heatherroute/registration.h"
+#include "heatherroute/route_table.h"
+
+namespace heatherroute
+{
+
+/// The streams of keyed records that the router reads from the platform's store.
+enum class store_stream : std::uint8_t {
+    Configuration, ///< What operators publish.
+    Registrations, ///< What upstreams say of themselves.
+    Entries, ///< Where entries can be found; written by the entries.
+};
+
+/// One change of a key; without a value the key was dropped.
+struct keyed_record
+{
+    std::string key;
+    std::optional<std::string> value;
+    auto operator<=>(const keyed_record &) const = default;
+};
+
+/// How a call to the store ended.
+enum class store_outcome : std::uint8_t {
+    Done,
+    Unavailable, ///< No answer, or one that says that nothing was done.
+    HistoryGone, ///< The records asked for were deleted.
+    Lost, ///< A lease was refused: another member holds it or its generation is over.
+};
+
+/// Records of a stream, in order.
+struct keyed_page
+{
+    store_outcome outcome = store_outcome::Unavailable;
+    std::string reason; ///< Why it is not Done.
+    std::vector<keyed_record> records;
+    std::uint64_t next = 0; ///< Where the next read goes on.
+    bool operator==(const keyed_page &) const = default;
+};
+
+/// Membership in the group that shares the right to give orders.
+struct lease_request
+{
+    std::string member;
+    std::chrono::milliseconds lifetime{};
+    std::uint64_t generation = 0; ///< The last one received.
+    auto operator<=>(const lease_request &) const = default;
+};
+
+/// The answer to a lease_request.
+struct lease_answer
+{
+    store_outcome outcome = store_outcome::Unavailable;
+    std::string reason;
+    std::uint64_t generation = 0; ///< Grows with each change of who holds what; the fencing token.
+    bool holds = false; ///< Whether this member may give orders.
+    bool operator==(const lease_answer &) const = default;
+};
+
+/**
+ * The platform's store as the router uses it.
+ *
+ * Filled in by the adapter of the platform. The calls run on the executor of the caller and end within a timeout of their
+ * own. The decoders are pure and callable from any thread.
+ */
+struct platform_store
+{
+    std::function<boost::asio::awaitable<keyed_page>(store_stream)> readNewest; ///< The newest record of each key.
+    std::function<boost::asio::awaitable<keyed_page>(store_stream, std::uint64_t from, std::chrono::milliseconds wait)> readFrom;
+    std::function<boost::asio::awaitable<store_outcome>(store_stream, keyed_record)> append;
+    std::function<boost::asio::awaitable<lease_answer>(lease_request)> joinLease;
+    std::function<boost::asio::awaitable<void>(std::string member)> leaveLease;
+    std::function<std::optional<route_table>(const keyed_record &, last_reason *)> decodeRoutes; ///< Empty also for other keys.
+    std::function<std::optional<registration>(const keyed_record &, last_reason *)> decodeRegistration;
+};
+
+} // namespace heatherroute
--- /dev/null
+++ b/src/relay/retry_pool.cpp
@@ -0,0 +1,63 @@
+#include "relay/retry_pool.h"
+
+#include <algorithm>
+
+namespace heatherroute
+{
+
+namespace
+{
+
+/// Entries assumed before others are known; a fleet of one is rare and a restarted entry knows nobody at first.
+constexpr std::size_t kFewestEntries = 8;
+/// Part of the limit that is used, since the windows of the one who counts aren't those of the bucket.
+constexpr double kUsedPart = 0.8;
+/// Parts of the slack: what a bucket holds at most, and what flows into it within a window.
+constexpr double kSlackSaved = 0.4;
+constexpr double kSlackFlowing = 0.6;
+
+} // namespace
+
+retry_pool retry_pool::make(const retry_limit &limit)
+{
+    return retry_pool(limit);
+}
+
+retry_pool::retry_pool(const retry_limit &limit)
+    : m_limit(limit)
+    , m_entries(kFewestEntries)
+{ }
+
+void retry_pool::setFleet(std::size_t entries)
+{
+    if (entries > m_entries) {
+        m_entries = entries;
+        m_budgets.clear();
+    }
+}
+
+retry_budget &retry_pool::budgetOf(instant now, const std::string &service)
+{
+    const auto found = m_budgets.find(service);
+    if (found != m_budgets.end()) {
+        return found->second;
+    }
+    const double slack = kUsedPart * m_limit.slack / static_cast<double>(m_entries);
+    retry_budget_settings settings;
+    settings.share = kUsedPart * m_limit.share;
+    settings.floorPerSecond = kSlackFlowing * slack / std::chrono::duration<double>(m_limit.window).count();
+    settings.capacity = std::max(1.0, kSlackSaved * slack);
+    return m_budgets.emplace(service, retry_budget::make(now, settings)).first->second;
+}
+
+void retry_pool::noteRequest(instant now, const std::string &service)
+{
+    budgetOf(now, service).noteRequest(now);
+}
+
+bool retry_pool::tryRepeat(instant now, const std::string &service)
+{
+    return budgetOf(now, service).tryRetry(now);
+}
+
+} // namespace heatherroute
--- /dev/null
+++ b/src/relay/upstream_choice.cpp
@@ -0,0 +1,35 @@
+#include "relay/upstream_choice.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace heatherroute
+{
+
+std::vector<const registration *> orderCandidates(std::vector<upstream_candidate> candidates, std::mt19937_64 &random)
+{
+    struct ranked
+    {
+        bool shunned = false;
+        double cost = 0.0;
+        std::uint64_t tie = 0;
+        const registration *run = nullptr;
+    };
+    std::vector<ranked> order;
+    order.reserve(candidates.size());
+    for (const upstream_candidate &candidate : candidates) {
+        const double weight = std::max(candidate.weight, kUsableWeight);
+        order.push_back({candidate.weight < kUsableWeight, (candidate.load + 1.0) / weight, random(), candidate.run});
+    }
+    std::sort(order.begin(), order.end(), [](const ranked &left, const ranked &right) {
+        return std::tie(left.shunned, left.cost, left.tie) < std::tie(right.shunned, right.cost, right.tie);
+    });
+    std::vector<const registration *> result;
+    result.reserve(order.size());
+    for (const ranked &entry : order) {
+        result.push_back(entry.run);
+    }
+    return result;
+}
+
+} // namespace heatherroute
--- /dev/null
+++ b/src/relay/upstream_registry.cpp
@@ -0,0 +1,168 @@
+#include "relay/upstream_registry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace heatherroute
+{
+
+upstream_registry upstream_registry::make(const registry_settings &settings, change_hook onChange)
+{
+    return upstream_registry(settings, std::move(onChange));
+}
+
+upstream_registry::upstream_registry(const registry_settings &settings, change_hook onChange)
+    : m_settings(settings)
+    , m_onChange(std::move(onChange))
+{ }
+
+bool upstream_registry::isLate(const registration &report) const
+{
+    const auto known = m_runs.find(report.id);
+    if (known != m_runs.end()) {
+        const registration &run = known->second.run;
+        return report.startedAt < run.startedAt || (report.startedAt == run.startedAt && report.sequence < run.sequence);
+    }
+    const auto removed = m_removed.find(report.id);
+    if (removed == m_removed.end()) {
+        return false;
+    }
+    const removed_run &run = removed->second;
+    return report.startedAt < run.startedAt || (report.startedAt == run.startedAt && report.sequence <= run.sequence);
+}
+
+void upstream_registry::onReport(instant now, const registration &report)
+{
+    if (isLate(report)) {
+        return;
+    }
+    m_removed.erase(report.id);
+    const auto known = m_runs.find(report.id);
+    if (known == m_runs.end()) {
+        m_runs.emplace(report.id, known_run{report, std::nullopt, false});
+        m_onChange(report, report.draining ? "added_draining" : "added");
+        return;
+    }
+    known_run &entry = known->second;
+    const registration before = std::exchange(entry.run, report);
+    entry.removeAt.reset();
+    if (report.startedAt != before.startedAt) {
+        entry.displaced = false;
+        m_onChange(report, "restarted");
+    } else if (report.draining != before.draining) {
+        m_onChange(report, report.draining ? "draining" : "ready");
+    } else if (report.phase != before.phase) {
+        m_onChange(report, "phase");
+    } else if (report.address != before.address || report.service != before.service) {
+        m_onChange(report, "moved");
+    }
+    static_cast<void>(now);
+}
+
+void upstream_registry::onRemoved(instant now, const std::string &id)
+{
+    const auto known = m_runs.find(id);
+    if (known == m_runs.end()) {
+        return;
+    }
+    const bool afterOutage = m_lostAt.has_value() || now < m_graceUntil;
+    if (!afterOutage) {
+        remove(now, id);
+    } else if (!known->second.removeAt) {
+        known->second.removeAt = m_lostAt ? now + m_settings.lapseGrace : m_graceUntil;
+        m_onChange(known->second.run, "lapsed");
+    }
+}
+
+void upstream_registry::onComplete(instant now, const std::set<std::string> &ids)
+{
+    std::vector<std::string> gone;
+    for (const auto &[id, entry] : m_runs) {
+        if (ids.count(id) == 0) {
+            gone.push_back(id);
+        }
+    }
+    for (const std::string &id : gone) {
+        onRemoved(now, id);
+    }
+    m_complete = true;
+}
+
+void upstream_registry::onStoreLost(instant now)
+{
+    if (!m_lostAt) {
+        m_lostAt = now;
+    }
+}
+
+void upstream_registry::onStoreBack(instant now)
+{
+    if (m_lostAt) {
+        m_lostAt.reset();
+        m_graceUntil = now + m_settings.lapseGrace;
+    }
+}
+
+void upstream_registry::onDisplaced(instant now, const std::string &id)
+{
+    const auto known = m_runs.find(id);
+    if (known != m_runs.end() && !known->second.displaced) {
+        known->second.displaced = true;
+        m_onChange(known->second.run, "displaced");
+    }
+    static_cast<void>(now);
+}
+
+void upstream_registry::advance(instant now)
+{
+    std::vector<std::string> due;
+    for (const auto &[id, entry] : m_runs) {
+        if (entry.removeAt && *entry.removeAt <= now) {
+            due.push_back(id);
+        }
+    }
+    for (const std::string &id : due) {
+        remove(now, id);
+    }
+    forgetOld(now);
+}
+
+void upstream_registry::remove(instant now, const std::string &id)
+{
+    const auto known = m_runs.find(id);
+    const registration run = known->second.run;
+    m_runs.erase(known);
+    m_removed.insert_or_assign(id, removed_run{run.startedAt, run.sequence, now});
+    m_onChange(run, "removed");
+}
+
+void upstream_registry::forgetOld(instant now)
+{
+    std::erase_if(m_removed, [&](const auto &entry) { return now - entry.second.at > m_settings.removedMemory; });
+}
+
+const registration *upstream_registry::find(const std::string &id) const
+{
+    const auto known = m_runs.find(id);
+    return known == m_runs.end() ? nullptr : &known->second.run;
+}
+
+std::vector<const registration *> upstream_registry::usable(const std::string &service) const
+{
+    std::vector<const registration *> result;
+    for (const auto &[id, entry] : m_runs) {
+        if (entry.run.service == service && !entry.run.draining && !entry.displaced) {
+            result.push_back(&entry.run);
+        }
+    }
+    return result;
+}
+
+std::vector<const registration *> upstream_registry::usable(const std::string &service, engine_phase phase) const
+{
+    std::vector<const registration *> result = usable(service);
+    std::erase_if(result, [phase](const registration *run) { return run->phase != phase; });
+    return result;
+}
+
+} // namespace heatherroute
--- /dev/null
+++ b/src/relay/upstream_registry.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "heatherroute/log_line.h"
+#include "heatherroute/registration.h"
+#include "heatherroute/time.h"
+
+namespace heatherroute
+{
+
+/// Times of an upstream_registry.
+struct registry_settings
+{
+    /// After the store was away, how long an entry that lapsed meanwhile may take to come back.
+    duration lapseGrace = std::chrono::seconds(2);
+    /// How long a removed run is remembered, so that a late report doesn't bring it back.
+    duration removedMemory = std::chrono::minutes(2);
+
+    auto operator<=>(const registry_settings &) const = default;
+};
+
+/**
+ * Which upstreams there are, from what they write to the platform's store.
+ *
+ * Reports may come late, twice, or after the upstream's removal; the run (id and start) and its sequence tell which is newer.
+ * While the store is away, entries lapse there though their upstreams live, so a removal that follows an outage takes effect
+ * only when the upstream has not come back within a grace. Not thread safe. Instants must not decrease.
+ */
+class upstream_registry
+{
+public:
+    /// Told of each change that concerns routing: the run and what became of it (`added`, `draining`, `phase`, `removed`, ...).
+    using change_hook = std::function<void(const registration &run, const std::string &change)>;
+
+    static upstream_registry make(const registry_settings &settings, change_hook onChange);
+
+    /// An upstream has reported.
+    void onReport(instant now, const registration &report);
+    /// The store holds no report of @p id any more.
+    void onRemoved(instant now, const std::string &id);
+    /// The store holds exactly the reports of @p ids; all others are gone.
+    void onComplete(instant now, const std::set<std::string> &ids);
+    /// The store has not answered for a while.
+    void onStoreLost(instant now);
+    /// The store answers again.
+    void onStoreBack(instant now);
+    /// An upstream itself said that another run holds @p id now, so this run is gone.
+    void onDisplaced(instant now, const std::string &id);
+    /// Carries out the removals whose grace has passed.
+    void advance(instant now);
+
+    /// The run of that id; null when there is none. Valid until the next change.
+    const registration *find(const std::string &id) const;
+    /// The runs of @p service that may get new work.
+    std::vector<const registration *> usable(const std::string &service) const;
+    /// The runs of @p service that may get new work in @p phase.
+    std::vector<const registration *> usable(const std::string &service, engine_phase phase) const;
+    /// Whether the list was read whole at least once.
+    bool isComplete() const noexcept
+    {
+        return m_complete;
+    }
+    std::size_t size() const noexcept
+    {
+        return m_runs.size();
+    }
+
+private:
+    struct known_run
+    {
+        registration run;
+        std::optional<instant> removeAt; ///< It has lapsed in the store and is removed then.
+        bool displaced = false;
+    };
+    struct removed_run
+    {
+        std::uint64_t startedAt = 0;
+        std::uint64_t sequence = 0;
+        instant at{};
+    };
+
+    upstream_registry(const registry_settings &settings, change_hook onChange);
+    void remove(instant now, const std::string &id);
+    void forgetOld(instant now);
+    bool isLate(const registration &report) const;
+
+    registry_settings m_settings;
+    change_hook m_onChange;
+    std::map<std::string, known_run> m_runs;
+    std::map<std::string, removed_run> m_removed;
+    std::optional<instant> m_lostAt;
+    instant m_graceUntil{};
+    bool m_complete = false;
+};
+
+} // namespace heatherroute
--- a/src/settings/settings_table.cpp
+++ b/src/settings/settings_table.cpp
@@ -83,6 +83,15 @@
     return key;
 }
 
+template<typename Field>
+settings_key optionalListenKey(const std::string &path, Field field, const std::string &doc)
+{
+    settings_key key = addressKey(path, kAnyPort, field, doc);
+    key.presence = key_presence::Optional;
+    key.defaultText = "not served";
+    return key;
+}
+
 // Value is the type of the field: an unsigned integer or a std::chrono duration.
 template<typename Value, typename Field>
 settings_key numberKey(const std::string &path, const number_range &range, const std::string &unit, Field field, const std::string &doc)
@@ -127,6 +136,25 @@
     return numberKey<std::chrono::seconds>(path, {1, kMaxSeconds, fallback}, "s", field, doc);
 }
 
+template<typename Field>
+settings_key realKey(const std::string &path, double min, double max, const std::string &fallback, const std::string &unit, Field field, const std::string &doc)
+{
+    settings_key key;
+    key.path = path;
+    key.type = "number";
+    key.accepted = realAccepted(min, max);
+    key.unit = unit;
+    key.doc = doc;
+    key.assign = [field, min, max](const YAML::Node &node, entry_values &values) {
+        const std::optional<double> number = parseReal(node, min, max);
+        if (number) {
+            field(values) = *number;
+        }
+        return number.has_value();
+    };
+    return withDefault(key, fallback);
+}
+
 template<typename Enum, std::size_t Count, typename Field>
 settings_key choiceKey(const std::string &path, const enum_names<Enum, Count> &names, Enum fallback, Field field, const std::string &doc)
 {
@@ -200,6 +228,14 @@
         "listen.operators", kAnyPort, [](entry_values & v) -> auto & { return v.listen.operators; }, "TCP address for operators: metrics, dumps, drain."));
     keys.push_back(addressKey(
         "listen.peers", kAnyPort, [](entry_values & v) -> auto & { return v.listen.peers; }, "Address for other entries, on UDP and TCP alike."));
+    keys.push_back(optionalListenKey(
+        "listen.readiness",
+        [](entry_values & v) -> auto & { return v.listen.readiness; },
+        "TCP address where the platform asks whether the entry takes callers; only for the relay."));
+    keys.push_back(optionalListenKey(
+        "listen.directory",
+        [](entry_values & v) -> auto & { return v.listen.directory; },
+        "TCP address where callers ask which entries to use; only for the relay."));
     keys.push_back(optionalAddressKey(
         "advertise.callers",
         [](entry_values & v) -> auto & { return v.advertise.callers; },
@@ -317,6 +353,61 @@
         "After this time without news from both the log and the peers the entry gives out no new work; more than the poll wait."));
 }
 
+void addRelayKeys(key_list &keys)
+{
+    constexpr double kMaxRepeats = 1e6;
+    constexpr double kMaxTimeS = 3600;
+    constexpr double kMaxTimeMs = kMaxTimeS * 1000;
+    keys.push_back(realKey(
+        "relay.retry_share",
+        0,
+        1,
+        "0.1",
+        "",
+        [](entry_values & v) -> auto & { return v.relay.retryShare; },
+        "Repeats at a service per request for it, within `relay.retry_window_s`, over all entries."));
+    keys.push_back(realKey(
+        "relay.retry_slack",
+        0,
+        kMaxRepeats,
+        "20",
+        "",
+        [](entry_values & v) -> auto & { return v.relay.retrySlack; },
+        "Repeats at a service allowed beside that within the window, over all entries."));
+    keys.push_back(realKey(
+        "relay.retry_window_s",
+        1,
+        kMaxTimeS,
+        "10",
+        "s",
+        [](entry_values & v) -> auto & { return v.relay.retryWindowS; },
+        "The window of the limit on repeats."));
+    keys.push_back(realKey(
+        "relay.stop_grace_s",
+        1,
+        kMaxTimeS,
+        "8",
+        "s",
+        [](entry_values & v) -> auto & { return v.relay.stopGraceS; },
+        "Time from the signal to stop until the platform ends the process."));
+    keys.push_back(realKey(
+        "relay.lease_ms",
+        100,
+        kMaxTimeMs,
+        "3000",
+        "ms",
+        [](entry_values & v) -> auto & { return v.relay.leaseMs; },
+        "How long the right to give orders to engines lasts without renewal."));
+    keys.push_back(realKey(
+        "relay.thaw_ms",
+        0,
+        kMaxTimeMs,
+        "300",
+        "ms",
+        [](entry_values & v) -> auto & { return v.relay.thawMs; },
+        "How long an order may still arrive after its sender's VM woke up or its link healed."));
+}
+
 void addLogKeys(key_list &keys)
 {
     keys.push_back(choiceKey(
@@ -327,6 +418,8 @@
         "Least severity of the lines written; can be changed at run time."));
     keys.push_back(choiceKey(
         "log.format", kLogFormatNames, log_format::KeyValue, [](entry_values & v) -> auto & { return v.log.format; }, "Form of a line."));
+    keys.push_back(choiceKey(
+        "log.output", kLogOutputNames, log_output::StandardError, [](entry_values & v) -> auto & { return v.log.output; }, "Where lines are written."));
 }
 
 key_list makeTable()
@@ -337,6 +430,7 @@
     addLimitKeys(keys);
     addDecisionKeys(keys);
     addGroupKeys(keys);
+    addRelayKeys(keys);
     addLogKeys(keys);
     keys.push_back(seedKey());
     return keys;
--- a/src/settings/yaml_reader.cpp
+++ b/src/settings/yaml_reader.cpp
@@ -276,6 +276,21 @@
     return value;
 }
 
+std::optional<double> parseReal(const YAML::Node &node, double min, double max)
+{
+    if (!isPlainScalar(node)) {
+        return std::nullopt;
+    }
+    const std::string text = node.Scalar();
+    const bool isDecimal = !text.empty() && text.find_first_not_of("0123456789.") == std::string::npos && text.front() != '.';
+    double value = 0;
+    const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (!isDecimal || status != std::errc{} || end != text.data() + text.size() || value < min || value > max) {
+        return std::nullopt;
+    }
+    return value;
+}
+
 std::optional<bool> parseBoolean(const YAML::Node &node)
 {
     if (!isPlainScalar(node)) {
@@ -324,6 +339,13 @@
     return "an integer from " + std::to_string(min) + " to " + std::to_string(max);
 }
 
+std::string realAccepted(double min, double max)
+{
+    std::ostringstream text;
+    text << "a number from " << min << " to " << max;
+    return text.str();
+}
+
 std::string addressAccepted(std::uint32_t minPort)
 {
     return "IP:port with a numeric address (IPv6 in brackets) and a port from " + std::to_string(minPort) + " to 65535";
--- a/src/settings/yaml_reader.h
+++ b/src/settings/yaml_reader.h
@@ -76,6 +76,8 @@
  */
 std::optional<std::string> parseText(const YAML::Node &node);
 std::optional<std::uint64_t> parseInteger(const YAML::Node &node, std::uint64_t min, std::uint64_t max);
+/// A number with or without a fraction, in plain decimal digits.
+std::optional<double> parseReal(const YAML::Node &node, double min, double max);
 std::optional<bool> parseBoolean(const YAML::Node &node);
 /// A name: letters, digits, `.`, `_`, `-`, at most 64 of them, first a letter or digit.
 std::optional<std::string> parseName(const YAML::Node &node);
@@ -88,6 +90,9 @@
 /// What `parseInteger` accepts, for messages.
 std::string integerAccepted(std::uint64_t min, std::uint64_t max);
 
+/// What `parseReal` accepts, for messages.
+std::string realAccepted(double min, double max);
+
 /// What `parseAddress` accepts, for messages.
 std::string addressAccepted(std::uint32_t minPort);
 
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -14,22 +14,26 @@
 {
 
 constexpr const char *kLoggerName = "heatherroute";
-constexpr const char *kWriterName = "standard error";
+constexpr const char *kWriterName = "stream";
 constexpr const char *kDefaultWriterName = "DefaultLogDispatchCallback";
 
 std::atomic<log_level> currentLevel = log_level::Info;
 std::atomic<log_format> currentFormat = log_format::KeyValue;
+std::atomic<std::FILE *> currentOutput = nullptr; ///< Standard error while it is null.
 std::array<std::atomic<std::uint64_t>, 4> writtenLines{}; ///< By level.
 
 /// Replaces easylogging++'s own writer, which uses standard output and files.
-class standard_error_writer : public el::LogDispatchCallback
+class stream_writer : public el::LogDispatchCallback
 {
 protected:
     void handle(const el::LogDispatchData *data) override
     {
-        // One call per line: standard error is unbuffered, so lines of several threads don't mix.
+        // One call and one flush per line, so lines of several threads don't mix and none waits in a buffer.
         const std::string text = data->logMessage()->message() + '\n';
-        std::fwrite(text.data(), 1, text.size(), stderr);
+        std::FILE *const chosen = currentOutput;
+        std::FILE *const output = chosen == nullptr ? stderr : chosen;
+        std::fwrite(text.data(), 1, text.size(), output);
+        std::fflush(output);
     }
 };
 
@@ -43,7 +47,7 @@
     el::Loggers::setDefaultConfigurations(configurations, true);
     el::Loggers::getLogger(kLoggerName)->configure(configurations);
     el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(kDefaultWriterName);
-    el::Helpers::installLogDispatchCallback<standard_error_writer>(kWriterName);
+    el::Helpers::installLogDispatchCallback<stream_writer>(kWriterName);
 }
 
 } // namespace
@@ -51,6 +55,7 @@
 void configureLogging(const log_settings &settings)
 {
     currentFormat = settings.format;
+    currentOutput = settings.output == log_output::StandardOutput ? stdout : stderr;
     currentLevel = settings.level;
     configureLibrary();
 }
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -11,7 +11,7 @@
 {
 
 /**
- * Writes log lines to standard error through easylogging++.
+ * Writes log lines to standard error or standard output through easylogging++.
  *
  * The log belongs to the whole process, as standard error does, so these are functions and not a type. No file is ever
  * written: VMs keep nothing. Writing waits while standard error can't take the line, so a thread that must not wait hands its
