--- a/src/node/plain_relay.cpp
+++ b/src/node/plain_relay.cpp
@@ -127,7 +127,7 @@
             }
             return {result.failure.outcome, std::nullopt, result.failure.reason};
         }
-        const answer_facts facts = m_state.dialect.readAnswer(*result.answer);
+        const answer_facts facts = m_state.dialect.readAnswer(*result.answer, run.id);
         if (facts.wrongInstance) {
             m_state.registry.onDisplaced(now, run.id);
         }
--- a/src/node/relay_call.cpp
+++ b/src/node/relay_call.cpp
@@ -153,6 +153,11 @@
     co_await m_responder.send(std::move(answer));
 }
 
+void relay_call::addFields(std::vector<log_field> fields)
+{
+    m_moreFields.insert(m_moreFields.end(), std::make_move_iterator(fields.begin()), std::make_move_iterator(fields.end()));
+}
+
 void relay_call::finish(const relay_end &end)
 {
     const std::string kind = m_route == nullptr ? "unrouted" : std::string(toString(m_route->kind));
@@ -160,19 +165,19 @@
     m_state.metrics.counter("heatherroute_requests_total", "Requests of callers by end.", {{"kind", kind}, {"outcome", end.outcome}}).value += 1;
     m_state.metrics.histogram("heatherroute_request_seconds", "Time from a request's arrival to its end.", exponentialBounds(0.005, 2.0, 12), {{"kind", kind}})
         .observe(seconds);
-    m_state.log(end.outcome == "answered" ? log_level::Info : log_level::Warning,
-                "request_ended",
-                {requestIdField(m_facts.id),
-                 {"kind", kind},
-                 {"route", m_route == nullptr ? m_facts.path : m_route->name},
-                 {"config_version", m_routes ? std::to_string(m_routes->version()) : "none"},
-                 {"outcome", end.outcome},
-                 {"status", std::to_string(end.status)},
-                 {"reason", end.reason},
-                 verdictField(end.ran),
-                 upstreamField(end.upstream),
-                 {"took_ms", std::to_string(toMilliseconds(age()).count())},
-                 {"left_ms", std::to_string(toMilliseconds(timeLeft()).count())}});
+    std::vector<log_field> fields = {requestIdField(m_facts.id),
+                                     {"kind", kind},
+                                     {"route", m_route == nullptr ? m_facts.path : m_route->name},
+                                     {"config_version", m_routes ? std::to_string(m_routes->version()) : "none"},
+                                     {"outcome", end.outcome},
+                                     {"status", std::to_string(end.status)},
+                                     {"reason", end.reason},
+                                     verdictField(end.ran),
+                                     upstreamField(end.upstream),
+                                     {"took_ms", std::to_string(toMilliseconds(age()).count())},
+                                     {"left_ms", std::to_string(toMilliseconds(timeLeft()).count())}};
+    fields.insert(fields.end(), m_moreFields.begin(), m_moreFields.end());
+    m_state.log(end.outcome == "answered" ? log_level::Info : log_level::Warning, "request_ended", std::move(fields));
 }
 
 http_call aimedAt(const relay_state &state, const registration &run, http_call call, std::chrono::milliseconds timeout)
--- a/src/node/relay_call.h
+++ b/src/node/relay_call.h
@@ -90,6 +90,8 @@
     boost::asio::awaitable<void> refuse(unsigned status, std::string code, std::optional<duration> retryAfter);
     /// Sends an upstream's whole answer unchanged.
     boost::asio::awaitable<void> pass(net::http_answer answer);
+    /// Adds to the line that finish() writes.
+    void addFields(std::vector<log_field> fields);
     /// Writes the line that ends the request's story.
     void finish(const relay_end &end);
 
@@ -109,6 +111,7 @@
     net::http_responder &m_responder;
     std::shared_ptr<const route_table> m_routes; ///< Keeps the route alive through changes of configuration.
     const route *m_route = nullptr;
+    std::vector<log_field> m_moreFields;
     instant m_startedAt;
     instant m_deadline;
     std::shared_ptr<shared_state> m_shared;
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -169,7 +169,7 @@
             }
             co_return false;
         }
-        const answer_facts facts = m_state.dialect.readAnswer(*result.answer);
+        const answer_facts facts = m_state.dialect.readAnswer(*result.answer, run.id);
         if (facts.wrongInstance) {
             m_state.registry.onDisplaced(coreNow(), run.id);
             co_return false;
@@ -182,6 +182,7 @@
         }
         m_state.desk.addDecode(run.id, tokens);
         m_reserved = reservation{run, *id, tokens};
+        m_reservedAfter = m_call.age();
         m_reservationSent = false;
         co_return true;
     }
@@ -248,7 +249,7 @@
             }
             co_return false;
         }
-        const answer_facts facts = m_state.dialect.readAnswer(*result.answer);
+        const answer_facts facts = m_state.dialect.readAnswer(*result.answer, run.id);
         if (facts.wrongInstance) {
             m_state.registry.onDisplaced(coreNow(), run.id);
         }
@@ -261,6 +262,7 @@
             logTry(run, "prefill", "status_" + std::to_string(result.answer->status), verdict::NotRun);
             co_return false;
         }
+        m_prefillTook = took;
         m_state.judge.noteSuccess(coreNow(), run.id, took, std::max(expected, duration(1)));
         m_state.desk.notePrefill(m_prompt.promptTokens, took);
         planner().notePrefill(
@@ -296,7 +298,7 @@
     /// Decides from the head of the answer whether it is streamed to the caller.
     asio::awaitable<bool> begin(http_answer head)
     {
-        const answer_facts facts = m_state.dialect.readAnswer(head);
+        const answer_facts facts = m_state.dialect.readAnswer(head, m_upstream);
         const bool success = head.status >= kFirstSuccess && head.status < kFirstRedirect;
         const bool ours = facts.requestId.empty() || facts.requestId == m_call.facts().id;
         if (!success || !facts.sealed || facts.altered || !ours) {
@@ -327,7 +329,7 @@
         if (m_started) {
             const double memory = memoryOf(run.service);
             if (memory > 0) {
-                planner().noteDecode(m_ranFor, (m_prompt.promptTokens + m_prompt.expectedOutputTokens.value_or(0) / 2.0) / memory);
+                planner().noteDecode(m_ranFor, m_state.desk.reservedTokens(m_prompt) / memory);
             }
             m_complete = result.answer.has_value();
             if (m_complete) {
@@ -365,7 +367,7 @@
 
     asio::awaitable<stage_end> settleAnswer(registration run, http_answer answer)
     {
-        const answer_facts facts = m_state.dialect.readAnswer(answer);
+        const answer_facts facts = m_state.dialect.readAnswer(answer, run.id);
         const bool success = answer.status >= kFirstSuccess && answer.status < kFirstRedirect;
         logTry(run, "decode", "status_" + std::to_string(answer.status), facts.notRun ? verdict::NotRun : verdict::Ran);
         if (facts.notRun) {
@@ -395,9 +397,22 @@
         return spec != nullptr && spec->engine ? static_cast<double>(spec->engine->memoryTokens) : 0.0;
     }
 
+    /// Where the request's time went, for its last log line.
+    std::vector<log_field> times() const
+    {
+        const auto text = [](duration value) { return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count()); };
+        return {{"prompt_tokens", std::to_string(m_prompt.promptTokens)},
+                {"reserved_after_ms", text(m_reservedAfter)},
+                {"prefill_ms", text(m_prefillTook)},
+                {"first_event_ms", m_firstAt ? text(*m_firstAt - m_sentAt) : "none"},
+                {"decode_ms", text(m_ranFor)},
+                {"reservations_refused", std::to_string(m_refusals)}};
+    }
+
     /// Answers the caller when no stream did, and writes how it ended.
     asio::awaitable<void> conclude()
     {
+        m_call.addFields(times());
         giveBack();
         freeHandle();
         if (m_call.isGone()) {
@@ -423,7 +438,7 @@
         const duration wait = m_reason == "no_engine" ? kNoEngineWait : kFullWait;
         const auto back = returnAfter(m_state.returns, wait, m_call.timeLeft(), m_state.draw());
         co_await m_call.refuse(kStatusUnavailable, m_reason, back);
-        m_call.finish({"refused", kStatusUnavailable, m_reason + ", reservations refused: " + std::to_string(m_refusals), verdict::NotRun, m_upstream});
+        m_call.finish({"refused", kStatusUnavailable, m_reason, verdict::NotRun, m_upstream});
     }
 
     /// Gives the reservation back; one that was sent with a request ends with it.
@@ -479,6 +494,8 @@
     std::string m_reason;
     instant m_sentAt{};
     std::optional<instant> m_firstAt;
+    duration m_reservedAfter{};
+    duration m_prefillTook{};
     duration m_ranFor{};
     std::optional<unsigned> m_passed; ///< The status of an upstream's own failure that was passed on.
     verdict m_ran = verdict::NotRun;
--- a/src/relay/phase_planner.cpp
+++ b/src/relay/phase_planner.cpp
@@ -9,8 +9,8 @@
 namespace
 {
 
-/// How long an engine that was ordered to move may still report its old phase.
-constexpr duration kMoveInProgress = std::chrono::seconds(12);
+/// How long an engine that was ordered to move may still report its old phase before it is ordered anew.
+constexpr duration kLongestMove = std::chrono::seconds(12);
 
 double secondsOf(duration value)
 {
@@ -26,16 +26,18 @@
 
 phase_planner::phase_planner(const phase_plan_settings &settings)
     : m_settings(settings)
+    , m_prefillSeconds(secondsOf(settings.prefillCost))
+    , m_decodeSeconds(secondsOf(settings.decodeCost))
 { }
 
 void phase_planner::notePrefill(duration computing)
 {
-    m_prefill.observe(secondsOf(computing), m_settings.gain);
+    m_prefillSeconds += m_settings.gain * (secondsOf(computing) - m_prefillSeconds);
 }
 
 void phase_planner::noteDecode(duration ran, double memoryPart)
 {
-    m_decode.observe(secondsOf(ran) * memoryPart, m_settings.gain);
+    m_decodeSeconds += m_settings.gain * (secondsOf(ran) * memoryPart - m_decodeSeconds);
 }
 
 std::size_t phase_planner::wantedPrefill(std::size_t engines) const
@@ -43,26 +45,29 @@
     if (engines < m_settings.fewestPrefill + m_settings.fewestDecode) {
         return std::min(engines, m_settings.fewestPrefill);
     }
-    const double prefill = m_settings.prefillHeadroom * m_prefill.value(secondsOf(m_settings.prefillCost));
-    const double decode = m_decode.value(secondsOf(m_settings.decodeCost));
-    const double share = prefill / (prefill + decode);
+    const double prefill = m_settings.prefillHeadroom * m_prefillSeconds;
+    const double share = prefill / (prefill + m_decodeSeconds);
     const auto wanted = static_cast<std::size_t>(std::lround(share * static_cast<double>(engines)));
     return std::clamp(wanted, m_settings.fewestPrefill, engines - m_settings.fewestDecode);
 }
 
 std::optional<phase_move> phase_planner::plan(instant now, const std::vector<const registration *> &engines, const std::map<std::string, double> &loadOf)
 {
-    std::erase_if(m_moved, [now](const auto &entry) { return now - entry.second > kMoveInProgress; });
     std::size_t prefill = 0;
     std::vector<const registration *> movable;
     for (const registration *engine : engines) {
+        const auto moving = m_moving.find(engine->id);
+        const bool arrived = moving != m_moving.end() && (engine->phase == moving->second.to || now - moving->second.since > kLongestMove);
+        const bool isMoving = moving != m_moving.end() && !arrived;
         // An engine on its way counts where it goes.
-        const bool moving = m_moved.count(engine->id) > 0;
-        const bool isPrefill = engine->phase == engine_phase::Prefill;
-        prefill += (isPrefill != moving) ? 1 : 0;
-        if (!moving) {
+        const std::optional<engine_phase> phase = isMoving ? moving->second.to : engine->phase;
+        prefill += phase == engine_phase::Prefill ? 1 : 0;
+        if (!isMoving) {
             movable.push_back(engine);
         }
+        if (arrived) {
+            m_moving.erase(moving);
+        }
     }
     const std::size_t wanted = wantedPrefill(engines.size());
     if (prefill == wanted) {
@@ -89,8 +94,9 @@
     const registration *idlest =
         *std::min_element(movable.begin(), movable.end(), [&](const registration *left, const registration *right) { return load(left) < load(right); });
     m_lastMove = now;
-    m_moved.emplace(idlest->id, now);
-    return phase_move{idlest->id, from == engine_phase::Prefill ? engine_phase::Decode : engine_phase::Prefill};
+    const engine_phase to = from == engine_phase::Prefill ? engine_phase::Decode : engine_phase::Prefill;
+    m_moving.insert_or_assign(idlest->id, move_under_way{to, now});
+    return phase_move{idlest->id, to};
 }
 
 } // namespace heatherroute
--- a/src/relay/phase_planner.h
+++ b/src/relay/phase_planner.h
@@ -6,7 +6,6 @@
 #include <string>
 #include <vector>
 
-#include "heatherroute/rate_book.h"
 #include "heatherroute/registration.h"
 #include "heatherroute/time.h"
 
@@ -19,10 +18,10 @@
     /// Engine time that one request takes of a prefill engine, before any was seen.
     duration prefillCost = std::chrono::milliseconds(95);
     /// Engine time that one request takes of a decode engine: its part of the memory times how long it runs, before any was seen.
-    duration decodeCost = std::chrono::milliseconds(290);
+    duration decodeCost = std::chrono::milliseconds(390);
     /// Room for bursts in the prefill pool against that of the decode pool.
     double prefillHeadroom = 1.0;
-    double gain = 0.02; ///< Weight of the newest request.
+    double gain = 0.005; ///< Weight of the newest request; short generations end first, so the mean must move slowly.
     std::size_t fewestPrefill = 1;
     std::size_t fewestDecode = 1;
     duration patience = std::chrono::seconds(3); ///< How long the plan must differ before an engine is moved.
@@ -54,7 +53,7 @@
 
     /// A prefill took @p computing of an engine.
     void notePrefill(duration computing);
-    /// A generation that held @p memoryPart of a decode engine's memory ran for @p ran.
+    /// A generation for which @p memoryPart of a decode engine's memory was reserved ran for @p ran.
     void noteDecode(duration ran, double memoryPart);
 
     /// How many of @p engines should prefill.
@@ -66,11 +65,16 @@
     explicit phase_planner(const phase_plan_settings &settings);
 
     phase_plan_settings m_settings;
-    learned_mean m_prefill;
-    learned_mean m_decode;
+    double m_prefillSeconds; ///< Of a prefill engine, per request.
+    double m_decodeSeconds; ///< Of a decode engine, per request.
     std::optional<instant> m_differsSince;
     instant m_lastMove{};
-    std::map<std::string, instant> m_moved; ///< Engines that were ordered to move, by when.
+    struct move_under_way
+    {
+        engine_phase to = engine_phase::Decode;
+        instant since{};
+    };
+    std::map<std::string, move_under_way> m_moving; ///< Engines that were ordered to move and don't report it yet.
 };
 
 } // namespace heatherroute
--- a/src/relay/platform_dialect.h
+++ b/src/relay/platform_dialect.h
@@ -47,7 +47,7 @@
 struct answer_facts
 {
     bool notRun = false; ///< The upstream states that it did not run the request.
-    bool wrongInstance = false; ///< Another run has that address now.
+    bool wrongInstance = false; ///< Another run has that address now; else it may just be in the wrong phase.
     bool sealed = false; ///< Carries the upstream's own mark.
     bool altered = false; ///< Encoded by something on the way, so the bytes aren't the upstream's.
     std::string requestId; ///< Whose answer it is; empty when it doesn't say.
@@ -97,7 +97,8 @@
 
     // Upstreams.
     std::function<std::vector<net::http_field>(const net::http_request &, const upstream_directions &)> upstreamFields;
-    std::function<answer_facts(const net::http_answer &)> readAnswer;
+    /// The facts of an answer to a request that was meant for @p instance.
+    std::function<answer_facts(const net::http_answer &, const std::string &instance)> readAnswer;
     std::function<std::vector<net::http_field>(const net::http_answer &)> callerFields;
 
     // Engines.
