A prompt is read at a decode engine only where no prefill engine is left

Engines that refuse for their phase now rest for a second, a busy prefill pool is waited for, and the first moves are made before there is traffic.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -10,6 +10,9 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <array>
 #include <charconv>
 
@@ -26,6 +29,11 @@
 
 constexpr std::size_t kBodyChunkBytes = std::size_t{16} * 1024;
 constexpr unsigned kFirstErrorStatus = 300;
+/// Of TCP keep-alive: a connection that lost its path is noticed after these times, though the other end may think for longer.
+constexpr int kProbeIdleS = 1;
+constexpr int kProbeIntervalS = 1;
+constexpr int kProbeCount = 1;
+constexpr int kUnacknowledgedMs = 2000;
 
 class exchange : public http_exchange
 {
@@ -54,6 +62,7 @@
             co_return failed(verdict::NotRun, "connect", error);
         }
         m_stream.socket().set_option(tcp::no_delay(true), error);
+        detectSilence(m_stream.socket());
         arm(m_call.progressTimeout);
         // An upstream may answer before it has read the whole request, so both directions go on at once.
         asio::co_spawn(m_stream.get_executor(), writeRequest(self), asio::detached);
@@ -199,6 +208,18 @@
     return std::make_shared<exchange>(executor, std::move(call));
 }
 
+void detectSilence(tcp::socket &socket) noexcept
+{
+    const int handle = socket.native_handle();
+    const int on = 1;
+    // A kernel without one of these only notices later.
+    static_cast<void>(::setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on)));
+    static_cast<void>(::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &kProbeIdleS, sizeof(kProbeIdleS)));
+    static_cast<void>(::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &kProbeIntervalS, sizeof(kProbeIntervalS)));
+    static_cast<void>(::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &kProbeCount, sizeof(kProbeCount)));
+    static_cast<void>(::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedMs, sizeof(kUnacknowledgedMs)));
+}
+
 asio::awaitable<http_result> performCall(http_call call)
 {
     const auto executor = co_await asio::this_coro::executor;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -81,6 +81,9 @@
 /// Performs @p call and returns its end. For calls that are never cancelled.
 boost::asio::awaitable<http_result> performCall(http_call call);
 
+/// Has the kernel probe @p socket, so that a connection that went silent fails within seconds while the other end may take its time.
+void detectSilence(boost::asio::ip::tcp::socket &socket) noexcept;
+
 /// Parses "IP:port"; empty when @p text is not an address by number.
 std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text);
 
--- a/src/node/relay_node.cpp
+++ b/src/node/relay_node.cpp
@@ -113,7 +113,6 @@
         node::store_duty_settings following;
         following.entryName = settings.name();
         following.peerAddress = m_members->address();
-        following.leaseLifetime = millisecondsOf(settings.relay().leaseMs);
         m_store = std::make_unique<node::store_duty>(m_storeThread.context(), std::move(following), std::move(store), m_storeToRelay, m_storeToMembers, log);
         connect();
         return openMetrics(*operators, reason);
--- a/src/node/store_duty.h
+++ b/src/node/store_duty.h
@@ -20,15 +20,15 @@
 {
     std::string entryName;
     std::string peerAddress; ///< Published, so that other entries find this one.
-    std::chrono::milliseconds configWait{10'000}; ///< How long one read waits for a configuration; changes are rare.
+    std::chrono::milliseconds configWait{20'000}; ///< How long one read waits for a configuration; changes are rare.
     std::chrono::milliseconds registrationInterval{900}; ///< Between two reads of upstreams' reports; each read costs.
     std::chrono::milliseconds entriesWait{20'000}; ///< How long one read waits for entries that start.
     std::chrono::milliseconds firstPause{150}; ///< After a failure; doubles with each further one.
     std::chrono::milliseconds longestPause{1'000};
     std::chrono::milliseconds lostAfter{1'500}; ///< Without an answer, after which the store counts as lost.
-    std::chrono::milliseconds leaseLifetime{3'000};
-    std::chrono::milliseconds leaseInterval{900}; ///< Between two renewals.
-    std::chrono::milliseconds leaseMargin{700}; ///< Before its end, from when on the lease isn't used.
+    std::chrono::milliseconds leaseLifetime{1'500};
+    std::chrono::milliseconds leaseInterval{450}; ///< Between two renewals.
+    std::chrono::milliseconds leaseMargin{300}; ///< Before its end, from when on the lease isn't used.
 };
 
 /**
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -19,15 +19,16 @@
 
 constexpr unsigned kFirstSuccess = 200;
 constexpr unsigned kFirstRedirect = 300;
+constexpr unsigned kStatusMisdirected = 421;
 constexpr unsigned kStatusBadGateway = 502;
 constexpr unsigned kStatusUnavailable = 503;
 constexpr unsigned kStatusTimeout = 504;
 constexpr std::uint32_t kMostPrefills = 3; ///< Engines asked for the same prompt.
 constexpr std::uint32_t kMostDecodes = 3; ///< Engines asked to generate before the caller is told.
-constexpr double kPrefillPatience = 5.0; ///< Times the expected time of a prefill before its engine is given up.
-constexpr std::chrono::milliseconds kLeastPrefillTimeout{700};
-constexpr std::chrono::milliseconds kFullWait{1000}; ///< How long engines that are full are expected to stay so.
-constexpr std::chrono::milliseconds kNoEngineWait{1500};
+/// How long a prefill may take, its queue included, before its engine is given up.
+constexpr std::chrono::milliseconds kPrefillTimeout{3'000};
+constexpr std::chrono::milliseconds kFullWait{2000}; ///< How long engines that are full are expected to stay so.
+constexpr std::chrono::milliseconds kNoEngineWait{2500};
 /// Time of a plain part of a decode that placement compares with: from sending to the first event.
 constexpr duration kExpectedFirstEvent = std::chrono::milliseconds(60);
 
@@ -118,8 +119,7 @@
         }
         const instant giveUpAt = coreNow() + m_state.desk.settings().longestWait;
         while (!m_call.isOver()) {
-            const bool anyEngine = !enginesIn(engine_phase::Decode).empty() && !enginesIn(engine_phase::Prefill).empty();
-            if (!anyEngine) {
+            if (enginesIn(engine_phase::Decode).empty()) {
                 m_reason = "no_engine";
                 co_return false;
             }
@@ -195,20 +195,26 @@
         return known ? spec->engine->maxReservation : kDefaultLifetime;
     }
 
-    /// Has some prefill engine compute the prompt's KV cache.
+    /// Has some prefill engine compute the prompt's KV cache. Where there is none at all the decode engine computes it itself,
+    /// which holds up the generations that it runs. False when the request must end.
     asio::awaitable<bool> compute()
     {
-        if (m_computed) {
-            co_return true;
+        if (m_computed || enginesIn(engine_phase::Prefill).empty()) {
+            co_return !m_call.isOver();
         }
+        const instant giveUpAt = coreNow() + m_state.desk.settings().longestWait;
         std::set<std::string> tried;
         while (tried.size() < kMostPrefills && !m_call.isOver()) {
             std::vector<upstream_candidate> engines = enginesIn(engine_phase::Prefill);
             std::erase_if(engines, [&tried](const upstream_candidate &engine) { return tried.count(engine.run->id) > 0; });
-            const auto order = m_state.desk.prefillOrder(engines, m_state.random);
+            const auto order = m_state.desk.prefillOrder(coreNow(), engines, m_state.random);
             if (order.empty()) {
-                m_reason = "no_prefill_engine";
-                co_return false;
+                m_reason = "prefill_engines_busy";
+                if (coreNow() >= giveUpAt) {
+                    co_return false;
+                }
+                co_await m_call.wait(std::chrono::duration_cast<std::chrono::milliseconds>(m_state.desk.settings().askInterval));
+                continue;
             }
             if (m_prefills > 0 && !m_state.retries.tryRepeat(coreNow(), m_service)) {
                 m_reason = "retry_budget_used_up";
@@ -221,6 +227,7 @@
                 co_return true;
             }
         }
+        m_reason = "prefill_failed";
         co_return false;
     }
 
@@ -232,10 +239,7 @@
         directions.timeLeft = m_call.timeLeft();
         directions.prefillOnly = true;
         http_call call = m_call.forward(directions);
-        const duration expected = m_state.desk.expectedPrefill(m_prompt.promptTokens);
-        const auto patience =
-            std::chrono::milliseconds(static_cast<std::int64_t>(kPrefillPatience * std::chrono::duration<double, std::milli>(expected).count()));
-        call.progressTimeout = std::min(call.progressTimeout, std::max(patience, kLeastPrefillTimeout));
+        call.progressTimeout = std::min(call.progressTimeout, kPrefillTimeout);
         const instant sentAt = coreNow();
         m_state.desk.addPrefill(run.id, m_prompt.promptTokens);
         http_result result = co_await m_call.perform(run, std::move(call));
@@ -244,8 +248,8 @@
         if (!result.answer) {
             if (!m_call.isOver()) {
                 m_state.judge.noteFailure(coreNow(), run.id);
+                m_state.desk.notePrefill(coreNow(), run.id, m_prompt.promptTokens, took);
                 logTry(run, "prefill", result.failure.reason, verdict::NotRun);
-                m_reason = "prefill_failed";
             }
             co_return false;
         }
@@ -255,18 +259,19 @@
         }
         const auto handle = result.answer->status == kFirstSuccess ? m_state.dialect.readPrefill(*result.answer) : std::nullopt;
         if (!handle) {
-            if (!facts.notRun) {
+            if (facts.notRun) {
+                m_state.desk.noteWrongPhase(coreNow(), run.id);
+            } else {
                 m_state.judge.noteFailure(coreNow(), run.id);
             }
-            m_reason = "prefill_refused";
             logTry(run, "prefill", "status_" + std::to_string(result.answer->status), verdict::NotRun);
             co_return false;
         }
         m_prefillTook = took;
-        m_state.judge.noteSuccess(coreNow(), run.id, took, std::max(expected, duration(1)));
-        m_state.desk.notePrefill(m_prompt.promptTokens, took);
-        planner().notePrefill(
-            std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(m_prompt.promptTokens / m_state.desk.settings().tokensPerMs)));
+        const duration computing = m_state.desk.computing(m_prompt.promptTokens);
+        m_state.judge.noteSuccess(coreNow(), run.id, took, std::max(computing, duration(1)));
+        m_state.desk.notePrefill(coreNow(), run.id, m_prompt.promptTokens, took);
+        planner().notePrefill(computing);
         m_computed = prefilled{run, *handle};
         co_return true;
     }
@@ -283,7 +288,9 @@
         upstream_directions directions;
         directions.instance = run.id;
         directions.timeLeft = m_call.timeLeft();
-        directions.source = kv_handle{m_computed->run.address, m_computed->handle};
+        if (m_computed) {
+            directions.source = kv_handle{m_computed->run.address, m_computed->handle};
+        }
         directions.reservation = m_reserved->id;
         http_call call = m_call.forward(directions);
         m_upstream = run.id;
@@ -317,7 +324,8 @@
     {
         if (!m_firstAt) {
             m_firstAt = coreNow();
-            m_state.judge.noteSuccess(*m_firstAt, m_upstream, *m_firstAt - m_sentAt, kExpectedFirstEvent);
+            const duration computing = m_computed ? duration::zero() : 2 * m_state.desk.computing(m_prompt.promptTokens);
+            m_state.judge.noteSuccess(*m_firstAt, m_upstream, *m_firstAt - m_sentAt, kExpectedFirstEvent + computing);
         }
         std::string data(piece);
         co_await m_call.responder().write(std::move(data));
@@ -374,7 +382,11 @@
             if (facts.wrongInstance) {
                 m_state.registry.onDisplaced(coreNow(), run.id);
             }
-            m_state.desk.noteFull(coreNow(), run.id);
+            if (answer.status == kStatusMisdirected) {
+                m_state.desk.noteWrongPhase(coreNow(), run.id);
+            } else {
+                m_state.desk.noteFull(coreNow(), run.id);
+            }
             giveBack();
             // The engine may have tried to fetch the handle in vain, so another prefill is the safe way on.
             freeHandle();
@@ -403,7 +415,7 @@
         const auto text = [](duration value) { return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count()); };
         return {{"prompt_tokens", std::to_string(m_prompt.promptTokens)},
                 {"reserved_after_ms", text(m_reservedAfter)},
-                {"prefill_ms", text(m_prefillTook)},
+                {"prefill_ms", m_prefillTook > duration::zero() ? text(m_prefillTook) : "at_decode"},
                 {"first_event_ms", m_firstAt ? text(*m_firstAt - m_sentAt) : "none"},
                 {"decode_ms", text(m_ranFor)},
                 {"reservations_refused", std::to_string(m_refusals)}};
--- a/src/relay/engine_desk.cpp
+++ b/src/relay/engine_desk.cpp
@@ -1,6 +1,7 @@
 #include "relay/engine_desk.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace heatherroute
 {
@@ -34,15 +35,21 @@
     return orderCandidates(std::move(open), random);
 }
 
-std::vector<const registration *> engine_desk::prefillOrder(const std::vector<upstream_candidate> &engines, std::mt19937_64 &random) const
+std::vector<const registration *> engine_desk::prefillOrder(instant now, const std::vector<upstream_candidate> &engines, std::mt19937_64 &random) const
 {
-    std::vector<upstream_candidate> loaded;
+    std::vector<upstream_candidate> open;
     for (upstream_candidate candidate : engines) {
+        const duration delay = prefillDelay(now, candidate.run->id);
         const auto found = m_engines.find(candidate.run->id);
-        candidate.load = found == m_engines.end() ? 0.0 : static_cast<double>(found->second.prefillTokens);
-        loaded.push_back(candidate);
+        const bool refused = found != m_engines.end() && found->second.fullUntil > now;
+        if (refused || delay > m_settings.longestPrefillDelay) {
+            continue;
+        }
+        const double own = found == m_engines.end() ? 0.0 : static_cast<double>(found->second.prefillTokens);
+        candidate.load = own + std::chrono::duration<double, std::milli>(delay).count() * m_settings.tokensPerMs;
+        open.push_back(candidate);
     }
-    return orderCandidates(std::move(loaded), random);
+    return orderCandidates(std::move(open), random);
 }
 
 void engine_desk::noteFull(instant now, const std::string &id)
@@ -50,6 +57,11 @@
     m_engines[id].fullUntil = now + m_settings.fullPause;
 }
 
+void engine_desk::noteWrongPhase(instant now, const std::string &id)
+{
+    m_engines[id].fullUntil = now + m_settings.wrongPhasePause;
+}
+
 void engine_desk::addDecode(const std::string &id, std::uint32_t tokens)
 {
     m_engines[id].decodeTokens += tokens;
@@ -72,18 +84,28 @@
     held -= std::min<std::uint64_t>(held, tokens);
 }
 
-void engine_desk::notePrefill(std::uint32_t tokens, duration took)
+void engine_desk::notePrefill(instant now, const std::string &id, std::uint32_t tokens, duration took)
 {
-    if (tokens > 0) {
-        const double ms = std::chrono::duration<double, std::milli>(took).count();
-        m_msPerToken.observe(ms / tokens, m_settings.gain);
-    }
+    in_hand &engine = m_engines[id];
+    const duration waited = std::max(took - computing(tokens), duration::zero());
+    const duration before = prefillDelay(now, id);
+    engine.delay = before + duration(static_cast<duration::rep>(m_settings.gain * static_cast<double>((waited - before).count())));
+    engine.delayAt = now;
+}
+
+duration engine_desk::computing(std::uint32_t tokens) const
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(tokens / m_settings.tokensPerMs));
 }
 
-duration engine_desk::expectedPrefill(std::uint32_t tokens) const
+duration engine_desk::prefillDelay(instant now, const std::string &id) const
 {
-    const double ms = m_msPerToken.value(1.0 / m_settings.tokensPerMs) * tokens;
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(ms));
+    const auto found = m_engines.find(id);
+    if (found == m_engines.end() || found->second.delay <= duration::zero()) {
+        return duration::zero();
+    }
+    const double halfLives = static_cast<double>((now - found->second.delayAt).count()) / static_cast<double>(m_settings.delayHalfLife.count());
+    return duration(static_cast<duration::rep>(static_cast<double>(found->second.delay.count()) * std::exp2(-halfLives)));
 }
 
 std::map<std::string, double> engine_desk::loads() const
--- a/src/relay/engine_desk.h
+++ b/src/relay/engine_desk.h
@@ -6,7 +6,6 @@
 #include <string>
 #include <vector>
 
-#include "heatherroute/rate_book.h"
 #include "heatherroute/relay_request.h"
 #include "relay/upstream_choice.h"
 
@@ -20,12 +19,17 @@
     double reserveOfMost = 1.0;
     /// How long an engine that refused a reservation isn't asked again.
     duration fullPause = std::chrono::milliseconds(80);
+    /// How long an engine that is in another phase than it reported isn't asked; reports come about this late.
+    duration wrongPhasePause = std::chrono::milliseconds(1'000);
     /// Longest wait for memory; waiting longer would miss the target anyway.
     duration longestWait = std::chrono::milliseconds(600);
     /// Between two rounds of asking.
     duration askInterval = std::chrono::milliseconds(60);
-    double gain = 0.1; ///< Weight of the newest prefill.
-    double tokensPerMs = 55.0; ///< Prefill rate before any was seen.
+    double gain = 0.3; ///< Weight of the newest prefill's delay.
+    duration delayHalfLife = std::chrono::seconds(1); ///< A delay that was seen says less the older it is.
+    double tokensPerMs = 55.0; ///< Prefill rate of an engine without a queue, as its data sheet says.
+    /// Expected delay of a prefill from which on its engine gets no more.
+    duration longestPrefillDelay = std::chrono::milliseconds(500);
 
     auto operator<=>(const engine_desk_settings &) const = default;
 };
@@ -50,21 +54,25 @@
     std::uint32_t reservedTokens(const prompt_facts &prompt) const;
     /// Decode engines in the order to ask them for memory; those that refused a moment ago are left out.
     std::vector<const registration *> decodeOrder(instant now, const std::vector<upstream_candidate> &engines, std::mt19937_64 &random) const;
-    /// Prefill engines in the order to try them.
-    std::vector<const registration *> prefillOrder(const std::vector<upstream_candidate> &engines, std::mt19937_64 &random) const;
+    /// Prefill engines in the order to try them; those that refused a moment ago or whose queue is too long are left out.
+    std::vector<const registration *> prefillOrder(instant now, const std::vector<upstream_candidate> &engines, std::mt19937_64 &random) const;
 
     /// An engine refused a reservation, or work, as full.
     void noteFull(instant now, const std::string &id);
+    /// An engine refused work because it is in another phase, or on its way to one.
+    void noteWrongPhase(instant now, const std::string &id);
     /// Tokens are reserved at, or given back by, a decode engine.
     void addDecode(const std::string &id, std::uint32_t tokens);
     void removeDecode(const std::string &id, std::uint32_t tokens);
     /// Prompt tokens are sent to, or done by, a prefill engine.
     void addPrefill(const std::string &id, std::uint32_t tokens);
     void removePrefill(const std::string &id, std::uint32_t tokens);
-    /// A prefill of @p tokens took @p took from sending to its answer.
-    void notePrefill(std::uint32_t tokens, duration took);
-    /// How long a prefill of @p tokens is expected to take.
-    duration expectedPrefill(std::uint32_t tokens) const;
+    /// A prefill of @p tokens took @p took from sending to its answer, or to the point where it was given up.
+    void notePrefill(instant now, const std::string &id, std::uint32_t tokens, duration took);
+    /// How long an engine computes a prompt of @p tokens, without waiting.
+    duration computing(std::uint32_t tokens) const;
+    /// How long a prefill is expected to wait at an engine.
+    duration prefillDelay(instant now, const std::string &id) const;
     /// Work in hand at each engine, in tokens.
     std::map<std::string, double> loads() const;
 
@@ -74,13 +82,14 @@
         std::uint64_t decodeTokens = 0;
         std::uint64_t prefillTokens = 0;
         instant fullUntil{};
+        duration delay{}; ///< Of recent prefills, beyond their computing.
+        instant delayAt{};
     };
 
     explicit engine_desk(const engine_desk_settings &settings);
 
     engine_desk_settings m_settings;
     std::map<std::string, in_hand> m_engines;
-    learned_mean m_msPerToken;
 };
 
 } // namespace heatherroute
--- a/src/relay/phase_planner.cpp
+++ b/src/relay/phase_planner.cpp
@@ -32,6 +32,7 @@
 
 void phase_planner::notePrefill(duration computing)
 {
+    m_seenWork = true;
     m_prefillSeconds += m_settings.gain * (secondsOf(computing) - m_prefillSeconds);
 }
 
@@ -77,9 +78,10 @@
     if (!m_differsSince) {
         m_differsSince = now;
     }
-    // A pool without any engine serves nobody, so it isn't waited for.
-    const bool urgent = prefill == 0 || prefill == engines.size();
-    if ((!urgent && now - *m_differsSince < m_settings.patience) || now - m_lastMove < m_settings.pauseBetween) {
+    // A pool without any engine serves nobody, and before the first request a move holds nobody up.
+    const bool urgent = prefill == 0 || prefill == engines.size() || !m_seenWork;
+    const duration patience = prefill < wanted ? m_settings.shortPatience : m_settings.patience;
+    if ((!urgent && now - *m_differsSince < patience) || now - m_lastMove < m_settings.pauseBetween) {
         return std::nullopt;
     }
     const engine_phase from = prefill > wanted ? engine_phase::Prefill : engine_phase::Decode;
--- a/src/relay/phase_planner.h
+++ b/src/relay/phase_planner.h
@@ -24,7 +24,8 @@
     double gain = 0.005; ///< Weight of the newest request; short generations end first, so the mean must move slowly.
     std::size_t fewestPrefill = 1;
     std::size_t fewestDecode = 1;
-    duration patience = std::chrono::seconds(3); ///< How long the plan must differ before an engine is moved.
+    duration patience = std::chrono::seconds(4); ///< How long too many must prefill before one of them is moved.
+    duration shortPatience = std::chrono::milliseconds(800); ///< The same with too few.
     duration pauseBetween = std::chrono::milliseconds(1'500); ///< Between two orders.
 
     auto operator<=>(const phase_plan_settings &) const = default;
@@ -65,6 +66,7 @@
     explicit phase_planner(const phase_plan_settings &settings);
 
     phase_plan_settings m_settings;
+    bool m_seenWork = false;
     double m_prefillSeconds; ///< Of a prefill engine, per request.
     double m_decodeSeconds; ///< Of a decode engine, per request.
     std::optional<instant> m_differsSince;
