Prefill engines take at most half a second of work, by reservations

Entries don't know of each other's prompts, so the engine itself counts: each prompt reserves its part of what the backlog leaves of the memory and drops it when it is read.

--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -158,6 +158,21 @@
     asio::awaitable<bool> ask(registration run)
     {
         const std::uint32_t tokens = m_state.desk.reservedTokens(m_prompt);
+        const auto id = co_await reserveAt(run, tokens);
+        if (!id) {
+            m_refusals += 1;
+            co_return false;
+        }
+        m_state.desk.addDecode(run.id, tokens);
+        m_reserved = reservation{run, *id, tokens};
+        m_reservedAfter = m_call.age();
+        m_reservationSent = false;
+        co_return true;
+    }
+
+    /// Reserves @p tokens of memory at @p run; empty when it has no room or gives no answer.
+    asio::awaitable<std::optional<std::string>> reserveAt(registration run, std::uint32_t tokens)
+    {
         http_call call = m_state.dialect.makeReservation(run.id, tokens, reservationLifetime());
         call = aimedAt(m_state, run, std::move(call), m_state.timing.engineCallTimeout);
         const http_result result = co_await m_call.perform(run, std::move(call));
@@ -167,24 +182,18 @@
                 m_state.desk.noteFull(coreNow(), run.id);
                 logTry(run, "reserve", result.failure.reason, verdict::NotRun);
             }
-            co_return false;
+            co_return std::nullopt;
         }
         const answer_facts facts = m_state.dialect.readAnswer(*result.answer, run.id);
         if (facts.wrongInstance) {
             m_state.registry.onDisplaced(coreNow(), run.id);
-            co_return false;
+            co_return std::nullopt;
         }
-        const auto id = result.answer->status == kFirstSuccess ? m_state.dialect.readReservation(*result.answer) : std::nullopt;
+        auto id = result.answer->status == kFirstSuccess ? m_state.dialect.readReservation(*result.answer) : std::nullopt;
         if (!id) {
             m_state.desk.noteFull(coreNow(), run.id);
-            m_refusals += 1;
-            co_return false;
         }
-        m_state.desk.addDecode(run.id, tokens);
-        m_reserved = reservation{run, *id, tokens};
-        m_reservedAfter = m_call.age();
-        m_reservationSent = false;
-        co_return true;
+        co_return id;
     }
 
     std::chrono::milliseconds reservationLifetime() const
@@ -221,8 +230,14 @@
                 co_return false;
             }
             const registration run = *order.front();
+            const std::uint32_t tokens = m_state.desk.prefillReservation(m_prompt, static_cast<std::uint32_t>(memoryOf(run.service)));
+            const auto place = co_await reserveAt(run, tokens);
+            if (!place) {
+                continue;
+            }
             tried.insert(run.id);
             const bool done = co_await prefillAt(run);
+            send(run, m_state.dialect.dropReservation(run.id, *place));
             if (done) {
                 co_return true;
             }
--- a/src/relay/engine_desk.cpp
+++ b/src/relay/engine_desk.cpp
@@ -21,6 +21,14 @@
     return prompt.promptTokens + most;
 }
 
+std::uint32_t engine_desk::prefillReservation(const prompt_facts &prompt, std::uint32_t memoryTokens) const
+{
+    // The prompts themselves need memory too; the rest is shared out.
+    const double backlogTokens = std::chrono::duration<double, std::milli>(m_settings.prefillBacklog).count() * m_settings.tokensPerMs;
+    const double scale = std::max(0.0, memoryTokens / backlogTokens - 1.0);
+    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(scale * prompt.promptTokens));
+}
+
 std::vector<const registration *> engine_desk::decodeOrder(instant now, const std::vector<upstream_candidate> &engines, std::mt19937_64 &random) const
 {
     std::vector<upstream_candidate> open;
--- a/src/relay/engine_desk.h
+++ b/src/relay/engine_desk.h
@@ -30,6 +30,9 @@
     double tokensPerMs = 55.0; ///< Prefill rate of an engine without a queue, as its data sheet says.
     /// Expected delay of a prefill from which on its engine gets no more.
     duration longestPrefillDelay = std::chrono::milliseconds(500);
+    /// Work that all entries together may have at one prefill engine, as time to compute it; the rest waits outside, where it can
+    /// go to another engine or be refused in time.
+    duration prefillBacklog = std::chrono::milliseconds(500);
 
     auto operator<=>(const engine_desk_settings &) const = default;
 };
@@ -52,6 +55,8 @@
     }
     /// Tokens of memory to reserve for a request.
     std::uint32_t reservedTokens(const prompt_facts &prompt) const;
+    /// Tokens to reserve at a prefill engine of @p memoryTokens for a prompt, so that no more than the backlog fits in.
+    std::uint32_t prefillReservation(const prompt_facts &prompt, std::uint32_t memoryTokens) const;
     /// Decode engines in the order to ask them for memory; those that refused a moment ago are left out.
     std::vector<const registration *> decodeOrder(instant now, const std::vector<upstream_candidate> &engines, std::mt19937_64 &random) const;
     /// Prefill engines in the order to try them; those that refused a moment ago or whose queue is too long are left out.
