--- a/src/node/plain_relay.cpp
+++ b/src/node/plain_relay.cpp
@@ -122,7 +122,7 @@
         const instant now = coreNow();
         if (!result.answer) {
             if (!m_call.isOver()) {
-                m_state.judge.noteFailure(now, run.id);
+                m_state.noteFailedTry(run.id, result.failure.outcome);
                 logTry(run, result.failure.reason, result.failure.outcome);
             }
             return {result.failure.outcome, std::nullopt, result.failure.reason};
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -42,13 +42,26 @@
 {
     std::vector<upstream_candidate> result;
     result.reserve(runs.size());
+    const instant now = coreNow();
     for (const registration *run : runs) {
+        if (!judge.isReachable(now, run->id)) {
+            continue;
+        }
         const auto found = inFlight.find(run->id);
         result.push_back({run, judge.weight(run->id), found == inFlight.end() ? 0.0 : static_cast<double>(found->second)});
     }
     return result;
 }
 
+void relay_state::noteFailedTry(const std::string &id, verdict ran)
+{
+    if (ran == verdict::NotRun) {
+        judge.noteUnreachable(coreNow(), id);
+    } else {
+        judge.noteFailure(coreNow(), id);
+    }
+}
+
 void relay_state::log(log_level level, std::string event, std::vector<log_field> fields) const
 {
     if (writeLog) {
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -29,7 +29,7 @@
 struct relay_timing
 {
     /// Longest time to establish a connection to an upstream; several round trips between zones.
-    std::chrono::milliseconds connectTimeout{250};
+    std::chrono::milliseconds connectTimeout{150};
     /// Longest time for an engine to answer a reservation, an order or a report.
     std::chrono::milliseconds engineCallTimeout{400};
     /// Time left below which a request isn't sent to an upstream any more.
@@ -45,7 +45,10 @@
 {
     relay_state(boost::asio::any_io_executor relayExecutor, platform_dialect relayDialect, retry_limit limit, std::uint64_t seed);
 
+    /// Those of @p runs that can be connected to, as far as is known.
     std::vector<upstream_candidate> candidates(const std::vector<const registration *> &runs) const;
+    /// A try at @p id failed before the request ran (@p ran tells) or after.
+    void noteFailedTry(const std::string &id, verdict ran);
     void log(log_level level, std::string event, std::vector<log_field> fields) const;
     double draw();
     /// The average time of a plain request at @p service; a default before any was seen.
--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -300,8 +300,9 @@
     asio::awaitable<void> tellLease(bool holds, std::int64_t sentAt)
     {
         const std::int64_t until = sentAt + m_settings.leaseLifetime.count() - m_settings.leaseMargin.count();
-        // A lease that ran out meanwhile may have been another's, so it begins anew.
-        const bool goesOn = m_lease.holds && holds && sentAt <= m_lease.validUntilMs;
+        // A lease that ran out meanwhile may have been another's, unless the generation shows that nothing changed.
+        const bool unchanged = m_generation == m_heldGeneration;
+        const bool goesOn = holds && (unchanged || (m_lease.holds && sentAt <= m_lease.validUntilMs));
         lease_changed now{holds, m_generation, until, goesOn ? m_lease.heldSinceMs : bootMilliseconds()};
         if (now.holds != m_lease.holds || (holds && now.fencingToken != m_lease.fencingToken) || (holds && !goesOn)) {
             log(log_level::Info,
@@ -309,6 +310,7 @@
                 {{"generation", std::to_string(m_generation)}, {"goes_on", goesOn ? "true" : "false"}});
         }
         m_lease = now;
+        m_heldGeneration = holds ? m_generation : 0;
         relay_event event = now;
         co_await m_toRelay.push(std::move(event));
     }
@@ -332,6 +334,7 @@
     bool m_isMember = false;
     std::uint64_t m_version = 0;
     std::uint64_t m_generation = 0;
+    std::uint64_t m_heldGeneration = 0; ///< Of the lease held last; 0 when another may have held it since.
     lease_changed m_lease;
     std::map<std::string, std::string> m_entries;
     std::set<std::string> m_unreadable;
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -178,7 +178,7 @@
         const http_result result = co_await m_call.perform(run, std::move(call));
         if (!result.answer) {
             if (!m_call.isOver()) {
-                m_state.judge.noteFailure(coreNow(), run.id);
+                m_state.noteFailedTry(run.id, result.failure.outcome);
                 m_state.desk.noteFull(coreNow(), run.id);
                 logTry(run, "reserve", result.failure.reason, verdict::NotRun);
             }
@@ -208,13 +208,16 @@
     /// which holds up the generations that it runs. False when the request must end.
     asio::awaitable<bool> compute()
     {
-        if (m_computed || enginesIn(engine_phase::Prefill).empty()) {
-            co_return !m_call.isOver();
+        if (m_computed) {
+            co_return true;
         }
         const instant giveUpAt = coreNow() + m_state.desk.settings().longestWait;
         std::set<std::string> tried;
         while (tried.size() < kMostPrefills && !m_call.isOver()) {
             std::vector<upstream_candidate> engines = enginesIn(engine_phase::Prefill);
+            if (engines.empty()) {
+                co_return true;
+            }
             std::erase_if(engines, [&tried](const upstream_candidate &engine) { return tried.count(engine.run->id) > 0; });
             const auto order = m_state.desk.prefillOrder(coreNow(), engines, m_state.random);
             if (order.empty()) {
@@ -262,7 +265,7 @@
         const duration took = coreNow() - sentAt;
         if (!result.answer) {
             if (!m_call.isOver()) {
-                m_state.judge.noteFailure(coreNow(), run.id);
+                m_state.noteFailedTry(run.id, result.failure.outcome);
                 m_state.desk.notePrefill(coreNow(), run.id, m_prompt.promptTokens, took);
                 logTry(run, "prefill", result.failure.reason, verdict::NotRun);
             }
@@ -378,7 +381,7 @@
             m_ran = result.failure.outcome;
             return stage_end::Ended;
         }
-        m_state.judge.noteFailure(coreNow(), run.id);
+        m_state.noteFailedTry(run.id, result.failure.outcome);
         logTry(run, "decode", result.failure.reason, result.failure.outcome);
         if (result.failure.outcome == verdict::NotRun) {
             giveBack();
--- a/src/relay/upstream_judge.cpp
+++ b/src/relay/upstream_judge.cpp
@@ -1,8 +1,19 @@
 #include "relay/upstream_judge.h"
 
+#include <algorithm>
+
 namespace heatherroute
 {
 
+namespace
+{
+
+/// How long an upstream that can't be connected to is left alone; a lost packet alone may cause the first.
+constexpr duration kFirstPause = std::chrono::milliseconds(800);
+constexpr duration kLongestPause = std::chrono::milliseconds(4'000);
+
+} // namespace
+
 upstream_judge upstream_judge::make(const upstream_health_settings &settings)
 {
     return upstream_judge(settings);
@@ -26,7 +37,7 @@
     remove(run.id);
     const replica_index index = m_nextIndex++;
     m_health.add(index, poolOf(run));
-    m_byId.emplace(run.id, judged{index, 1.0});
+    m_byId.emplace(run.id, judged{index, 1.0, instant{}, duration::zero()});
     m_ids.emplace(index, run.id);
 }
 
@@ -44,6 +55,7 @@
 void upstream_judge::noteSuccess(instant now, const std::string &id, duration observed, duration predicted)
 {
     if (const auto found = m_byId.find(id); found != m_byId.end()) {
+        found->second.pause = duration::zero();
         m_health.noteSuccess(now, found->second.index, observed, predicted);
     }
 }
@@ -55,6 +67,24 @@
     }
 }
 
+void upstream_judge::noteUnreachable(instant now, const std::string &id)
+{
+    const auto found = m_byId.find(id);
+    if (found == m_byId.end() || found->second.unreachableUntil > now) {
+        return;
+    }
+    judged &upstream = found->second;
+    upstream.pause = std::clamp(2 * upstream.pause, kFirstPause, kLongestPause);
+    upstream.unreachableUntil = now + upstream.pause;
+    m_health.noteFailure(now, upstream.index, health_sign::Failure);
+}
+
+bool upstream_judge::isReachable(instant now, const std::string &id) const
+{
+    const auto found = m_byId.find(id);
+    return found == m_byId.end() || found->second.unreachableUntil <= now;
+}
+
 void upstream_judge::noteProbe(instant now, const std::string &id, bool succeeded)
 {
     if (const auto found = m_byId.find(id); found != m_byId.end()) {
--- a/src/relay/upstream_judge.h
+++ b/src/relay/upstream_judge.h
@@ -15,8 +15,9 @@
  * How much work each upstream should get, by what its requests met.
  *
  * Load pattern: some upstreams of a service crash, answer with errors while their health check is good, or turn slow; the
- * rest can carry the load. Gives each a weight from upstream_health by its id, and tells which to probe. Not thread safe.
- * Instants must not decrease.
+ * rest can carry the load. Gives each a weight from upstream_health by its id, and tells which to probe. One that can't be
+ * connected to is left alone at once, for a time that doubles, since each further try would hold a request up. Not thread
+ * safe. Instants must not decrease.
  */
 class upstream_judge
 {
@@ -30,6 +31,10 @@
     /// A request took @p observed where @p predicted was expected. Precondition: @p predicted is positive.
     void noteSuccess(instant now, const std::string &id, duration observed, duration predicted);
     void noteFailure(instant now, const std::string &id);
+    /// No connection could be made.
+    void noteUnreachable(instant now, const std::string &id);
+    /// Whether it is not being left alone as unreachable.
+    bool isReachable(instant now, const std::string &id) const;
     void noteProbe(instant now, const std::string &id, bool succeeded);
 
     /// Takes the steps that are due; returns the ids to probe now.
@@ -45,6 +50,8 @@
     {
         replica_index index = 0;
         double weight = 1.0;
+        instant unreachableUntil{};
+        duration pause{}; ///< The last time for which it was left alone.
     };
 
     explicit upstream_judge(const upstream_health_settings &settings);
