--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -330,6 +330,7 @@
                 m_state.judge.noteProbe(now, id, false);
             }
         }
+        askRefusers(now);
         m_orders.advance(now);
         wantLease();
         m_tick.expires_after(kTickInterval);
@@ -340,6 +341,38 @@
         });
     }
 
+    /// Asks prefill engines that refuse everything for their state: they may be leaving, which the store may not tell yet.
+    void askRefusers(instant now)
+    {
+        if (!m_state.routes) {
+            return;
+        }
+        for (const auto &[name, spec] : m_state.routes->services()) {
+            if (!spec.engine) {
+                continue;
+            }
+            for (const std::string &id : m_state.desk.silentRefusers(now, m_state.registry.usable(name, engine_phase::Prefill))) {
+                asio::co_spawn(m_context, askState(*m_state.registry.find(id)), asio::detached);
+            }
+        }
+    }
+
+    asio::awaitable<void> askState(registration run)
+    {
+        net::http_call call = aimedAt(m_state, run, m_state.dialect.makeReportCall(run.id), kProbeTimeout);
+        const net::http_result result = co_await net::performCall(std::move(call));
+        const auto report = result.answer ? m_state.dialect.readReport(*result.answer) : std::nullopt;
+        if (!report) {
+            m_state.noteFailedTry(run.id, verdict::NotRun);
+        } else if (report->leaving) {
+            m_state.registry.onLeaving(run.id);
+        } else if (report->phase) {
+            m_state.registry.onPhase(run.id, *report->phase);
+        }
+        const std::string state = !report ? "no_answer" : (report->leaving ? "leaving" : "ready");
+        m_state.log(log_level::Info, "refuser_asked", {upstreamField(run.id), {"state", state}});
+    }
+
     /// Asks an upstream that was set aside whether it is well.
     asio::awaitable<void> probe(registration run)
     {
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -190,7 +190,9 @@
             co_return std::nullopt;
         }
         auto id = result.answer->status == kFirstSuccess ? m_state.dialect.readReservation(*result.answer) : std::nullopt;
-        if (!id) {
+        if (id) {
+            m_state.desk.noteTaken(run.id);
+        } else {
             m_state.desk.noteFull(coreNow(), run.id);
         }
         co_return id;
--- a/src/relay/engine_desk.cpp
+++ b/src/relay/engine_desk.cpp
@@ -62,7 +62,33 @@
 
 void engine_desk::noteFull(instant now, const std::string &id)
 {
-    m_engines[id].fullUntil = now + m_settings.fullPause;
+    in_hand &engine = m_engines[id];
+    engine.fullUntil = now + m_settings.fullPause;
+    if (!engine.refusesSince) {
+        engine.refusesSince = now;
+    }
+}
+
+void engine_desk::noteTaken(const std::string &id)
+{
+    m_engines[id].refusesSince.reset();
+}
+
+std::vector<std::string> engine_desk::silentRefusers(instant now, const std::vector<const registration *> &engines)
+{
+    std::vector<std::string> result;
+    for (const registration *run : engines) {
+        const auto found = m_engines.find(run->id);
+        if (found == m_engines.end() || !found->second.refusesSince) {
+            continue;
+        }
+        in_hand &engine = found->second;
+        if (now - *engine.refusesSince >= m_settings.refusalPatience && now - engine.askedAt >= m_settings.askAgainAfter) {
+            engine.askedAt = now;
+            result.push_back(run->id);
+        }
+    }
+    return result;
 }
 
 void engine_desk::noteWrongPhase(instant now, const std::string &id)
--- a/src/relay/engine_desk.h
+++ b/src/relay/engine_desk.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -30,6 +31,9 @@
     double tokensPerMs = 55.0; ///< Prefill rate of an engine without a queue, as its data sheet says.
     /// Expected delay of a prefill from which on its engine gets no more.
     duration longestPrefillDelay = std::chrono::milliseconds(500);
+    /// How long an engine may refuse everything before it is asked for its state, and the pause before it is asked again.
+    duration refusalPatience = std::chrono::milliseconds(900);
+    duration askAgainAfter = std::chrono::seconds(2);
     /// Work that all entries together may have at one prefill engine, as time to compute it; the rest waits outside, where it can
     /// go to another engine or be refused in time.
     duration prefillBacklog = std::chrono::milliseconds(500);
@@ -66,6 +70,10 @@
     void noteFull(instant now, const std::string &id);
     /// An engine refused work because it is in another phase, or on its way to one.
     void noteWrongPhase(instant now, const std::string &id);
+    /// An engine took a reservation or work.
+    void noteTaken(const std::string &id);
+    /// Engines among @p engines that have refused all for long enough to be asked why; each again only after a pause.
+    std::vector<std::string> silentRefusers(instant now, const std::vector<const registration *> &engines);
     /// Tokens are reserved at, or given back by, a decode engine.
     void addDecode(const std::string &id, std::uint32_t tokens);
     void removeDecode(const std::string &id, std::uint32_t tokens);
@@ -87,6 +95,8 @@
         std::uint64_t decodeTokens = 0;
         std::uint64_t prefillTokens = 0;
         instant fullUntil{};
+        std::optional<instant> refusesSince; ///< Without taking anything.
+        instant askedAt{}; ///< For its state.
         duration delay{}; ///< Of recent prefills, beyond their computing.
         instant delayAt{};
     };
--- a/src/relay/platform_dialect.h
+++ b/src/relay/platform_dialect.h
@@ -60,6 +60,7 @@
 {
     std::optional<engine_phase> phase;
     bool busy = false; ///< An order is being carried out.
+    bool leaving = false; ///< It takes no new work and ends soon.
     std::uint64_t ordersAccepted = 0;
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
--- a/src/relay/upstream_registry.cpp
+++ b/src/relay/upstream_registry.cpp
@@ -39,13 +39,15 @@
     m_removed.erase(report.id);
     const auto known = m_runs.find(report.id);
     if (known == m_runs.end()) {
-        m_runs.emplace(report.id, known_run{report, std::nullopt, false});
+        m_runs.emplace(report.id, known_run{report, std::nullopt, false, false});
         m_onChange(report, report.draining ? "added_draining" : "added");
         return;
     }
     known_run &entry = known->second;
     const registration before = std::exchange(entry.run, report);
     entry.removeAt.reset();
+    // A report that is no newer than the upstream's own word says nothing against it.
+    entry.leaving = entry.leaving && report.startedAt == before.startedAt && !report.draining && report.sequence <= before.sequence + 1;
     if (report.startedAt != before.startedAt) {
         entry.displaced = false;
         m_onChange(report, "restarted");
@@ -113,6 +115,24 @@
     static_cast<void>(now);
 }
 
+void upstream_registry::onLeaving(const std::string &id)
+{
+    const auto known = m_runs.find(id);
+    if (known != m_runs.end() && !known->second.leaving) {
+        known->second.leaving = true;
+        m_onChange(known->second.run, "leaving");
+    }
+}
+
+void upstream_registry::onPhase(const std::string &id, engine_phase phase)
+{
+    const auto known = m_runs.find(id);
+    if (known != m_runs.end() && known->second.run.phase != phase) {
+        known->second.run.phase = phase;
+        m_onChange(known->second.run, "phase");
+    }
+}
+
 void upstream_registry::advance(instant now)
 {
     std::vector<std::string> due;
@@ -151,7 +171,7 @@
 {
     std::vector<const registration *> result;
     for (const auto &[id, entry] : m_runs) {
-        if (entry.run.service == service && !entry.run.draining && !entry.displaced) {
+        if (entry.run.service == service && !entry.run.draining && !entry.displaced && !entry.leaving) {
             result.push_back(&entry.run);
         }
     }
--- a/src/relay/upstream_registry.h
+++ b/src/relay/upstream_registry.h
@@ -52,6 +52,10 @@
     void onStoreBack(instant now);
     /// An upstream itself said that another run holds @p id now, so this run is gone.
     void onDisplaced(instant now, const std::string &id);
+    /// An upstream itself said that it leaves; the store may not tell so yet.
+    void onLeaving(const std::string &id);
+    /// An engine itself said that it is in @p phase; the store may not tell so yet.
+    void onPhase(const std::string &id, engine_phase phase);
     /// Carries out the removals whose grace has passed.
     void advance(instant now);
 
@@ -77,6 +81,7 @@
         registration run;
         std::optional<instant> removeAt; ///< It has lapsed in the store and is removed then.
         bool displaced = false;
+        bool leaving = false; ///< By its own word, until it reports anew.
     };
     struct removed_run
     {
