--- a/src/node/phase_orders.cpp
+++ b/src/node/phase_orders.cpp
@@ -14,6 +14,8 @@
 namespace
 {
 
+constexpr unsigned kFirstFailure = 300;
+
 std::string nameOf(engine_phase phase)
 {
     return phase == engine_phase::Prefill ? "prefill" : "decode";
@@ -53,6 +55,8 @@
         if (run != nullptr) {
             m_pending.insert(run->id);
             asio::co_spawn(m_state.executor, order(*run, move->to), asio::detached);
+        } else if (move) {
+            planner.abandon(move->id);
         }
     }
 }
@@ -63,22 +67,29 @@
     const net::http_result told = co_await net::performCall(std::move(ask));
     const auto report = told.answer ? m_state.dialect.readReport(*told.answer) : std::nullopt;
     std::string outcome = "no_report";
+    bool given = false;
     const std::uint64_t token = m_lease.fencingToken;
     // The lease is looked at again, as the report took its time.
     if (report && !report->busy && report->phase != to && mayOrder()) {
-        phase_order given;
-        given.instance = run.id;
-        given.phase = to;
-        given.holder = m_state.entryName;
-        given.fencingToken = token;
-        given.expectedOrders = report->ordersAccepted;
-        net::http_call call = aimedAt(m_state, run, m_state.dialect.makePhaseOrder(given), m_state.timing.engineCallTimeout);
+        phase_order wanted;
+        wanted.instance = run.id;
+        wanted.phase = to;
+        wanted.holder = m_state.entryName;
+        wanted.fencingToken = token;
+        wanted.expectedOrders = report->ordersAccepted;
+        net::http_call call = aimedAt(m_state, run, m_state.dialect.makePhaseOrder(wanted), m_state.timing.engineCallTimeout);
         const net::http_result result = co_await net::performCall(std::move(call));
+        // Without an answer the order may have been accepted.
+        given = !result.answer || result.answer->status < kFirstFailure;
         outcome = result.answer ? "status_" + std::to_string(result.answer->status) : result.failure.reason;
     } else if (report) {
         outcome = report->busy ? "busy" : "not_needed";
     }
     m_pending.erase(run.id);
+    const auto planner = m_state.planners.find(run.service);
+    if (!given && planner != m_state.planners.end()) {
+        planner->second.abandon(run.id);
+    }
     m_state.log(log_level::Info, "phase_ordered", {upstreamField(run.id), {"to", nameOf(to)}, {"fencing_token", std::to_string(token)}, {"outcome", outcome}});
 }
 
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -366,8 +366,6 @@
             m_state.noteFailedTry(run.id, verdict::NotRun);
         } else if (report->leaving) {
             m_state.registry.onLeaving(run.id);
-        } else if (report->phase) {
-            m_state.registry.onPhase(run.id, *report->phase);
         }
         const std::string state = !report ? "no_answer" : (report->leaving ? "leaving" : "ready");
         m_state.log(log_level::Info, "refuser_asked", {upstreamField(run.id), {"state", state}});
--- a/src/node/store_duty.h
+++ b/src/node/store_duty.h
@@ -20,7 +20,7 @@
 {
     std::string entryName;
     std::string peerAddress; ///< Published, so that other entries find this one.
-    std::chrono::milliseconds configWait{20'000}; ///< How long one read waits for a configuration; changes are rare.
+    std::chrono::milliseconds configWait{1'000}; ///< How long one read waits for a configuration; the store may lose what it waits for from its history.
     std::chrono::milliseconds registrationInterval{900}; ///< Between two reads of upstreams' reports; each read costs.
     std::chrono::milliseconds entriesWait{20'000}; ///< How long one read waits for entries that start.
     std::chrono::milliseconds firstPause{150}; ///< After a failure; doubles with each further one.
--- a/src/relay/phase_planner.cpp
+++ b/src/relay/phase_planner.cpp
@@ -9,9 +9,6 @@
 namespace
 {
 
-/// How long an engine that was ordered to move may still report its old phase before it is ordered anew.
-constexpr duration kLongestMove = std::chrono::seconds(12);
-
 double secondsOf(duration value)
 {
     return std::chrono::duration<double>(value).count();
@@ -41,6 +38,11 @@
     m_decodeSeconds += m_settings.gain * (secondsOf(ran) * memoryPart - m_decodeSeconds);
 }
 
+void phase_planner::abandon(const std::string &id)
+{
+    m_moving.erase(id);
+}
+
 std::size_t phase_planner::wantedPrefill(std::size_t engines) const
 {
     if (engines < m_settings.fewestPrefill + m_settings.fewestDecode) {
@@ -58,7 +60,7 @@
     std::vector<const registration *> movable;
     for (const registration *engine : engines) {
         const auto moving = m_moving.find(engine->id);
-        const bool arrived = moving != m_moving.end() && (engine->phase == moving->second.to || now - moving->second.since > kLongestMove);
+        const bool arrived = moving != m_moving.end() && now - moving->second.since > m_settings.moveTime;
         const bool isMoving = moving != m_moving.end() && !arrived;
         // An engine on its way counts where it goes.
         const std::optional<engine_phase> phase = isMoving ? moving->second.to : engine->phase;
--- a/src/relay/phase_planner.h
+++ b/src/relay/phase_planner.h
@@ -24,8 +24,9 @@
     double gain = 0.005; ///< Weight of the newest request; short generations end first, so the mean must move slowly.
     std::size_t fewestPrefill = 1;
     std::size_t fewestDecode = 1;
-    duration patience = std::chrono::seconds(4); ///< How long too many must prefill before one of them is moved.
-    duration shortPatience = std::chrono::milliseconds(800); ///< The same with too few.
+    duration patience = std::chrono::seconds(6); ///< How long too many must prefill before one of them is moved.
+    duration shortPatience = std::chrono::seconds(3); ///< The same with too few; an engine that crashed is often back by then.
+    duration moveTime = std::chrono::seconds(10); ///< After an order, how long reports may still tell the old phase.
     duration pauseBetween = std::chrono::milliseconds(1'500); ///< Between two orders.
 
     auto operator<=>(const phase_plan_settings &) const = default;
@@ -57,6 +58,9 @@
     /// A generation for which @p memoryPart of a decode engine's memory was reserved ran for @p ran.
     void noteDecode(duration ran, double memoryPart);
 
+    /// The order to move that engine was not accepted.
+    void abandon(const std::string &id);
+
     /// How many of @p engines should prefill.
     std::size_t wantedPrefill(std::size_t engines) const;
     /// The engine to move now, if any. @p engines are those in use; @p loadOf gives the work in hand of one, to move an idle one.
@@ -76,7 +80,7 @@
         engine_phase to = engine_phase::Decode;
         instant since{};
     };
-    std::map<std::string, move_under_way> m_moving; ///< Engines that were ordered to move and don't report it yet.
+    std::map<std::string, move_under_way> m_moving; ///< Engines that were ordered to move and may not report it yet.
 };
 
 } // namespace heatherroute
--- a/src/relay/upstream_registry.cpp
+++ b/src/relay/upstream_registry.cpp
@@ -124,15 +124,6 @@
     }
 }
 
-void upstream_registry::onPhase(const std::string &id, engine_phase phase)
-{
-    const auto known = m_runs.find(id);
-    if (known != m_runs.end() && known->second.run.phase != phase) {
-        known->second.run.phase = phase;
-        m_onChange(known->second.run, "phase");
-    }
-}
-
 void upstream_registry::advance(instant now)
 {
     std::vector<std::string> due;
--- a/src/relay/upstream_registry.h
+++ b/src/relay/upstream_registry.h
@@ -54,8 +54,6 @@
     void onDisplaced(instant now, const std::string &id);
     /// An upstream itself said that it leaves; the store may not tell so yet.
     void onLeaving(const std::string &id);
-    /// An engine itself said that it is in @p phase; the store may not tell so yet.
-    void onPhase(const std::string &id, engine_phase phase);
     /// Carries out the removals whose grace has passed.
     void advance(instant now);
 
