--- a/src/relay/phase_planner.h
+++ b/src/relay/phase_planner.h
@@ -74,7 +74,7 @@
     double m_prefillSeconds; ///< Of a prefill engine, per request.
     double m_decodeSeconds; ///< Of a decode engine, per request.
     std::optional<instant> m_differsSince;
-    instant m_lastMove{};
+    std::optional<instant> m_lastMove;
     struct move_under_way
     {
         engine_phase to = engine_phase::Decode;
--- /dev/null
+++ b/tests/phase_planner_test.cpp
@@ -0,0 +1,139 @@
+#include <gtest/gtest.h>
+
+#include "relay/phase_planner.h"
+
+using namespace heatherroute;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+/// Nine engines whose reports of their phase come late.
+struct engine_pool
+{
+    std::vector<registration> runs;
+    phase_planner planner = phase_planner::make({});
+    instant now{};
+    std::map<std::string, std::pair<engine_phase, instant>> switching;
+    int moves = 0;
+
+    explicit engine_pool(std::size_t prefill, std::size_t engines = 9)
+    {
+        for (std::size_t i = 0; i < engines; ++i) {
+            registration run;
+            run.id = "e" + std::to_string(i);
+            run.phase = i < prefill ? engine_phase::Prefill : engine_phase::Decode;
+            runs.push_back(run);
+        }
+    }
+
+    /// One step of 100 ms: engines report a new phase 7 s after the order, and for a second both by turns.
+    void step()
+    {
+        now += milliseconds(100);
+        for (registration &run : runs) {
+            const auto order = switching.find(run.id);
+            if (order == switching.end()) {
+                continue;
+            }
+            const duration since = now - order->second.second;
+            const engine_phase before = order->second.first == engine_phase::Prefill ? engine_phase::Decode : engine_phase::Prefill;
+            if (since > seconds(8)) {
+                run.phase = order->second.first;
+                switching.erase(order);
+            } else if (since > seconds(7)) {
+                run.phase = (since.count() / 100'000) % 2 == 0 ? before : order->second.first;
+            }
+        }
+        std::vector<const registration *> engines;
+        for (const registration &run : runs) {
+            engines.push_back(&run);
+        }
+        if (const auto move = planner.plan(now, engines, {})) {
+            ++moves;
+            switching[move->id] = {move->to, now};
+        }
+    }
+
+    void run(duration time)
+    {
+        for (const instant until = now + time; now < until;) {
+            step();
+        }
+    }
+
+    std::size_t prefill() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(runs.begin(), runs.end(), [](const registration &engine) { return engine.phase == engine_phase::Prefill; }));
+    }
+};
+
+} // namespace
+
+// Load pattern: the pools as registered have four prefill engines where the mix needs two.
+TEST(PhasePlanner, MovesWhatIsTooManyOnceAndStops)
+{
+    engine_pool pool(4);
+    pool.run(seconds(60));
+    EXPECT_EQ(pool.prefill(), 2U);
+    EXPECT_EQ(pool.moves, 2);
+}
+
+// Load pattern: short generations end first, so the first figures are far too low.
+TEST(PhasePlanner, FirstShortGenerationsMoveNothing)
+{
+    engine_pool pool(2);
+    for (int i = 0; i < 20; ++i) {
+        pool.planner.notePrefill(milliseconds(95));
+        pool.planner.noteDecode(milliseconds(700), 0.13);
+    }
+    pool.run(seconds(30));
+    EXPECT_EQ(pool.moves, 0);
+}
+
+// Load pattern: a prefill engine crashes and is back after four seconds.
+TEST(PhasePlanner, ShortLossOfAnEngineMovesNothing)
+{
+    engine_pool pool(2);
+    pool.planner.notePrefill(milliseconds(95));
+    const registration lost = pool.runs.front();
+    pool.runs.erase(pool.runs.begin());
+    pool.run(milliseconds(2500));
+    pool.runs.push_back(lost);
+    pool.run(seconds(20));
+    EXPECT_EQ(pool.moves, 0);
+}
+
+TEST(PhasePlanner, LostPoolIsFilledAtOnce)
+{
+    engine_pool pool(0, 8);
+    pool.planner.notePrefill(milliseconds(95));
+    pool.step();
+    EXPECT_EQ(pool.moves, 1);
+}
+
+TEST(PhasePlanner, RefusedOrderIsGivenAgain)
+{
+    engine_pool pool(4);
+    std::vector<const registration *> engines;
+    for (const registration &run : pool.runs) {
+        engines.push_back(&run);
+    }
+    const auto first = pool.planner.plan(instant{} + seconds(10), engines, {});
+    ASSERT_TRUE(first);
+    pool.planner.abandon(first->id);
+    const auto second = pool.planner.plan(instant{} + seconds(12), engines, {});
+    ASSERT_TRUE(second);
+    EXPECT_EQ(second->id, first->id);
+}
+
+TEST(PhasePlanner, BothPhasesKeepAnEngine)
+{
+    const phase_planner planner = phase_planner::make({});
+    EXPECT_EQ(planner.wantedPrefill(0), 0U);
+    EXPECT_EQ(planner.wantedPrefill(1), 1U);
+    EXPECT_EQ(planner.wantedPrefill(2), 1U);
+    EXPECT_EQ(planner.wantedPrefill(9), 2U);
+}
--- /dev/null
+++ b/tests/platform_boundary_test.cpp
@@ -0,0 +1,47 @@
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <string>
+
+namespace
+{
+
+std::filesystem::path sourceRoot()
+{
+    return std::filesystem::path(__FILE__).parent_path().parent_path();
+}
+
+std::string readAll(const std::filesystem::path &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+} // namespace
+
+// The platform's names live in platform/ alone; everything else uses the project's own words. The product's own interface had a
+// header X-Deadline-Ms before, so that one is no sign.
+TEST(PlatformBoundary, ProductKnowsNoWireName)
+{
+    const char *const names[] = {"X-Attempt-Id",  "X-Deadline-Ms", "X-Server-Seal", "X-Expect-Instance", "X-Not-Executed", "X-Replica-Id",
+                                 "X-Token-Count", "X-Kv-",         "X-Stage",       "X-Pin-Ms",          "KvHandle",       "FencingToken",
+                                 "HeartbeatMs",   "NodeName",      "keyed.op",      "keyed.servers",     "log-append",     "log-read",
+                                 "log-newest",    "log-join",      "/v1/resolve",   "/v1/ready",         "/v1/order",      "/v1/report",
+                                 "/v1/hold-take", "PathPrefix",    "TrafficSplit",  "MaxAttempts",       "KvCapacity",     "TtlS"};
+    std::size_t files = 0;
+    for (const char *folder : {"src", "include", "apps"}) {
+        for (const auto &entry : std::filesystem::recursive_directory_iterator(sourceRoot() / folder)) {
+            if (!entry.is_regular_file()) {
+                continue;
+            }
+            ++files;
+            const std::string text = readAll(entry.path());
+            for (const char *name : names) {
+                EXPECT_EQ(text.find(name), std::string::npos) << entry.path() << " contains " << name;
+            }
+        }
+    }
+    EXPECT_GT(files, 100U);
+}
--- /dev/null
+++ b/tests/platform_dialect_test.cpp
@@ -0,0 +1,150 @@
+#include <gtest/gtest.h>
+
+#include "platform/dialect.h"
+
+using namespace heatherroute;
+using net::http_answer;
+using net::http_field;
+using net::http_request;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+const platform_dialect &dialect()
+{
+    static const platform_dialect made = platform::makeDialect();
+    return made;
+}
+
+http_request generation()
+{
+    http_request request;
+    request.method = "POST";
+    request.target = "/lohu930/2f?x=1";
+    request.fields = {{"Host", "Ficu95.Example:8144"},
+                      {"X-Attempt-Id", "9c41"},
+                      {"X-Model", "m"},
+                      {"X-Token-Count", "1460,80"},
+                      {"X-Prompt-Prefix", "5c1e07a2:800,e4402b7d:250"},
+                      {"X-Length-Hint", "70"},
+                      {"X-Deadline-Ms", "14000"}};
+    return request;
+}
+
+std::vector<std::string> valuesOf(const std::vector<http_field> &fields, const std::string &name)
+{
+    std::vector<std::string> values;
+    for (const http_field &field : fields) {
+        if (field.name == name) {
+            values.push_back(field.value);
+        }
+    }
+    return values;
+}
+
+} // namespace
+
+TEST(PlatformDialect, ReadsARequestOnce)
+{
+    const relay_request facts = dialect().readRequest(generation());
+    EXPECT_EQ(facts.id, "9c41");
+    EXPECT_EQ(facts.host, "ficu95.example");
+    EXPECT_EQ(facts.path, "/lohu930/2f");
+    EXPECT_EQ(facts.timeLeft, duration(milliseconds(14000)));
+    ASSERT_TRUE(facts.prompt);
+    EXPECT_EQ(facts.prompt->promptTokens, 1460U);
+    EXPECT_EQ(facts.prompt->maxOutputTokens, 80U);
+    EXPECT_EQ(facts.prompt->expectedOutputTokens, 70U);
+    EXPECT_EQ(facts.prompt->ownPart, "e4402b7d");
+}
+
+TEST(PlatformDialect, MalformedNumbersAreNotGuessed)
+{
+    http_request request = generation();
+    request.fields = {{"Host", "a"}, {"X-Token-Count", "12,"}, {"X-Deadline-Ms", "soon"}};
+    const relay_request facts = dialect().readRequest(request);
+    EXPECT_FALSE(facts.prompt);
+    EXPECT_FALSE(facts.timeLeft);
+}
+
+TEST(PlatformDialect, CallersCantSetWhatIsTheRouters)
+{
+    http_request request = generation();
+    for (const char *name : {"X-Kv-Hold", "x-pin-ms", "X-KV-BACKUP", "X-Kv-Source", "X-Stage", "X-Expect-Instance", "X-Request-Urgency", "X-Not-Executed"}) {
+        request.fields.push_back({name, "forged"});
+    }
+    request.fields.push_back({"Connection", "close, X-Hop"});
+    request.fields.push_back({"X-Hop", "1"});
+    request.fields.push_back({"X-Other", "kept"});
+    upstream_directions directions;
+    directions.instance = "i-1";
+    directions.timeLeft = milliseconds(900);
+    const auto fields = dialect().upstreamFields(request, directions);
+    for (const http_field &field : fields) {
+        EXPECT_NE(field.value, "forged") << field.name;
+        EXPECT_NE(field.name, "X-Hop");
+        EXPECT_NE(field.name, "Connection");
+    }
+    EXPECT_EQ(valuesOf(fields, "X-Deadline-Ms"), std::vector<std::string>{"900"});
+    EXPECT_EQ(valuesOf(fields, "X-Expect-Instance"), std::vector<std::string>{"i-1"});
+    EXPECT_EQ(valuesOf(fields, "X-Other"), std::vector<std::string>{"kept"});
+    EXPECT_TRUE(valuesOf(fields, "X-Kv-Source").empty());
+}
+
+TEST(PlatformDialect, DirectionsAreSpelled)
+{
+    upstream_directions directions;
+    directions.instance = "i-1";
+    directions.source = kv_handle{"10.1.64.9:8080", "3fa0"};
+    directions.reservation = "h7";
+    const auto fields = dialect().upstreamFields(generation(), directions);
+    EXPECT_EQ(valuesOf(fields, "X-Kv-Source"), std::vector<std::string>{"10.1.64.9:8080/3fa0"});
+    EXPECT_EQ(valuesOf(fields, "X-Kv-Hold"), std::vector<std::string>{"h7"});
+    EXPECT_TRUE(valuesOf(fields, "X-Stage").empty());
+    directions.prefillOnly = true;
+    EXPECT_EQ(valuesOf(dialect().upstreamFields(generation(), directions), "X-Stage"), std::vector<std::string>{"prefill"});
+}
+
+TEST(PlatformDialect, OnlyAnotherRunsNameMeansThatTheAddressWasReused)
+{
+    http_answer answer;
+    answer.status = 421;
+    EXPECT_TRUE(dialect().readAnswer(answer, "i-1").notRun);
+    EXPECT_FALSE(dialect().readAnswer(answer, "i-1").wrongInstance) << "an engine in the other phase";
+    answer.fields = {{"X-Replica-Id", "i-2"}};
+    EXPECT_TRUE(dialect().readAnswer(answer, "i-1").wrongInstance);
+    answer.fields = {{"X-Replica-Id", "i-1"}};
+    EXPECT_FALSE(dialect().readAnswer(answer, "i-1").wrongInstance);
+}
+
+TEST(PlatformDialect, NotRunNeedsTheUpstreamsWord)
+{
+    http_answer answer;
+    answer.status = 503;
+    EXPECT_FALSE(dialect().readAnswer(answer, "i-1").notRun);
+    answer.fields = {{"X-Not-Executed", "1"}};
+    EXPECT_TRUE(dialect().readAnswer(answer, "i-1").notRun);
+}
+
+TEST(PlatformDialect, RefusalTellsWhenToComeBack)
+{
+    const auto fields = dialect().refusalFields("9c41", duration(milliseconds(1250)));
+    EXPECT_EQ(valuesOf(fields, "Retry-After"), std::vector<std::string>{"1.25"});
+    EXPECT_TRUE(valuesOf(dialect().refusalFields("9c41", std::nullopt), "Retry-After").empty());
+}
+
+TEST(PlatformDialect, ReportsOfEngines)
+{
+    http_answer answer;
+    answer.body = R"({"Phase":"decode","Busy":true,"Sequence":2,"Queued":1,"Running":12,"KvUsed":41000,"KvTotal":90000,"State":"draining"})";
+    const auto report = dialect().readReport(answer);
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report->phase, engine_phase::Decode);
+    EXPECT_TRUE(report->busy);
+    EXPECT_TRUE(report->leaving);
+    EXPECT_EQ(report->ordersAccepted, 2U);
+    answer.body = "[]";
+    EXPECT_FALSE(dialect().readReport(answer));
+    EXPECT_FALSE(dialect().readPrefill(answer));
+}
--- /dev/null
+++ b/tests/platform_records_test.cpp
@@ -0,0 +1,81 @@
+#include <gtest/gtest.h>
+
+#include "platform/record_codec.h"
+
+using namespace heatherroute;
+using platform::decodeRegistration;
+using platform::decodeRoutes;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+const std::string kConfig = R"({"Version":7,"Routes":[
+ {"Name":"r-1","Host":"Ficu95.example","PathPrefix":"/lohu930/","Kind":"stream","TimeoutMs":14000,"TargetLatencyMs":900,"Priority":1,
+  "TrafficSplit":[{"Service":"a","Weight":90},{"Service":"b","Weight":10}],"MaxAttempts":1,"Sticky":true,"Resumable":false,"GapAimMs":300},
+ {"Name":"r-2","Host":"ficu95.example","PathPrefix":"/x/","Kind":"idempotent","TimeoutMs":600,"Service":"b","MaxAttempts":2}],
+ "Services":[{"Name":"a","HealthPath":"/healthz","MaxConnections":720,"Engine":{"Slots":64,"KvCapacityTokens":102942,"KvTtlS":0.5,"RoleSwitchS":6.0,"HoldMs":2000.0}},
+ {"Name":"b","HealthPath":"/healthz","MaxConnections":192}],
+ "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
+
+const std::string kReport =
+    R"({"Service":"a","Address":"10.128.0.9:8080","Zone":"z","Version":"v1","Slots":64,"State":"ready","ColdLeftMs":0,"Phase":"decode","Sequence":4,"born":1780564174863})";
+
+} // namespace
+
+TEST(PlatformRecords, ConfigurationIsReadWhole)
+{
+    const auto table = decodeRoutes({"config", kConfig}, nullptr);
+    ASSERT_TRUE(table);
+    EXPECT_EQ(table->version(), 7U);
+    const route *stream = table->find("ficu95.example", "/lohu930/2f");
+    ASSERT_NE(stream, nullptr);
+    EXPECT_EQ(stream->kind, route_kind::Stream);
+    EXPECT_TRUE(stream->generates);
+    EXPECT_EQ(stream->targets.size(), 2U);
+    EXPECT_EQ(stream->pauseTarget, milliseconds(300));
+    EXPECT_EQ(table->find("ficu95.example", "/x/1")->maxUpstreams, 2U);
+    ASSERT_TRUE(table->service("a")->engine);
+    EXPECT_EQ(table->service("a")->engine->handleLifetime, milliseconds(500));
+    EXPECT_EQ(table->service("a")->engine->maxReservation, milliseconds(2000));
+    EXPECT_FALSE(table->service("b")->engine);
+    EXPECT_EQ(table->bounds().idleTimeout, milliseconds(15000));
+}
+
+TEST(PlatformRecords, OtherKeysAndBrokenConfigurationsAreLeftOut)
+{
+    last_reason reason;
+    EXPECT_FALSE(decodeRoutes({"other", kConfig}, &reason));
+    EXPECT_TRUE(reason.text().empty());
+    EXPECT_FALSE(decodeRoutes({"config", "{"}, &reason));
+    EXPECT_FALSE(reason.text().empty());
+    EXPECT_FALSE(decodeRoutes({"config", R"({"Version":8,"Routes":[{"Name":"r"}],"Services":[]})"}, &reason));
+}
+
+TEST(PlatformRecords, RegistrationsOfUpstreams)
+{
+    const auto run = decodeRegistration({"i-1", kReport}, nullptr);
+    ASSERT_TRUE(run);
+    EXPECT_EQ(run->id, "i-1");
+    EXPECT_EQ(run->phase, engine_phase::Decode);
+    EXPECT_EQ(run->startedAt, 1780564174863U);
+    EXPECT_FALSE(run->draining);
+}
+
+// Another writer may put anything there; it names no upstream to use.
+TEST(PlatformRecords, EntriesOfOtherWritersNameNoUpstream)
+{
+    last_reason reason;
+    for (const char *text : {"",
+                             "\xff\xfe",
+                             "[]",
+                             R"({"Service":"a"})",
+                             R"({"Service":"a","Address":"nowhere","Zone":"z","Slots":1,"State":"ready","Sequence":1})",
+                             R"({"Service":"a","Address":"10.0.0.1:1","Zone":"z","Slots":"1","State":"ready","Sequence":1})",
+                             R"({"Service":"a","Address":"10.0.0.1:1","Zone":"z","Slots":1,"State":"paused","Sequence":1})",
+                             R"({"Service":7,"Address":"10.0.0.1:1","Zone":"z","Slots":1,"State":"ready","Sequence":1})"}) {
+        EXPECT_FALSE(decodeRegistration({"i-1", text}, &reason)) << text;
+        EXPECT_FALSE(reason.text().empty());
+    }
+    EXPECT_FALSE(decodeRegistration({"i-1", std::nullopt}, nullptr));
+}
--- /dev/null
+++ b/tests/upstream_registry_test.cpp
@@ -0,0 +1,121 @@
+#include <gtest/gtest.h>
+
+#include "relay/upstream_registry.h"
+
+using namespace heatherroute;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+registration reportOf(const std::string &id, std::uint64_t startedAt, std::uint64_t sequence)
+{
+    registration report;
+    report.id = id;
+    report.service = "portal";
+    report.address = "10.0.0.1:80";
+    report.startedAt = startedAt;
+    report.sequence = sequence;
+    return report;
+}
+
+struct watched_registry
+{
+    std::vector<std::string> changes;
+    upstream_registry registry =
+        upstream_registry::make({}, [this](const registration &run, const std::string &change) { changes.push_back(run.id + " " + change); });
+    instant now{};
+
+    bool isUsable(const std::string &id)
+    {
+        const auto runs = registry.usable("portal");
+        return std::any_of(runs.begin(), runs.end(), [&id](const registration *run) { return run->id == id; });
+    }
+};
+
+} // namespace
+
+TEST(UpstreamRegistry, DrainingRunGetsNoNewWork)
+{
+    watched_registry watched;
+    watched.registry.onReport(watched.now, reportOf("a", 1, 1));
+    EXPECT_TRUE(watched.isUsable("a"));
+    registration draining = reportOf("a", 1, 2);
+    draining.draining = true;
+    watched.registry.onReport(watched.now, draining);
+    EXPECT_FALSE(watched.isUsable("a"));
+    EXPECT_EQ(watched.changes.back(), "a draining");
+}
+
+TEST(UpstreamRegistry, LateReportsChangeNothing)
+{
+    watched_registry watched;
+    registration draining = reportOf("a", 5, 9);
+    draining.draining = true;
+    watched.registry.onReport(watched.now, draining);
+    watched.registry.onReport(watched.now, reportOf("a", 5, 8));
+    watched.registry.onReport(watched.now, reportOf("a", 4, 100));
+    EXPECT_FALSE(watched.isUsable("a"));
+}
+
+TEST(UpstreamRegistry, RemovedRunIsNotBroughtBackByItsLastReport)
+{
+    watched_registry watched;
+    watched.registry.onReport(watched.now, reportOf("a", 5, 9));
+    watched.registry.onRemoved(watched.now, "a");
+    watched.registry.onReport(watched.now, reportOf("a", 5, 9));
+    EXPECT_FALSE(watched.isUsable("a"));
+    watched.registry.onReport(watched.now, reportOf("a", 5, 10));
+    EXPECT_TRUE(watched.isUsable("a"));
+}
+
+TEST(UpstreamRegistry, RestartUnderTheSameIdCountsFromAnew)
+{
+    watched_registry watched;
+    watched.registry.onReport(watched.now, reportOf("a", 5, 900));
+    watched.registry.onDisplaced(watched.now, "a");
+    EXPECT_FALSE(watched.isUsable("a"));
+    watched.registry.onReport(watched.now, reportOf("a", 6, 1));
+    EXPECT_TRUE(watched.isUsable("a"));
+    EXPECT_EQ(watched.changes.back(), "a restarted");
+}
+
+TEST(UpstreamRegistry, EntriesThatLapsedDuringAnOutageHaveAGrace)
+{
+    watched_registry watched;
+    for (const char *id : {"alive", "gone"}) {
+        watched.registry.onReport(watched.now, reportOf(id, 1, 1));
+    }
+    watched.registry.onStoreLost(watched.now);
+    watched.now += seconds(8);
+    watched.registry.onStoreBack(watched.now);
+    watched.registry.onComplete(watched.now, {});
+    EXPECT_TRUE(watched.isUsable("alive"));
+    watched.now += milliseconds(1500);
+    watched.registry.onReport(watched.now, reportOf("alive", 1, 2));
+    watched.now += milliseconds(600);
+    watched.registry.advance(watched.now);
+    EXPECT_TRUE(watched.isUsable("alive"));
+    EXPECT_FALSE(watched.isUsable("gone"));
+}
+
+TEST(UpstreamRegistry, RemovalWithoutOutageTakesEffectAtOnce)
+{
+    watched_registry watched;
+    watched.registry.onReport(watched.now, reportOf("a", 1, 1));
+    watched.registry.onComplete(watched.now, {"b"});
+    EXPECT_FALSE(watched.isUsable("a"));
+}
+
+TEST(UpstreamRegistry, OwnWordOfLeavingHoldsUntilANewerReport)
+{
+    watched_registry watched;
+    watched.registry.onReport(watched.now, reportOf("a", 1, 4));
+    watched.registry.onLeaving("a");
+    EXPECT_FALSE(watched.isUsable("a"));
+    watched.registry.onReport(watched.now, reportOf("a", 1, 5));
+    EXPECT_FALSE(watched.isUsable("a")) << "that report may have been under way";
+    watched.registry.onReport(watched.now, reportOf("a", 1, 7));
+    EXPECT_TRUE(watched.isUsable("a"));
+}
