--- a/include/heatherroute/peer_message.h
+++ b/include/heatherroute/peer_message.h
@@ -3,6 +3,7 @@
 #include "heatherroute/config_message.h"
 #include "heatherroute/last_reason.h"
 #include "heatherroute/membership_message.h"
+#include "heatherroute/store_news.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -23,7 +24,7 @@
  * removed within one kPeerProtocolVersion.
  */
 using peer_body =
-    std::variant<probe, probe_ack, indirect_probe, join_request, sync_request, sync_page, config_question, config_answer, config_pull, config_part>;
+    std::variant<probe, probe_ack, indirect_probe, join_request, sync_request, sync_page, config_question, config_answer, config_pull, config_part, store_news>;
 
 /// Who sent a message, and where it stands in the sender's order.
 struct peer_header
--- /dev/null
+++ b/include/heatherroute/store_news.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "heatherroute/peer_serialize.h"
+#include "heatherroute/registration.h"
+
+#include <compare>
+#include <cstdint>
+#include <vector>
+
+/**
+ * What entries that read the platform's store tell those that don't.
+ *
+ * Each call to the store is paid for, so a few entries read it often and tell the others what has changed. The news fit a
+ * datagram each and are repeated for some seconds, so a lost one does no harm.
+ */
+
+namespace heatherroute
+{
+
+inline constexpr std::size_t kMaxNewsPerMessage = 4;
+inline constexpr std::size_t kMaxRegistrationTextBytes = 64;
+
+/// A change of one upstream.
+struct upstream_news
+{
+    registration run;
+    bool gone = false; ///< The store holds it no more, and it isn't expected back.
+
+    auto operator<=>(const upstream_news &) const = default;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        serializeText(archive, run.id, kMaxRegistrationTextBytes);
+        serializeText(archive, run.service, kMaxRegistrationTextBytes);
+        serializeText(archive, run.address, kMaxRegistrationTextBytes);
+        serializeText(archive, run.zone, kMaxRegistrationTextBytes);
+        std::uint8_t phase = run.phase ? static_cast<std::uint8_t>(*run.phase) + 1 : 0;
+        std::uint8_t draining = run.draining ? 1 : 0;
+        std::uint8_t isGone = gone ? 1 : 0;
+        archive(run.slots, phase, draining, run.startedAt, run.sequence, isGone);
+        if (phase > static_cast<std::uint8_t>(engine_phase::Decode) + 1) {
+            throw cereal::Exception("enumerator out of range");
+        }
+        run.phase = phase == 0 ? std::nullopt : std::optional<engine_phase>(static_cast<engine_phase>(phase - 1));
+        run.draining = draining != 0;
+        gone = isGone != 0;
+    }
+};
+
+/// What a reader of the store knows now.
+struct store_news
+{
+    std::uint64_t configVersion = 0;
+    std::vector<upstream_news> changes; ///< Of the last seconds.
+
+    auto operator<=>(const store_news &) const = default;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(configVersion);
+        serializeList(archive, changes, kMaxNewsPerMessage);
+    }
+};
+
+} // namespace heatherroute
--- a/src/node/member_duty.cpp
+++ b/src/node/member_duty.cpp
@@ -29,6 +29,10 @@
     {
         net::peer_transport_hooks hooks;
         hooks.received = [this](const std::string &from, peer_message message) {
+            if (auto *news = std::get_if<store_news>(&message.body)) {
+                hear(std::move(*news));
+                return;
+            }
             deliver(membership_received{from, std::move(message.header.sender), std::move(message.body)});
         };
         m_transport = net::peer_transport::make(m_context, m_settings.transport, std::move(hooks), reason);
@@ -58,6 +62,8 @@
             deliver(membership_hints{std::move(hints)});
         } else if (auto *summary = std::get_if<own_summary>(&event)) {
             deliver(membership_summary{summary->summary});
+        } else if (auto *told = std::get_if<news_told>(&event)) {
+            tell(told->news);
         } else {
             deliver(membership_leave{});
         }
@@ -69,6 +75,21 @@
     }
 
 private:
+    /// News that find the ring full are as good as lost; they are repeated.
+    void hear(store_news news)
+    {
+        relay_event event = news_heard{std::move(news)};
+        static_cast<void>(m_toRelay.tryPush(event));
+    }
+
+    void tell(const store_news &news)
+    {
+        const peer_body body = news;
+        for (const member &other : m_group->members()) {
+            m_transport->sendDatagram(other.peerAddress, body);
+        }
+    }
+
     void deliver(const membership_event &event)
     {
         membership_effects effects = m_group->handle(coreNow(), event);
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -245,6 +245,7 @@
     void on(upstreams_reported &event)
     {
         const instant now = coreNow();
+        m_state.news.noteRead(now);
         std::set<std::string> ids;
         for (const registration &report : event.reports) {
             ids.insert(report.id);
@@ -280,6 +281,35 @@
         wantLease();
     }
 
+    void on(news_heard &event)
+    {
+        const instant now = coreNow();
+        m_state.news.noteHeard(now);
+        for (const upstream_news &change : event.news.changes) {
+            if (change.gone) {
+                m_state.registry.onGone(now, change.run);
+            } else {
+                m_state.registry.onReport(now, change.run);
+            }
+        }
+        if (m_state.routes && event.news.configVersion > m_state.routes->version()) {
+            tell(m_toStore, store_event(config_outdated{}));
+        }
+    }
+
+    /// Reads the store or listens to those who do, and tells the others what was read.
+    void shareNews(instant now)
+    {
+        const bool closely = m_state.news.shouldRead(now) || !m_state.routes || !m_state.registry.isComplete();
+        if (closely != m_followsClosely) {
+            m_followsClosely = closely;
+            tell(m_toStore, store_event(store_followed{closely}));
+        }
+        for (store_news &message : m_state.news.due(now, m_state.routes ? m_state.routes->version() : 0)) {
+            tell(m_toMembers, member_event(news_told{std::move(message)}));
+        }
+    }
+
     /// Only the first few entries by name compete for the lease, since each renewal is a call to the store.
     void wantLease()
     {
@@ -287,6 +317,7 @@
         for (const member &other : m_others) {
             before += other.state == member_state::Alive && other.id.name < m_settings.entryName ? 1 : 0;
         }
+        m_state.news.setRank(m_stoppingSince ? m_others.size() : before);
         const bool wanted = before < kLeaseCandidates && !m_stoppingSince;
         if (wanted != m_leaseWanted) {
             m_leaseWanted = wanted;
@@ -333,6 +364,7 @@
         askRefusers(now);
         m_orders.advance(now);
         wantLease();
+        shareNews(now);
         m_tick.expires_after(kTickInterval);
         m_tick.async_wait([this](const boost::system::error_code &error) {
             if (!error) {
@@ -427,6 +459,7 @@
     bool m_drained = false;
     bool m_toldReady = false;
     bool m_leaseWanted = false;
+    bool m_followsClosely = true;
 };
 
 std::unique_ptr<relay_duty> relay_duty::make(asio::io_context &context,
--- a/src/node/relay_event.h
+++ b/src/node/relay_event.h
@@ -9,6 +9,7 @@
 #include "heatherroute/member.h"
 #include "heatherroute/registration.h"
 #include "heatherroute/route_table.h"
+#include "heatherroute/store_news.h"
 #include "relay/platform_store.h"
 
 namespace heatherroute::node
@@ -49,8 +50,14 @@
     std::vector<member> others;
 };
 
+/// Another entry told what it read from the store.
+struct news_heard
+{
+    store_news news;
+};
+
 /// What the relay's thread hears from the other duties.
-using relay_event = std::variant<routes_read, upstreams_reported, store_reached, lease_changed, members_changed>;
+using relay_event = std::variant<routes_read, upstreams_reported, store_reached, lease_changed, members_changed, news_heard>;
 
 /// Where entries may be found, as the store's records say.
 struct entry_addresses
@@ -68,8 +75,14 @@
 struct members_leave
 { };
 
+/// To be told to all other entries.
+struct news_told
+{
+    store_news news;
+};
+
 /// What the membership's thread hears from the other duties.
-using member_event = std::variant<entry_addresses, own_summary, members_leave>;
+using member_event = std::variant<entry_addresses, own_summary, members_leave, news_told>;
 
 /// Whether this entry should try for the right to give orders.
 struct lease_wanted
@@ -77,11 +90,21 @@
     bool wanted = false;
 };
 
+/// Whether this entry follows the store closely, or others tell it what changes.
+struct store_followed
+{
+    bool closely = true;
+};
+
+/// Another entry knows a newer configuration.
+struct config_outdated
+{ };
+
 /// The process ends; what it holds in the store is given up.
 struct store_stop
 { };
 
 /// What the store's thread hears from the other duties.
-using store_event = std::variant<lease_wanted, store_stop>;
+using store_event = std::variant<lease_wanted, store_followed, config_outdated, store_stop>;
 
 } // namespace heatherroute::node
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -17,6 +17,7 @@
     : executor(std::move(relayExecutor))
     , dialect(std::move(relayDialect))
     , random(seed)
+    , news(news_board::make({}))
     , judge(upstream_judge::make({}))
     , registry(upstream_registry::make({},
                                        [this](const registration &run, const std::string &change) {
@@ -25,6 +26,9 @@
                                            } else if (change == "added" || change == "restarted" || change == "phase") {
                                                judge.add(run);
                                            }
+                                           if (change != "lapsed" && change != "displaced" && change != "leaving") {
+                                               news.noteChange(coreNow(), {run, change == "removed"});
+                                           }
                                            log(log_level::Info,
                                                "upstream_changed",
                                                {upstreamField(run.id),
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -14,6 +14,7 @@
 #include "heatherroute/route_table.h"
 #include "node/core_time.h"
 #include "relay/engine_desk.h"
+#include "relay/news_board.h"
 #include "relay/phase_planner.h"
 #include "relay/platform_dialect.h"
 #include "relay/retry_pool.h"
@@ -62,6 +63,7 @@
     std::function<void(log_line)> writeLog;
     std::shared_ptr<const route_table> routes; ///< Null before the first configuration.
     std::mt19937_64 random;
+    news_board news;
     upstream_judge judge;
     upstream_registry registry;
     retry_pool retries;
--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -50,6 +50,15 @@
     {
         if (const auto *wanted = std::get_if<lease_wanted>(&event)) {
             m_leaseWanted = wanted->wanted;
+        } else if (const auto *followed = std::get_if<store_followed>(&event)) {
+            m_closely = followed->closely;
+            log(log_level::Info, m_closely ? "store_followed_closely" : "store_followed_by_news", {});
+            if (m_closely) {
+                wakeReaders();
+            }
+        } else if (std::holds_alternative<config_outdated>(event)) {
+            m_configOutdated = true;
+            wakeReaders();
         } else {
             m_leaseWanted = false;
             m_stopping = true;
@@ -131,6 +140,30 @@
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
 
+    /// A pause that ends early when this entry has to read the store itself.
+    asio::awaitable<void> rest(std::chrono::milliseconds time)
+    {
+        asio::steady_timer timer(m_context, time);
+        m_resting.insert(&timer);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        m_resting.erase(&timer);
+    }
+
+    void wakeReaders()
+    {
+        for (asio::steady_timer *timer : m_resting) {
+            timer->cancel();
+        }
+    }
+
+    /// Differs between entries, so that their seldom reads don't meet.
+    std::chrono::milliseconds seldomPause()
+    {
+        const std::int64_t mean = m_settings.seldomInterval.count();
+        return std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(mean / 2, mean * 3 / 2)(m_random));
+    }
+
     /// After a failure, a pause that grows and differs between entries, so that they don't all return to the store at once.
     std::chrono::milliseconds pauseAfter(const position &at)
     {
@@ -146,7 +179,9 @@
         at.stream = store_stream::Configuration;
         while (!self->m_stopping) {
             bool isWhole = false;
-            const keyed_page page = co_await self->readNext(at, self->m_settings.configWait, isWhole);
+            const std::chrono::milliseconds wait = self->m_closely ? self->m_settings.configWait : std::chrono::milliseconds(0);
+            self->m_configOutdated = false;
+            const keyed_page page = co_await self->readNext(at, wait, isWhole);
             for (const keyed_record &record : page.records) {
                 co_await self->offerRoutes(record);
             }
@@ -155,6 +190,8 @@
             } else if (isWhole && self->m_version == 0) {
                 // Nothing is published yet; the next read waits for it.
                 co_await self->pause(self->m_settings.firstPause);
+            } else if (page.outcome == store_outcome::Done && !self->m_closely && !self->m_configOutdated) {
+                co_await self->rest(self->seldomPause());
             }
         }
     }
@@ -188,7 +225,7 @@
             if (page.outcome == store_outcome::Done) {
                 relay_event event = self->decode(page, isWhole);
                 co_await self->m_toRelay.push(std::move(event));
-                co_await self->pause(self->m_settings.registrationInterval);
+                co_await self->rest(self->m_closely ? self->m_settings.registrationInterval : self->seldomPause());
             } else if (page.outcome == store_outcome::Unavailable) {
                 co_await self->pause(self->pauseAfter(at));
             }
@@ -239,12 +276,14 @@
                 published = outcome == store_outcome::Done;
             }
             bool isWhole = false;
-            const keyed_page page = co_await self->readNext(at, self->m_settings.entriesWait, isWhole);
+            const keyed_page page = co_await self->readNext(at, std::chrono::milliseconds(0), isWhole);
             if (page.outcome == store_outcome::Done) {
                 co_await self->tellEntries(page);
             }
-            if (page.outcome != store_outcome::HistoryGone) {
-                co_await self->pause(page.outcome == store_outcome::Done ? self->m_settings.firstPause : self->pauseAfter(at));
+            if (page.outcome == store_outcome::Unavailable) {
+                co_await self->pause(self->pauseAfter(at));
+            } else if (page.outcome == store_outcome::Done) {
+                co_await self->pause(published ? self->m_settings.entriesInterval : self->pauseAfter(at));
             }
         }
     }
@@ -331,6 +370,9 @@
     bool m_reached = true;
     bool m_stopping = false;
     bool m_leaseWanted = false;
+    bool m_closely = true;
+    bool m_configOutdated = false;
+    std::set<asio::steady_timer *> m_resting;
     bool m_isMember = false;
     std::uint64_t m_version = 0;
     std::uint64_t m_generation = 0;
--- /dev/null
+++ b/src/relay/news_board.cpp
@@ -0,0 +1,66 @@
+#include "relay/news_board.h"
+
+namespace heatherroute
+{
+
+news_board news_board::make(const news_settings &settings)
+{
+    return news_board(settings);
+}
+
+news_board::news_board(const news_settings &settings)
+    : m_settings(settings)
+{ }
+
+void news_board::setRank(std::size_t before)
+{
+    m_before = before;
+}
+
+void news_board::noteRead(instant now)
+{
+    m_readAt = now;
+}
+
+void news_board::noteHeard(instant now)
+{
+    m_heardAt = now;
+}
+
+void news_board::noteChange(instant now, upstream_news change)
+{
+    std::erase_if(m_changes, [&change](const auto &entry) { return entry.second.run.id == change.run.id; });
+    m_changes.emplace_back(now, std::move(change));
+}
+
+bool news_board::shouldRead(instant now) const
+{
+    const bool heard = m_heardAt && now - *m_heardAt <= m_settings.heardFor;
+    return m_before < m_settings.readers || !heard;
+}
+
+std::vector<store_news> news_board::due(instant now, std::uint64_t configVersion)
+{
+    while (!m_changes.empty() && now - m_changes.front().first > m_settings.repeatFor) {
+        m_changes.pop_front();
+    }
+    const bool fresh = m_readAt && now - *m_readAt <= m_settings.freshFor;
+    const bool isDue = !m_toldAt || now - *m_toldAt >= m_settings.interval;
+    if (m_before >= m_settings.readers || !fresh || !isDue) {
+        return {};
+    }
+    m_toldAt = now;
+    std::vector<store_news> messages(1);
+    for (const auto &[at, change] : m_changes) {
+        if (messages.back().changes.size() == kMaxNewsPerMessage) {
+            messages.emplace_back();
+        }
+        messages.back().changes.push_back(change);
+    }
+    for (store_news &message : messages) {
+        message.configVersion = configVersion;
+    }
+    return messages;
+}
+
+} // namespace heatherroute
--- /dev/null
+++ b/src/relay/news_board.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "heatherroute/store_news.h"
+#include "heatherroute/time.h"
+
+namespace heatherroute
+{
+
+/// Who reads the store, and how long news are believed.
+struct news_settings
+{
+    std::size_t readers = 3; ///< Entries that read for all; more than may fail at once.
+    duration interval = std::chrono::milliseconds(500); ///< Between two tellings.
+    duration repeatFor = std::chrono::seconds(4); ///< How long a change is told again.
+    duration freshFor = std::chrono::milliseconds(1'600); ///< How old the reader's own last read may be.
+    duration heardFor = std::chrono::milliseconds(1'800); ///< Without news for so long, an entry reads the store itself.
+
+    auto operator<=>(const news_settings &) const = default;
+};
+
+/**
+ * Whether this entry reads the platform's store itself, and what it tells the others.
+ *
+ * Load pattern: a hundred entries that each read every report of the upstreams pay for a hundred times the calls, and stand
+ * in line at the store when it comes back. The first few entries by name read for all; an entry that hears none of them reads
+ * itself. Pure; not thread safe. Instants must not decrease.
+ */
+class news_board
+{
+public:
+    static news_board make(const news_settings &settings);
+
+    /// @p before entries that are alive come before this one by name.
+    void setRank(std::size_t before);
+    /// The store answered this entry.
+    void noteRead(instant now);
+    /// Another entry told news.
+    void noteHeard(instant now);
+    /// An upstream has changed, as this entry read or heard.
+    void noteChange(instant now, upstream_news change);
+
+    /// Whether this entry should read the store itself.
+    bool shouldRead(instant now) const;
+    /// The messages to send to all others now; empty when none is due.
+    std::vector<store_news> due(instant now, std::uint64_t configVersion);
+
+private:
+    explicit news_board(const news_settings &settings);
+
+    news_settings m_settings;
+    std::size_t m_before = 0;
+    std::optional<instant> m_readAt;
+    std::optional<instant> m_heardAt;
+    std::optional<instant> m_toldAt;
+    std::deque<std::pair<instant, upstream_news>> m_changes;
+};
+
+} // namespace heatherroute
--- a/src/relay/upstream_registry.cpp
+++ b/src/relay/upstream_registry.cpp
@@ -76,6 +76,15 @@
     }
 }
 
+void upstream_registry::onGone(instant now, const registration &report)
+{
+    const auto known = m_runs.find(report.id);
+    if (known != m_runs.end() && !isLate(report)) {
+        known->second.run.sequence = report.sequence;
+        remove(now, report.id);
+    }
+}
+
 void upstream_registry::onComplete(instant now, const std::set<std::string> &ids)
 {
     std::vector<std::string> gone;
--- a/src/relay/upstream_registry.h
+++ b/src/relay/upstream_registry.h
@@ -44,6 +44,8 @@
     void onReport(instant now, const registration &report);
     /// The store holds no report of @p id any more.
     void onRemoved(instant now, const std::string &id);
+    /// An entry that reads the store says that the run of @p report is gone for good.
+    void onGone(instant now, const registration &report);
     /// The store holds exactly the reports of @p ids; all others are gone.
     void onComplete(instant now, const std::set<std::string> &ids);
     /// The store has not answered for a while.
