--- a/src/relay/engine_desk.cpp
+++ b/src/relay/engine_desk.cpp
@@ -17,8 +17,9 @@
 
 std::uint32_t engine_desk::reservedTokens(const prompt_facts &prompt) const
 {
-    const auto most = static_cast<std::uint32_t>(m_settings.reserveOfMost * prompt.maxOutputTokens);
-    return prompt.promptTokens + most;
+    const double expected = prompt.expectedOutputTokens.value_or(prompt.maxOutputTokens);
+    const auto output = static_cast<std::uint32_t>(m_settings.reserveOfExpected * expected);
+    return prompt.promptTokens + std::min(output, prompt.maxOutputTokens);
 }
 
 std::uint32_t engine_desk::prefillReservation(const prompt_facts &prompt, std::uint32_t memoryTokens) const
--- a/src/relay/engine_desk.h
+++ b/src/relay/engine_desk.h
@@ -16,8 +16,8 @@
 /// How generations are placed on engines.
 struct engine_desk_settings
 {
-    /// Part of the declared most output that is reserved beyond what the request is expected to make.
-    double reserveOfMost = 1.0;
+    /// Reserved for the output, as a multiple of the caller's estimate, which is often far off; never more than the declared most.
+    double reserveOfExpected = 1.5;
     /// How long an engine that refused a reservation isn't asked again.
     duration fullPause = std::chrono::milliseconds(80);
     /// How long an engine that is in another phase than it reported isn't asked; reports come about this late.
