--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -40,8 +40,9 @@
 constexpr std::size_t kLeaseCandidates = 2;
 /// After the signal to stop: when idle connections of callers are ended.
 constexpr std::chrono::milliseconds kDrainAfter{600};
-/// After the signal to stop: the earliest end, so that callers whose answer of the directory still names this entry are served.
-constexpr std::chrono::milliseconds kLeastStop{3'000};
+/// After the signal to stop: until when new connections are taken. Callers whose answer of the directory still names this entry
+/// are served, and streams that begin by then end within the grace.
+constexpr std::chrono::milliseconds kAcceptUntil{2'500};
 /// Before the end of the grace: when what still runs is cut.
 constexpr std::chrono::milliseconds kStopMargin{500};
 /// How long callers should stay away from an entry that knows no configuration yet.
@@ -424,11 +425,14 @@
             m_drained = true;
             m_callers->drain();
         }
-        const bool idle = m_inFlight == 0 && since >= kLeastStop;
+        if (since >= kAcceptUntil && !m_closed) {
+            m_closed = true;
+            m_callers->stopAccepting();
+        }
+        const bool idle = m_inFlight == 0 && m_closed;
         const bool late = since >= m_settings.stopGrace - kStopMargin;
         if (idle || late) {
             m_state.log(log_level::Info, "stopped", {{"cut", std::to_string(m_inFlight)}});
-            m_callers->stopAccepting();
             m_onStopped();
             return;
         }
@@ -457,6 +461,7 @@
     std::optional<instant> m_stoppingSince;
     std::function<void()> m_onStopped;
     bool m_drained = false;
+    bool m_closed = false;
     bool m_toldReady = false;
     bool m_leaseWanted = false;
     bool m_followsClosely = true;
--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -54,11 +54,11 @@
             m_closely = followed->closely;
             log(log_level::Info, m_closely ? "store_followed_closely" : "store_followed_by_news", {});
             if (m_closely) {
-                wakeReaders();
+                wake(store_stream::Configuration);
+                wake(store_stream::Registrations);
             }
         } else if (std::holds_alternative<config_outdated>(event)) {
-            m_configOutdated = true;
-            wakeReaders();
+            noteOutdated();
         } else {
             m_leaseWanted = false;
             m_stopping = true;
@@ -141,19 +141,36 @@
     }
 
     /// A pause that ends early when this entry has to read the store itself.
-    asio::awaitable<void> rest(std::chrono::milliseconds time)
+    asio::awaitable<void> rest(store_stream stream, std::chrono::milliseconds time)
     {
         asio::steady_timer timer(m_context, time);
-        m_resting.insert(&timer);
+        m_resting[stream] = &timer;
         boost::system::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        m_resting.erase(&timer);
+        m_resting.erase(stream);
     }
 
-    void wakeReaders()
+    /// Reads the configuration soon; news that come meanwhile are met by the same read.
+    void noteOutdated()
     {
-        for (asio::steady_timer *timer : m_resting) {
-            timer->cancel();
+        if (m_configOutdated) {
+            return;
+        }
+        m_configOutdated = true;
+        asio::co_spawn(m_context, readOutdated(shared_from_this()), asio::detached);
+    }
+
+    static asio::awaitable<void> readOutdated(std::shared_ptr<impl> self)
+    {
+        const std::int64_t most = self->m_settings.outdatedSpread.count();
+        co_await self->pause(std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(most / 2, most)(self->m_random)));
+        self->wake(store_stream::Configuration);
+    }
+
+    void wake(store_stream stream)
+    {
+        if (const auto resting = m_resting.find(stream); resting != m_resting.end()) {
+            resting->second->cancel();
         }
     }
 
@@ -191,7 +208,7 @@
                 // Nothing is published yet; the next read waits for it.
                 co_await self->pause(self->m_settings.firstPause);
             } else if (page.outcome == store_outcome::Done && !self->m_closely && !self->m_configOutdated) {
-                co_await self->rest(self->seldomPause());
+                co_await self->rest(at.stream, self->seldomPause());
             }
         }
     }
@@ -225,7 +242,7 @@
             if (page.outcome == store_outcome::Done) {
                 relay_event event = self->decode(page, isWhole);
                 co_await self->m_toRelay.push(std::move(event));
-                co_await self->rest(self->m_closely ? self->m_settings.registrationInterval : self->seldomPause());
+                co_await self->rest(at.stream, self->m_closely ? self->m_settings.registrationInterval : self->seldomPause());
             } else if (page.outcome == store_outcome::Unavailable) {
                 co_await self->pause(self->pauseAfter(at));
             }
@@ -372,7 +389,7 @@
     bool m_leaseWanted = false;
     bool m_closely = true;
     bool m_configOutdated = false;
-    std::set<asio::steady_timer *> m_resting;
+    std::map<store_stream, asio::steady_timer *> m_resting; ///< Those that wait between two reads.
     bool m_isMember = false;
     std::uint64_t m_version = 0;
     std::uint64_t m_generation = 0;
--- a/src/node/store_duty.h
+++ b/src/node/store_duty.h
@@ -23,6 +23,7 @@
     std::chrono::milliseconds configWait{1'000}; ///< How long one read waits for a configuration; the store may lose what it waits for from its history.
     std::chrono::milliseconds registrationInterval{900}; ///< Between two reads of upstreams' reports; each read costs.
     std::chrono::milliseconds seldomInterval{15'000}; ///< Between two reads while other entries tell what changes.
+    std::chrono::milliseconds outdatedSpread{600}; ///< After news of a newer configuration, within what time it is read; changes often follow each other.
     std::chrono::milliseconds entriesInterval{30'000}; ///< Between two readings of where entries are; they find each other otherwise.
     std::chrono::milliseconds firstPause{150}; ///< After a failure; doubles with each further one.
     std::chrono::milliseconds longestPause{1'000};
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -24,6 +24,7 @@
 constexpr unsigned kStatusUnavailable = 503;
 constexpr unsigned kStatusTimeout = 504;
 constexpr std::uint32_t kMostPrefills = 3; ///< Engines asked for the same prompt.
+constexpr std::size_t kMostAsked = 4; ///< Engines asked for memory in one round; more than this are rarely all full by chance.
 constexpr std::uint32_t kMostDecodes = 3; ///< Engines asked to generate before the caller is told.
 /// How long a prefill may take, its queue included, before its engine is given up.
 constexpr std::chrono::milliseconds kPrefillTimeout{3'000};
@@ -136,12 +137,14 @@
         co_return false;
     }
 
-    /// Asks each decode engine that isn't known to be full once.
+    /// Asks a few decode engines that aren't known to be full; each question is a connection.
     asio::awaitable<bool> askRound()
     {
         std::vector<registration> order;
         for (const registration *run : m_state.desk.decodeOrder(coreNow(), enginesIn(engine_phase::Decode), m_state.random)) {
-            order.push_back(*run);
+            if (order.size() < kMostAsked) {
+                order.push_back(*run);
+            }
         }
         for (const registration &run : order) {
             const bool taken = co_await ask(run);
--- a/src/relay/engine_desk.h
+++ b/src/relay/engine_desk.h
@@ -17,7 +17,7 @@
 struct engine_desk_settings
 {
     /// Reserved for the output, as a multiple of the caller's estimate, which is often far off; never more than the declared most.
-    double reserveOfExpected = 1.5;
+    double reserveOfExpected = 2.0;
     /// How long an engine that refused a reservation isn't asked again.
     duration fullPause = std::chrono::milliseconds(80);
     /// How long an engine that is in another phase than it reported isn't asked; reports come about this late.
--- a/src/relay/phase_planner.cpp
+++ b/src/relay/phase_planner.cpp
@@ -83,7 +83,7 @@
     // A pool without any engine serves nobody, and before the first request a move holds nobody up.
     const bool urgent = prefill == 0 || prefill == engines.size() || !m_seenWork;
     const duration patience = prefill < wanted ? m_settings.shortPatience : m_settings.patience;
-    if ((!urgent && now - *m_differsSince < patience) || (m_lastMove && now - *m_lastMove < m_settings.pauseBetween)) {
+    if ((!urgent && now - *m_differsSince < patience) || (m_seenWork && m_lastMove && now - *m_lastMove < m_settings.pauseBetween)) {
         return std::nullopt;
     }
     const engine_phase from = prefill > wanted ? engine_phase::Prefill : engine_phase::Decode;
--- a/src/relay/phase_planner.h
+++ b/src/relay/phase_planner.h
@@ -27,7 +27,7 @@
     duration patience = std::chrono::seconds(6); ///< How long too many must prefill before one of them is moved.
     duration shortPatience = std::chrono::seconds(3); ///< The same with too few; an engine that crashed is often back by then.
     duration moveTime = std::chrono::seconds(10); ///< After an order, how long reports may still tell the old phase.
-    duration pauseBetween = std::chrono::milliseconds(1'500); ///< Between two orders.
+    duration pauseBetween = std::chrono::milliseconds(1'500); ///< Between two orders while there is work.
 
     auto operator<=>(const phase_plan_settings &) const = default;
 };
--- /dev/null
+++ b/tests/process_relay_test.cpp
@@ -0,0 +1,277 @@
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <csignal>
+
+#include "support/relay_site.h"
+
+using namespace heatherroute;
+using namespace heatherroute::support;
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr milliseconds kTimeLeft{3'000};
+
+/// Runs @p body on a small site; ends with a failure when it takes too long.
+void onSite(relay_site_settings settings, std::function<asio::awaitable<void>(relay_site &)> body)
+{
+    asio::io_context context(1);
+    settings.program = std::string(HEATHERROUTE_BIN_DIR) + "/heatherrouted";
+    last_reason reason;
+    const auto site = relay_site::make(context, std::move(settings), &reason);
+    ASSERT_TRUE(site) << reason.text();
+    bool ended = false;
+    const auto run = [&]() -> asio::awaitable<void> {
+        const bool ready = co_await site->waitUntilReady(seconds(20));
+        EXPECT_TRUE(ready);
+        co_await body(*site);
+        ended = true;
+        context.stop();
+    };
+    asio::co_spawn(context, run, [](const std::exception_ptr &failure) {
+        if (failure) {
+            std::rethrow_exception(failure);
+        }
+    });
+    context.run_for(seconds(60));
+    EXPECT_TRUE(ended);
+}
+
+asio::awaitable<void> pause(milliseconds time)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+/// Calls and expects a whole success.
+asio::awaitable<caller_result> expectSuccess(relay_site &site, std::size_t entry, std::string path)
+{
+    caller_result result = co_await site.call(entry, path, kTimeLeft);
+    EXPECT_EQ(result.status, 200U) << path;
+    EXPECT_EQ(result.fault, "") << path;
+    co_return result;
+}
+
+} // namespace
+
+TEST(ProcessRelay, ServesAllKindsThroughEveryEntry)
+{
+    onSite({}, [](relay_site &site) -> asio::awaitable<void> {
+        for (std::size_t entry = 0; entry < site.entryCount(); ++entry) {
+            for (const char *path : {kLookupPath, kBookingPath, kStreamPath}) {
+                const caller_result result = co_await expectSuccess(site, entry, path);
+                EXPECT_EQ(site.runsOf(result.id), 1) << path;
+            }
+        }
+    });
+}
+
+TEST(ProcessRelay, LostAnswerOfABookingIsNeitherRepeatedNorCalledNotRun)
+{
+    onSite({}, [](relay_site &site) -> asio::awaitable<void> {
+        standins::upstream_faults faults;
+        faults.loseAnswers = true;
+        for (const auto &upstream : site.upstreams()) {
+            upstream->setFaults(faults);
+        }
+        const caller_result booking = co_await site.call(0, kBookingPath, kTimeLeft);
+        EXPECT_EQ(booking.status, 502U);
+        EXPECT_EQ(site.runsOf(booking.id), 1);
+        const caller_result lookup = co_await site.call(0, kLookupPath, kTimeLeft);
+        EXPECT_EQ(site.runsOf(lookup.id), 2);
+    });
+}
+
+TEST(ProcessRelay, AnswerOfAnotherRequestIsNotPassedOn)
+{
+    onSite({}, [](relay_site &site) -> asio::awaitable<void> {
+        standins::upstream_faults faults;
+        faults.foreignAnswers = true;
+        for (const auto &upstream : site.upstreams()) {
+            upstream->setFaults(faults);
+        }
+        for (const char *path : {kLookupPath, kBookingPath, kStreamPath}) {
+            const caller_result result = co_await site.call(0, path, kTimeLeft);
+            EXPECT_EQ(result.status, 502U) << path;
+            EXPECT_EQ(result.fault, "") << path;
+        }
+    });
+}
+
+TEST(ProcessRelay, RefusedRequestGoesToAnotherUpstreamAndOnlyThenBack)
+{
+    onSite({}, [](relay_site &site) -> asio::awaitable<void> {
+        standins::upstream_faults faults;
+        faults.refuse = true;
+        const auto &upstreams = site.upstreams();
+        upstreams.back()->setFaults(faults);
+        for (int i = 0; i < 6; ++i) {
+            co_await expectSuccess(site, 0, kBookingPath);
+        }
+        upstreams[upstreams.size() - 2]->setFaults(faults);
+        const caller_result result = co_await site.call(0, kBookingPath, kTimeLeft);
+        EXPECT_EQ(result.status, 503U);
+        EXPECT_EQ(site.runsOf(result.id), 0);
+    });
+}
+
+TEST(ProcessRelay, BrokenStreamDoesNotLookComplete)
+{
+    onSite({}, [](relay_site &site) -> asio::awaitable<void> {
+        standins::upstream_faults faults;
+        faults.breakStreams = true;
+        for (const auto &upstream : site.upstreams()) {
+            upstream->setFaults(faults);
+        }
+        const caller_result result = co_await site.call(0, kStreamPath, kTimeLeft);
+        EXPECT_FALSE(result.whole);
+        EXPECT_EQ(site.runsOf(result.id), 1);
+    });
+}
+
+TEST(ProcessRelay, DrainingUpstreamGetsNoWorkAfterTwoSeconds)
+{
+    onSite({}, [](relay_site &site) -> asio::awaitable<void> {
+        standins::site_upstream &leaving = *site.upstreams().back();
+        leaving.drain();
+        const auto until = std::chrono::steady_clock::now() + seconds(4);
+        for (std::size_t i = 0; std::chrono::steady_clock::now() < until; ++i) {
+            co_await expectSuccess(site, i % site.entryCount(), kLookupPath);
+        }
+        EXPECT_EQ(leaving.runsAfterDrain(seconds(2)), 0);
+    });
+}
+
+// The store drops from its history what a waiting read asked for; the configuration must come all the same.
+TEST(ProcessRelay, ConfigurationIsInForceAlthoughTheStoreForgetsHistory)
+{
+    onSite({}, [](relay_site &site) -> asio::awaitable<void> {
+        site.publish(false);
+        site.store().forgetHistory("keyed.op");
+        co_await pause(milliseconds(2'500));
+        for (std::size_t entry = 0; entry < site.entryCount(); ++entry) {
+            const caller_result result = co_await site.call(entry, kLookupPath, kTimeLeft);
+            EXPECT_EQ(result.status, 404U) << "entry " << entry;
+        }
+    });
+}
+
+TEST(ProcessRelay, StoreOutageStopsNoRequest)
+{
+    onSite({}, [](relay_site &site) -> asio::awaitable<void> {
+        standins::store_faults faults;
+        faults.busy = true;
+        site.store().setFaults(faults);
+        const auto until = std::chrono::steady_clock::now() + seconds(4);
+        for (std::size_t i = 0; std::chrono::steady_clock::now() < until; ++i) {
+            co_await expectSuccess(site, i % site.entryCount(), i % 2 == 0 ? kLookupPath : kStreamPath);
+        }
+    });
+}
+
+// An entry whose connections to the store go silent keeps serving and hears of a new configuration from its peers or anew.
+TEST(ProcessRelay, SilentStoreConnectionsAreNoticed)
+{
+    onSite({}, [](relay_site &site) -> asio::awaitable<void> {
+        for (std::size_t entry = 0; entry < site.entryCount(); ++entry) {
+            site.storeProxy(entry).setFault(proxy_fault::Silence);
+        }
+        site.publish(false);
+        co_await pause(milliseconds(1'000));
+        for (std::size_t entry = 0; entry < site.entryCount(); ++entry) {
+            site.storeProxy(entry).resetAll();
+            site.storeProxy(entry).setFault(proxy_fault::None);
+        }
+        co_await pause(milliseconds(3'500));
+        for (std::size_t entry = 0; entry < site.entryCount(); ++entry) {
+            const caller_result result = co_await site.call(entry, kLookupPath, kTimeLeft);
+            EXPECT_EQ(result.status, 404U) << "entry " << entry;
+        }
+    });
+}
+
+TEST(ProcessRelay, PlannedStopCutsNoStream)
+{
+    onSite({}, [](relay_site &site) -> asio::awaitable<void> {
+        int open = 8;
+        for (int i = 0; i < 8; ++i) {
+            const auto stream = [&]() -> asio::awaitable<void> {
+                co_await expectSuccess(site, 0, kStreamPath);
+                --open;
+            };
+            asio::co_spawn(co_await asio::this_coro::executor, stream, asio::detached);
+        }
+        co_await pause(milliseconds(60));
+        site.entry(0).signal(SIGTERM);
+        co_await pause(milliseconds(100));
+        const bool ready = co_await site.isReady(0);
+        EXPECT_FALSE(ready);
+        for (int i = 0; i < 80 && open > 0; ++i) {
+            co_await pause(milliseconds(100));
+        }
+        EXPECT_EQ(open, 0);
+        const auto code = site.entry(0).waitForEnd(seconds(8));
+        EXPECT_EQ(code, 0);
+    });
+}
+
+TEST(ProcessRelay, KilledEntryServesAgainAfterItsStart)
+{
+    onSite({}, [](relay_site &site) -> asio::awaitable<void> {
+        site.entry(0).signal(SIGKILL);
+        site.entry(0).waitForEnd(seconds(5));
+        last_reason reason;
+        EXPECT_TRUE(site.restart(0, &reason)) << reason.text();
+        const bool ready = co_await site.waitUntilReady(seconds(10));
+        EXPECT_TRUE(ready);
+        co_await expectSuccess(site, 0, kStreamPath);
+    });
+}
+
+TEST(ProcessRelay, SignalToReloadEndsNothing)
+{
+    onSite({}, [](relay_site &site) -> asio::awaitable<void> {
+        site.entry(0).signal(SIGHUP);
+        co_await pause(milliseconds(200));
+        co_await expectSuccess(site, 0, kBookingPath);
+    });
+}
+
+// The operators' page leads from a request's id to its cause by these lines.
+TEST(ProcessRelay, LogLeadsFromARequestToItsCause)
+{
+    onSite({}, [](relay_site &site) -> asio::awaitable<void> {
+        standins::upstream_faults faults;
+        faults.loseAnswers = true;
+        faults.breakStreams = true;
+        for (const auto &upstream : site.upstreams()) {
+            upstream->setFaults(faults);
+        }
+        const caller_result booking = co_await site.call(0, kBookingPath, kTimeLeft);
+        const caller_result stream = co_await site.call(0, kStreamPath, kTimeLeft);
+        faults.refuse = true;
+        for (const auto &upstream : site.upstreams()) {
+            upstream->setFaults(faults);
+        }
+        const caller_result refused = co_await site.call(0, kStreamPath, kTimeLeft);
+        co_await pause(milliseconds(200));
+        const std::string log = site.entry(0).output();
+        const auto endOf = [&log](const caller_result &result) {
+            const std::size_t at = log.find("\"event\":\"request_ended\",\"request_id\":\"" + result.id + "\"");
+            return at == std::string::npos ? std::string() : log.substr(at, log.find('\n', at) - at);
+        };
+        EXPECT_NE(endOf(booking).find("\"outcome\":\"failed\""), std::string::npos) << endOf(booking);
+        EXPECT_NE(endOf(booking).find("\"verdict\":\"may_have_run\""), std::string::npos);
+        EXPECT_NE(log.find("\"event\":\"try_failed\",\"request_id\":\"" + booking.id + "\""), std::string::npos);
+        EXPECT_NE(endOf(stream).find("\"outcome\":\"broken\""), std::string::npos) << endOf(stream);
+        EXPECT_NE(endOf(refused).find("\"reason\":\"engines_full\""), std::string::npos) << endOf(refused);
+    });
+}
--- /dev/null
+++ b/tests/standins/site_upstream.cpp
@@ -0,0 +1,236 @@
+#include "standins/site_upstream.h"
+
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <charconv>
+
+namespace heatherroute::standins
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using net::http_answer;
+using net::http_request;
+using net::http_responder;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr milliseconds kReportInterval{300};
+
+http_answer jsonAnswer(const json::value &body, unsigned status = 200)
+{
+    http_answer answer;
+    answer.status = status;
+    answer.body = json::serialize(body);
+    return answer;
+}
+
+} // namespace
+
+site_upstream::site_upstream(asio::io_context &context, site_upstream_settings settings, site_store &store, run_counts &runs)
+    : m_context(context)
+    , m_settings(std::move(settings))
+    , m_store(store)
+    , m_runs(runs)
+    , m_reportTimer(context)
+    , m_startedAt(static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()))
+{ }
+
+std::unique_ptr<site_upstream>
+site_upstream::make(asio::io_context &context, site_upstream_settings settings, site_store &store, run_counts &runs, last_reason *reason)
+{
+    std::unique_ptr<site_upstream> made(new site_upstream(context, std::move(settings), store, runs));
+    const auto handler = [raw = made.get()](http_request request, http_responder &responder) { return raw->serve(std::move(request), responder); };
+    const auto bad = [](unsigned status, std::string_view) { return jsonAnswer(json::object(), status); };
+    const asio::ip::tcp::endpoint any(asio::ip::address_v4::loopback(), 0);
+    made->m_server = net::http_server::make(context, any, {}, handler, bad, reason);
+    if (!made->m_server) {
+        return nullptr;
+    }
+    made->report();
+    return made;
+}
+
+void site_upstream::setFaults(const upstream_faults &faults)
+{
+    m_faults = faults;
+}
+
+void site_upstream::drain()
+{
+    m_drainedAt = std::chrono::steady_clock::now();
+    report();
+}
+
+int site_upstream::runsAfterDrain(milliseconds slack) const
+{
+    return static_cast<int>(std::distance(m_runsAfterDrain.upper_bound(slack), m_runsAfterDrain.end()));
+}
+
+void site_upstream::report()
+{
+    json::object entry{{"Service", m_settings.service},
+                       {"Address", "127.0.0.1:" + std::to_string(m_server->endpoint().port())},
+                       {"Zone", "z"},
+                       {"Version", "v1"},
+                       {"Slots", 64},
+                       {"State", m_drainedAt ? "draining" : "ready"},
+                       {"ColdLeftMs", 0},
+                       {"Sequence", ++m_sequence},
+                       {"born", m_startedAt}};
+    if (!m_settings.phase.empty()) {
+        entry["Phase"] = m_settings.phase;
+    }
+    m_store.put("keyed.servers", m_settings.id, json::serialize(entry));
+    m_reportTimer.expires_after(kReportInterval);
+    m_reportTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            report();
+        }
+    });
+}
+
+asio::awaitable<void> site_upstream::pause(milliseconds time)
+{
+    asio::steady_timer timer(m_context, time);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+http_answer site_upstream::answerTo(const http_request &request, unsigned status) const
+{
+    http_answer answer;
+    answer.status = status;
+    const std::string id = m_faults.foreignAnswers ? "another" : std::string(request.header("X-Attempt-Id"));
+    answer.fields = {{"X-Attempt-Id", id}, {"X-Server-Seal", m_settings.id + "." + id}};
+    return answer;
+}
+
+void site_upstream::noteRun(const http_request &request)
+{
+    m_runs[std::string(request.header("X-Attempt-Id"))] += 1;
+    if (m_drainedAt) {
+        m_runsAfterDrain.insert(std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - *m_drainedAt));
+    }
+}
+
+asio::awaitable<void> site_upstream::serve(http_request request, http_responder &responder)
+{
+    const std::string_view expected = request.header("X-Expect-Instance");
+    http_answer answer;
+    if (!expected.empty() && expected != m_settings.id) {
+        answer.status = 421;
+        answer.fields = {{"X-Replica-Id", m_settings.id}};
+    } else if (request.path() == "/healthz") {
+        answer.fields = {{"X-Replica-Id", m_settings.id}};
+    } else if (m_faults.refuse) {
+        answer.status = 503;
+        answer.fields = {{"X-Not-Executed", "1"}};
+    } else if (request.path() == "/v1/hold-take") {
+        answer = reserve(request);
+    } else if (request.path().starts_with("/v1/hold-drop/")) {
+        m_reservations.erase(std::string(request.path().substr(sizeof("/v1/hold-drop/") - 1)));
+    } else if (request.path().starts_with("/v1/kv-handle/")) {
+        m_handles.erase(std::string(request.path().substr(sizeof("/v1/kv-handle/") - 1)));
+    } else if (request.path() == "/v1/report") {
+        answer = jsonAnswer(json::object{{"Phase", m_settings.phase}, {"Busy", false}, {"Sequence", m_orders}});
+    } else if (request.path() == "/v1/order") {
+        answer = order(request);
+    } else if (request.header("X-Stage") == "prefill") {
+        answer = prefill(request);
+    } else if (!m_settings.phase.empty()) {
+        co_await serveStream(request, responder);
+        co_return;
+    } else {
+        co_await servePlain(request, responder);
+        co_return;
+    }
+    co_await responder.send(std::move(answer));
+}
+
+asio::awaitable<void> site_upstream::servePlain(const http_request &request, http_responder &responder)
+{
+    noteRun(request);
+    co_await pause(m_settings.workTime);
+    while (m_faults.hang && !responder.isClosed()) {
+        co_await pause(m_settings.workTime);
+    }
+    if (m_faults.loseAnswers) {
+        responder.abort();
+        co_return;
+    }
+    http_answer answer = answerTo(request, m_faults.fail ? 500 : 200);
+    answer.body = std::string(request.header("X-Attempt-Id")) + " " + request.target + " " + request.body;
+    co_await responder.send(std::move(answer));
+}
+
+asio::awaitable<void> site_upstream::serveStream(const http_request &request, http_responder &responder)
+{
+    const std::string source(request.header("X-Kv-Source"));
+    m_reservations.erase(std::string(request.header("X-Kv-Hold")));
+    if (m_settings.phase != "decode") {
+        http_answer answer;
+        answer.status = 421;
+        co_await responder.send(std::move(answer));
+        co_return;
+    }
+    noteRun(request);
+    http_answer head = answerTo(request, 200);
+    head.contentType = "text/event-stream";
+    co_await responder.beginStream(std::move(head));
+    const std::string id(request.header("X-Attempt-Id"));
+    for (std::uint32_t event = 1; event <= m_settings.events; ++event) {
+        co_await pause(m_settings.eventInterval);
+        if (m_faults.breakStreams && event > m_settings.events / 2) {
+            responder.abort();
+            co_return;
+        }
+        std::string text = "id: " + std::to_string(event) + "\ndata: " + id + "\n\n";
+        const bool sent = co_await responder.write(std::move(text));
+        if (!sent) {
+            co_return;
+        }
+    }
+    co_await responder.endStream();
+}
+
+http_answer site_upstream::reserve(const http_request &request)
+{
+    const auto tokens = json::parse(request.body).at("Tokens").to_number<std::uint64_t>();
+    std::uint64_t held = 0;
+    for (const auto &[id, count] : m_reservations) {
+        held += count;
+    }
+    if (held + tokens > m_settings.memoryTokens) {
+        return jsonAnswer(json::object(), 503);
+    }
+    const std::string id = "h" + std::to_string(++m_names);
+    m_reservations[id] = tokens;
+    return jsonAnswer(json::object{{"Hold", id}});
+}
+
+http_answer site_upstream::prefill(const http_request &request)
+{
+    if (m_settings.phase != "prefill") {
+        return jsonAnswer(json::object(), 421);
+    }
+    static_cast<void>(request);
+    const std::string handle = "k" + std::to_string(++m_names);
+    m_handles.insert(handle);
+    return jsonAnswer(json::object{{"KvHandle", handle}, {"Tokens", 10}, {"Version", 1}});
+}
+
+http_answer site_upstream::order(const http_request &request)
+{
+    const json::value body = json::parse(request.body);
+    if (body.at("Expect").to_number<std::uint64_t>() != m_orders) {
+        return jsonAnswer(json::object(), 409);
+    }
+    ++m_orders;
+    m_settings.phase = std::string(body.at("Phase").as_string());
+    return jsonAnswer(json::object(), 202);
+}
+
+} // namespace heatherroute::standins
--- /dev/null
+++ b/tests/support/fault_proxy.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <memory>
+#include <set>
+
+namespace heatherroute::support
+{
+
+/// What a fault_proxy does to the connections through it.
+enum class proxy_fault : std::uint8_t {
+    None,
+    Refuse, ///< New connections are reset.
+    CutToTarget, ///< Bytes to the target are dropped.
+    CutFromTarget, ///< Bytes from the target are dropped.
+    Silence, ///< Bytes both ways are dropped; connections stay open.
+};
+
+/**
+ * A TCP proxy on loopback that harms connections from outside the programs that use them.
+ *
+ * Not thread safe; lives on the thread of its io_context.
+ */
+class fault_proxy
+{
+public:
+    /// Listens on a free port and passes connections on to @p target.
+    fault_proxy(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint target);
+    ~fault_proxy();
+    fault_proxy(const fault_proxy &) = delete;
+    fault_proxy &operator=(const fault_proxy &) = delete;
+
+    boost::asio::ip::tcp::endpoint endpoint() const;
+    void setFault(proxy_fault fault);
+    /// Before each piece is passed on.
+    void setDelay(std::chrono::milliseconds delay);
+    /// Resets all open connections.
+    void resetAll();
+
+private:
+    struct shared_state;
+    std::shared_ptr<shared_state> m_state;
+};
+
+} // namespace heatherroute::support
--- /dev/null
+++ b/tests/support/relay_site.cpp
@@ -0,0 +1,247 @@
+#include "support/relay_site.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <filesystem>
+#include <fstream>
+
+namespace heatherroute::support
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using net::http_answer;
+using net::http_call;
+using net::http_request;
+using net::http_responder;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr const char *kHost = "site.example";
+constexpr unsigned kFirstRedirect = 300;
+
+/// A port that was free a moment ago.
+std::uint16_t freePort(asio::io_context &context)
+{
+    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    return acceptor.local_endpoint().port();
+}
+
+std::string routeText(const std::string &prefix, const std::string &kind, const std::string &service, bool generates)
+{
+    return std::string(R"({"Name":"r","Host":")") + kHost + R"(","PathPrefix":")" + prefix + R"(","Kind":")" + kind
+           + R"(","TimeoutMs":5000,"TargetLatencyMs":200,"Priority":1,"Service":")" + service + R"(","MaxAttempts":2,"Sticky":)"
+           + (generates ? "true" : "false") + "}";
+}
+
+/// Why @p body isn't the whole answer of an upstream to request @p id at @p path; empty when it is.
+std::string faultOfBody(const std::string &id, const std::string &path, const std::string &body, bool streamed)
+{
+    if (!streamed) {
+        return body == id + " " + path + " " ? "" : "the body isn't the request's: " + body;
+    }
+    std::string expected;
+    for (int event = 1; event <= 12; ++event) {
+        expected += "id: " + std::to_string(event) + "\ndata: " + id + "\n\n";
+    }
+    return body == expected ? "" : "the events aren't whole or not in order";
+}
+
+} // namespace
+
+relay_site::relay_site(asio::io_context &context, relay_site_settings settings)
+    : m_context(context)
+    , m_settings(std::move(settings))
+{ }
+
+relay_site::~relay_site()
+{
+    m_entries.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(m_folder, ignored);
+}
+
+std::unique_ptr<relay_site> relay_site::make(asio::io_context &context, relay_site_settings settings, last_reason *reason)
+{
+    std::unique_ptr<relay_site> site(new relay_site(context, std::move(settings)));
+    return site->start(reason) ? std::move(site) : nullptr;
+}
+
+bool relay_site::start(last_reason *reason)
+{
+    std::string folder = (std::filesystem::temp_directory_path() / "relay-site-XXXXXX").string();
+    if (::mkdtemp(folder.data()) == nullptr) {
+        setReason(reason, "no temporary folder");
+        return false;
+    }
+    m_folder = folder;
+    bool good = startStore(reason);
+    for (std::size_t i = 0; good && i < m_settings.prefillEngines; ++i) {
+        good = addUpstream("llm", "prefill", reason);
+    }
+    for (std::size_t i = 0; good && i < m_settings.decodeEngines; ++i) {
+        good = addUpstream("llm", "decode", reason);
+    }
+    for (std::size_t i = 0; good && i < m_settings.services; ++i) {
+        good = addUpstream("portal", "", reason);
+    }
+    publish(true);
+    for (std::size_t i = 0; good && i < m_settings.entries; ++i) {
+        good = addEntry(i, reason);
+    }
+    return good;
+}
+
+bool relay_site::startStore(last_reason *reason)
+{
+    m_store = std::make_unique<standins::site_store>(m_context);
+    const auto handler = [this](http_request request, http_responder &responder) { return m_store->serve(std::move(request), responder); };
+    const auto bad = [](unsigned status, std::string_view) {
+        http_answer answer;
+        answer.status = status;
+        return answer;
+    };
+    m_storeServer = net::http_server::make(m_context, tcp::endpoint(asio::ip::address_v4::loopback(), 0), {}, handler, bad, reason);
+    return m_storeServer != nullptr;
+}
+
+bool relay_site::addUpstream(const std::string &service, const std::string &phase, last_reason *reason)
+{
+    standins::site_upstream_settings settings;
+    settings.id = "i-" + service + phase + std::to_string(m_upstreams.size());
+    settings.service = service;
+    settings.phase = phase;
+    auto upstream = standins::site_upstream::make(m_context, std::move(settings), *m_store, m_runs, reason);
+    if (!upstream) {
+        return false;
+    }
+    m_upstreams.push_back(std::move(upstream));
+    return true;
+}
+
+void relay_site::publish(bool lookups)
+{
+    std::string routes = routeText("/book/", "non_idempotent", "portal", false) + "," + routeText("/gen/", "stream", "llm", true);
+    if (lookups) {
+        routes += "," + routeText("/look/", "idempotent", "portal", false);
+    }
+    const std::string services = R"([{"Name":"portal","HealthPath":"/healthz","MaxConnections":100},
+        {"Name":"llm","HealthPath":"/healthz","MaxConnections":100,"Engine":{"Slots":64,"KvCapacityTokens":60000,"KvTtlS":0.5,"RoleSwitchS":1,"HoldMs":2000}}])";
+    const std::string limits = R"({"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":5000})";
+    m_store->put("keyed.op",
+                 "config",
+                 "{\"Version\":" + std::to_string(++m_version) + ",\"Routes\":[" + routes + "],\"Services\":" + services + ",\"Limits\":" + limits + "}");
+}
+
+bool relay_site::addEntry(std::size_t index, last_reason *reason)
+{
+    running_entry entry;
+    entry.proxy = std::make_unique<fault_proxy>(m_context, m_storeServer->endpoint());
+    entry.settingsFile = m_folder + "/entry-" + std::to_string(index) + ".yaml";
+    for (const char *name : {"callers", "readiness", "directory", "operators", "peers"}) {
+        entry.ports[name] = freePort(m_context);
+    }
+    std::ofstream file(entry.settingsFile);
+    file << "name: entry-" << index << "\nhalf: fleet\nzone: z\nregion: r\nlisten:\n";
+    for (const auto &[name, port] : entry.ports) {
+        file << "  " << name << ": \"127.0.0.1:" << port << "\"\n";
+    }
+    const std::string store = "127.0.0.1:" + std::to_string(entry.proxy->endpoint().port());
+    file << "platform: {log: \"" << store << "\", vms: \"" << store << "\", config_stream: fleet}\n";
+    if (index > 0) {
+        file << "seeds: [\"127.0.0.1:" << m_entries.front().ports.at("peers") << "\"]\n";
+    }
+    file << "relay: {retry_share: 0.2, retry_slack: 100, retry_window_s: 10, stop_grace_s: 8, lease_ms: 3000, thaw_ms: 300}\n"
+            "log: {format: json, output: stdout}\n";
+    file.close();
+    m_entries.push_back(std::move(entry));
+    return restart(index, reason);
+}
+
+bool relay_site::restart(std::size_t index, last_reason *reason)
+{
+    running_entry &entry = m_entries.at(index);
+    entry.process = child_process::make(m_settings.program, {"--relay", "--settings", entry.settingsFile}, reason, m_settings.quiet);
+    return entry.process != nullptr;
+}
+
+asio::awaitable<void> relay_site::pause(milliseconds time)
+{
+    asio::steady_timer timer(m_context, time);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<bool> relay_site::isReady(std::size_t index)
+{
+    http_call call;
+    call.method = "GET";
+    call.target = "/v1/ready";
+    call.endpoint = tcp::endpoint(asio::ip::address_v4::loopback(), m_entries.at(index).ports.at("readiness"));
+    call.progressTimeout = milliseconds(500);
+    const net::http_result result = co_await net::performCall(std::move(call));
+    co_return result.answer &&result.answer->status == 200;
+}
+
+asio::awaitable<bool> relay_site::waitUntilReady(milliseconds limit)
+{
+    const auto until = std::chrono::steady_clock::now() + limit;
+    for (std::size_t index = 0; index < m_entries.size();) {
+        const bool ready = co_await isReady(index);
+        if (ready) {
+            ++index;
+            continue;
+        }
+        if (std::chrono::steady_clock::now() > until) {
+            co_return false;
+        }
+        co_await pause(milliseconds(20));
+    }
+    co_return true;
+}
+
+asio::awaitable<caller_result> relay_site::call(std::size_t index, std::string path, milliseconds timeLeft)
+{
+    caller_result outcome;
+    outcome.id = "r" + std::to_string(++m_requests);
+    outcome.path = path;
+    http_call call;
+    call.method = path == kLookupPath ? "GET" : "POST";
+    call.target = path;
+    call.endpoint = tcp::endpoint(asio::ip::address_v4::loopback(), m_entries.at(index).ports.at("callers"));
+    call.progressTimeout = timeLeft + milliseconds(700);
+    call.fields = {{"Host", kHost}, {"X-Attempt-Id", outcome.id}, {"X-Deadline-Ms", std::to_string(timeLeft.count())}};
+    const bool streamed = path == kStreamPath;
+    if (streamed) {
+        call.fields.push_back({"X-Model", "m"});
+        call.fields.push_back({"X-Token-Count", "500,800"});
+        call.fields.push_back({"X-Prompt-Prefix", "ab:500"});
+    }
+    const net::http_result result = co_await net::performCall(std::move(call));
+    if (!result.answer) {
+        outcome.fault = result.timedOut ? "no answer half a second after the time was over" : "";
+        co_return outcome;
+    }
+    const http_answer &answer = *result.answer;
+    outcome.status = answer.status;
+    outcome.whole = true;
+    const bool success = answer.status < kFirstRedirect;
+    if (answer.header("X-Attempt-Id") != outcome.id) {
+        outcome.fault = "the answer names another request";
+    } else if (success && answer.header("X-Server-Seal").empty()) {
+        outcome.fault = "a success without the upstream's seal";
+    } else if (success) {
+        outcome.fault = faultOfBody(outcome.id, path, answer.body, streamed);
+    }
+    co_return outcome;
+}
+
+int relay_site::runsOf(const std::string &id) const
+{
+    const auto found = m_runs.find(id);
+    return found == m_runs.end() ? 0 : found->second;
+}
+
+} // namespace heatherroute::support
