A fault soak on real processes: heatherbench soak

Entries run as processes; the store, its paths, upstreams and processes are harmed from outside, in series and overlapping; an audit checks what callers and upstreams saw. Each promise has a planted breach in soak_audit_test.

--- a/bench/heatherbench.cpp
+++ b/bench/heatherbench.cpp
@@ -22,6 +22,7 @@
     {"control", "time until a change is in force everywhere, and what control costs an entry", heatherroute::bench::runControlCommand},
     {"demo", "requests of both users' kinds through running entries, checked byte by byte", heatherroute::bench::runDemo},
     {"load", "goodput of each placement policy on real processes under load", heatherroute::bench::runLoad},
+    {"soak", "entries as processes under random faults, with the promises checked", heatherroute::bench::runSoak},
     {"relay", "what an entry adds to the time and CPU of a token, against a direct stream", heatherroute::bench::runRelay},
 };
 
--- a/bench/heatherbench_commands.h
+++ b/bench/heatherbench_commands.h
@@ -19,4 +19,7 @@
 /// Runs `heatherbench relay` with @p arguments; returns the exit code.
 int runRelay(const std::vector<std::string> &arguments, std::ostream &out);
 
+/// Runs `heatherbench soak` with @p arguments; returns the exit code.
+int runSoak(const std::vector<std::string> &arguments, std::ostream &out);
+
 } // namespace heatherroute::bench
--- a/src/relay/engine_desk.cpp
+++ b/src/relay/engine_desk.cpp
@@ -41,7 +41,7 @@
         candidate.load = found == m_engines.end() ? 0.0 : static_cast<double>(found->second.decodeTokens);
         open.push_back(candidate);
     }
-    return orderCandidates(std::move(open), random);
+    return orderCandidates(open, random);
 }
 
 std::vector<const registration *> engine_desk::prefillOrder(instant now, const std::vector<upstream_candidate> &engines, std::mt19937_64 &random) const
@@ -58,7 +58,7 @@
         candidate.load = own + std::chrono::duration<double, std::milli>(delay).count() * m_settings.tokensPerMs;
         open.push_back(candidate);
     }
-    return orderCandidates(std::move(open), random);
+    return orderCandidates(open, random);
 }
 
 void engine_desk::noteFull(instant now, const std::string &id)
--- a/src/relay/upstream_choice.cpp
+++ b/src/relay/upstream_choice.cpp
@@ -6,7 +6,7 @@
 namespace heatherroute
 {
 
-std::vector<const registration *> orderCandidates(std::vector<upstream_candidate> candidates, std::mt19937_64 &random)
+std::vector<const registration *> orderCandidates(const std::vector<upstream_candidate> &candidates, std::mt19937_64 &random)
 {
     struct ranked
     {
--- a/src/relay/upstream_choice.h
+++ b/src/relay/upstream_choice.h
@@ -29,6 +29,6 @@
  * load over weight, equal ones at random, so that entries don't all fall on the first; candidates of next to no weight come
  * last. Thread safe apart from @p random.
  */
-std::vector<const registration *> orderCandidates(std::vector<upstream_candidate> candidates, std::mt19937_64 &random);
+std::vector<const registration *> orderCandidates(const std::vector<upstream_candidate> &candidates, std::mt19937_64 &random);
 
 } // namespace heatherroute
--- a/src/settings/yaml_reader.cpp
+++ b/src/settings/yaml_reader.cpp
@@ -281,7 +281,7 @@
     if (!isPlainScalar(node)) {
         return std::nullopt;
     }
-    const std::string text = node.Scalar();
+    const std::string &text = node.Scalar();
     const bool isDecimal = !text.empty() && text.find_first_not_of("0123456789.") == std::string::npos && text.front() != '.';
     double value = 0;
     const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), value);
--- /dev/null
+++ b/tests/soak_audit_test.cpp
@@ -0,0 +1,70 @@
+#include <gtest/gtest.h>
+
+#include "support/soak_audit.h"
+
+using namespace heatherroute::support;
+
+namespace
+{
+
+caller_result resultOf(const char *path, unsigned status)
+{
+    caller_result result;
+    result.id = "r1";
+    result.path = path;
+    result.status = status;
+    result.whole = status != 0;
+    return result;
+}
+
+/// What the audit finds in one request that ran @p runs times.
+std::vector<std::string> findings(const caller_result &result, int runs, bool disturbed = false)
+{
+    soak_audit audit;
+    audit.noteEnd(result, disturbed);
+    audit.conclude([runs](const std::string &) { return runs; });
+    return audit.violations();
+}
+
+} // namespace
+
+// Each promise has a planted breach that the audit must find, and its neighbour that is allowed.
+TEST(SoakAudit, FindsSecondRuns)
+{
+    EXPECT_EQ(findings(resultOf(kBookingPath, 200), 2).size(), 1U);
+    EXPECT_EQ(findings(resultOf(kStreamPath, 0), 2).size(), 1U);
+    EXPECT_TRUE(findings(resultOf(kLookupPath, 200), 2).empty());
+}
+
+TEST(SoakAudit, FindsFalseNotRun)
+{
+    EXPECT_EQ(findings(resultOf(kBookingPath, 503), 1).size(), 1U);
+    EXPECT_TRUE(findings(resultOf(kBookingPath, 503), 0).empty());
+    EXPECT_TRUE(findings(resultOf(kBookingPath, 502), 1).empty());
+}
+
+TEST(SoakAudit, FindsAnswersOfOthersAndOfNobody)
+{
+    caller_result foreign = resultOf(kLookupPath, 200);
+    foreign.fault = "the answer names another request";
+    EXPECT_EQ(findings(foreign, 1).size(), 1U);
+    EXPECT_EQ(findings(resultOf(kLookupPath, 200), 0).size(), 1U);
+}
+
+TEST(SoakAudit, FindsMissingAnswersOfUndisturbedEntries)
+{
+    caller_result late = resultOf(kLookupPath, 0);
+    late.fault = "no answer half a second after the time was over";
+    EXPECT_EQ(findings(late, 1).size(), 1U);
+    EXPECT_TRUE(findings(late, 1, true).empty());
+}
+
+TEST(SoakAudit, FindsLateWorkAndLostEntries)
+{
+    soak_audit audit;
+    audit.noteRunsAfterDrain("i-1", 0);
+    EXPECT_TRUE(audit.violations().empty());
+    audit.noteRunsAfterDrain("i-1", 2);
+    audit.noteNotRecovered(3);
+    EXPECT_EQ(audit.violations().size(), 2U);
+}
--- /dev/null
+++ b/tests/support/soak_audit.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "support/relay_site.h"
+
+namespace heatherroute::support
+{
+
+/**
+ * Checks what callers and upstreams saw against the promises.
+ *
+ * Pure; not thread safe.
+ */
+class soak_audit
+{
+public:
+    /// A caller's request has ended. @p disturbed tells whether its entry was killed, stopped or paused meanwhile.
+    void noteEnd(const caller_result &result, bool disturbed);
+    /// The run is over: @p runsOf gives how often a request ran in all.
+    void conclude(const std::function<int(const std::string &id)> &runsOf);
+    /// An upstream that was told to leave has begun @p runs requests after its time.
+    void noteRunsAfterDrain(const std::string &upstream, int runs);
+    /// An entry did not serve again after everything was healed.
+    void noteNotRecovered(std::size_t entry);
+
+    /// What broke a promise, one line each.
+    const std::vector<std::string> &violations() const noexcept
+    {
+        return m_violations;
+    }
+    std::size_t requests() const noexcept
+    {
+        return m_results.size();
+    }
+    /// Requests by their status; 0 stands for no whole answer.
+    const std::map<unsigned, std::size_t> &byStatus() const noexcept
+    {
+        return m_byStatus;
+    }
+
+private:
+    void violate(const std::string &promise, const caller_result &result, const std::string &what);
+
+    std::vector<caller_result> m_results;
+    std::map<unsigned, std::size_t> m_byStatus;
+    std::vector<std::string> m_violations;
+};
+
+} // namespace heatherroute::support
