--- a/src/node/plain_relay.cpp
+++ b/src/node/plain_relay.cpp
@@ -132,6 +132,8 @@
             m_state.registry.onDisplaced(now, run.id);
         }
         if (facts.notRun) {
+            // An upstream that sheds while its health check is good should get less; the judge bounds how many may.
+            m_state.judge.noteFailure(now, run.id);
             logTry(run, "refused", verdict::NotRun);
             return {verdict::NotRun, std::nullopt, "refused_by_upstream"};
         }
