--- a/src/node/phase_orders.cpp
+++ b/src/node/phase_orders.cpp
@@ -41,22 +41,25 @@
 
 void phase_orders::advance(instant now)
 {
-    if (!mayOrder() || !m_state.routes || !m_pending.empty()) {
+    if (!m_state.routes) {
         return;
     }
+    const bool allowed = mayOrder() && m_pending.empty();
     for (const auto &[name, spec] : m_state.routes->services()) {
         const std::vector<const registration *> engines = spec.engine ? m_state.registry.usable(name) : std::vector<const registration *>{};
         if (engines.empty()) {
             continue;
         }
-        phase_planner &planner = m_state.planners.try_emplace(name, phase_planner::make({})).first->second;
+        phase_planner &planner = m_state.plannerOf(name);
+        if (!allowed) {
+            planner.observe(now, engines);
+            continue;
+        }
         const auto move = planner.plan(now, engines, m_state.desk.loads());
         const registration *run = move ? m_state.registry.find(move->id) : nullptr;
         if (run != nullptr) {
             m_pending.insert(run->id);
             asio::co_spawn(m_state.executor, order(*run, move->to), asio::detached);
-        } else if (move) {
-            planner.abandon(move->id);
         }
     }
 }
@@ -86,9 +89,8 @@
         outcome = report->busy ? "busy" : "not_needed";
     }
     m_pending.erase(run.id);
-    const auto planner = m_state.planners.find(run.service);
-    if (!given && planner != m_state.planners.end()) {
-        planner->second.abandon(run.id);
+    if (!given) {
+        m_state.plannerOf(run.service).abandon(run.id);
     }
     m_state.log(log_level::Info, "phase_ordered", {upstreamField(run.id), {"to", nameOf(to)}, {"fencing_token", std::to_string(token)}, {"outcome", outcome}});
 }
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -26,6 +26,9 @@
                                            } else if (change == "added" || change == "restarted" || change == "phase") {
                                                judge.add(run);
                                            }
+                                           if ((change == "draining" || change == "leaving") && run.phase == engine_phase::Prefill) {
+                                               plannerOf(run.service).noteLeaving(coreNow());
+                                           }
                                            if (change != "lapsed" && change != "displaced" && change != "leaving") {
                                                news.noteChange(coreNow(), {run, change == "removed"});
                                            }
@@ -66,6 +69,11 @@
     }
 }
 
+phase_planner &relay_state::plannerOf(const std::string &service)
+{
+    return planners.try_emplace(service, phase_planner::make({})).first->second;
+}
+
 void relay_state::log(log_level level, std::string event, std::vector<log_field> fields) const
 {
     if (writeLog) {
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -50,6 +50,8 @@
     std::vector<upstream_candidate> candidates(const std::vector<const registration *> &runs) const;
     /// A try at @p id failed before the request ran (@p ran tells) or after.
     void noteFailedTry(const std::string &id, verdict ran);
+    /// The planner of the engines of @p service.
+    phase_planner &plannerOf(const std::string &service);
     void log(log_level level, std::string event, std::vector<log_field> fields) const;
     double draw();
     /// The average time of a plain request at @p service; a default before any was seen.
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -294,16 +294,11 @@
         const duration computing = m_state.desk.computing(m_prompt.promptTokens);
         m_state.judge.noteSuccess(coreNow(), run.id, took, std::max(computing, duration(1)));
         m_state.desk.notePrefill(coreNow(), run.id, m_prompt.promptTokens, took);
-        planner().notePrefill(computing);
+        m_state.plannerOf(m_service).notePrefill(computing);
         m_computed = prefilled{run, *handle};
         co_return true;
     }
 
-    phase_planner &planner()
-    {
-        return m_state.planners.try_emplace(m_service, phase_planner::make({})).first->second;
-    }
-
     /// Has the engine with the reservation generate, and passes its answer on.
     asio::awaitable<stage_end> decode()
     {
@@ -360,7 +355,7 @@
         if (m_started) {
             const double memory = memoryOf(run.service);
             if (memory > 0) {
-                planner().noteDecode(m_ranFor, m_state.desk.reservedTokens(m_prompt) / memory);
+                m_state.plannerOf(m_service).noteDecode(m_ranFor, m_state.desk.reservedTokens(m_prompt) / memory);
             }
             m_complete = result.answer.has_value();
             if (m_complete) {
--- a/src/relay/phase_planner.cpp
+++ b/src/relay/phase_planner.cpp
@@ -54,39 +54,64 @@
     return std::clamp(wanted, m_settings.fewestPrefill, engines - m_settings.fewestDecode);
 }
 
-std::optional<phase_move> phase_planner::plan(instant now, const std::vector<const registration *> &engines, const std::map<std::string, double> &loadOf)
+void phase_planner::noteLeaving(instant now)
 {
-    std::size_t prefill = 0;
-    std::vector<const registration *> movable;
+    m_plannedLossAt = now;
+}
+
+phase_planner::pool_view phase_planner::viewOf(instant now, const std::vector<const registration *> &engines)
+{
+    pool_view view;
     for (const registration *engine : engines) {
         const auto moving = m_moving.find(engine->id);
         const bool arrived = moving != m_moving.end() && now - moving->second.since > m_settings.moveTime;
         const bool isMoving = moving != m_moving.end() && !arrived;
         // An engine on its way counts where it goes.
         const std::optional<engine_phase> phase = isMoving ? moving->second.to : engine->phase;
-        prefill += phase == engine_phase::Prefill ? 1 : 0;
+        view.prefill += phase == engine_phase::Prefill ? 1 : 0;
         if (!isMoving) {
-            movable.push_back(engine);
+            view.movable.push_back(engine);
         }
         if (arrived) {
             m_moving.erase(moving);
         }
     }
-    const std::size_t wanted = wantedPrefill(engines.size());
-    if (prefill == wanted) {
+    view.wanted = wantedPrefill(engines.size());
+    return view;
+}
+
+void phase_planner::observe(instant now, const std::vector<const registration *> &engines)
+{
+    const pool_view view = viewOf(now, engines);
+    if (view.prefill == view.wanted) {
         m_differsSince.reset();
-        return std::nullopt;
-    }
-    if (!m_differsSince) {
+    } else if (!m_differsSince) {
         m_differsSince = now;
     }
+}
+
+bool phase_planner::isDue(instant now, const pool_view &view, std::size_t engines) const
+{
     // A pool without any engine serves nobody, and before the first request a move holds nobody up.
-    const bool urgent = prefill == 0 || prefill == engines.size() || !m_seenWork;
-    const duration patience = prefill < wanted ? m_settings.shortPatience : m_settings.patience;
-    if ((!urgent && now - *m_differsSince < patience) || (m_seenWork && m_lastMove && now - *m_lastMove < m_settings.pauseBetween)) {
+    const bool urgent = view.prefill == 0 || view.prefill == engines || !m_seenWork;
+    const bool plannedLoss = m_plannedLossAt && now - *m_plannedLossAt < m_settings.plannedLossTime;
+    duration patience = m_settings.patience;
+    if (view.prefill < view.wanted) {
+        patience = plannedLoss ? m_settings.plannedLossPatience : m_settings.shortPatience;
+    }
+    const bool pausing = m_seenWork && m_lastMove && now - *m_lastMove < m_settings.pauseBetween;
+    return !pausing && (urgent || now - *m_differsSince >= patience);
+}
+
+std::optional<phase_move> phase_planner::plan(instant now, const std::vector<const registration *> &engines, const std::map<std::string, double> &loadOf)
+{
+    observe(now, engines);
+    const pool_view view = viewOf(now, engines);
+    if (view.prefill == view.wanted || !isDue(now, view, engines.size())) {
         return std::nullopt;
     }
-    const engine_phase from = prefill > wanted ? engine_phase::Prefill : engine_phase::Decode;
+    const engine_phase from = view.prefill > view.wanted ? engine_phase::Prefill : engine_phase::Decode;
+    std::vector<const registration *> movable = view.movable;
     std::erase_if(movable, [from](const registration *engine) { return engine->phase != from; });
     if (movable.empty()) {
         return std::nullopt;
--- a/src/relay/phase_planner.h
+++ b/src/relay/phase_planner.h
@@ -26,6 +26,8 @@
     std::size_t fewestDecode = 1;
     duration patience = std::chrono::seconds(6); ///< How long too many must prefill before one of them is moved.
     duration shortPatience = std::chrono::seconds(3); ///< The same with too few; an engine that crashed is often back by then.
+    duration plannedLossPatience = std::chrono::milliseconds(500); ///< With too few because one leaves for good.
+    duration plannedLossTime = std::chrono::seconds(8); ///< How long a leaving engine is the likely reason.
     duration moveTime = std::chrono::seconds(10); ///< After an order, how long reports may still tell the old phase.
     duration pauseBetween = std::chrono::milliseconds(1'500); ///< Between two orders while there is work.
 
@@ -63,17 +65,32 @@
 
     /// How many of @p engines should prefill.
     std::size_t wantedPrefill(std::size_t engines) const;
+    /// A prefill engine has told that it leaves for good.
+    void noteLeaving(instant now);
+    /// Takes note of the pools. Call it also where this entry may not give orders, so that a new holder need not wait anew.
+    void observe(instant now, const std::vector<const registration *> &engines);
     /// The engine to move now, if any. @p engines are those in use; @p loadOf gives the work in hand of one, to move an idle one.
     std::optional<phase_move> plan(instant now, const std::vector<const registration *> &engines, const std::map<std::string, double> &loadOf);
 
 private:
+    /// The pools as they will be when moves under way are done.
+    struct pool_view
+    {
+        std::size_t prefill = 0;
+        std::size_t wanted = 0;
+        std::vector<const registration *> movable; ///< Engines that aren't on their way already.
+    };
+
     explicit phase_planner(const phase_plan_settings &settings);
+    pool_view viewOf(instant now, const std::vector<const registration *> &engines);
+    bool isDue(instant now, const pool_view &view, std::size_t engines) const;
 
     phase_plan_settings m_settings;
     bool m_seenWork = false;
     double m_prefillSeconds; ///< Of a prefill engine, per request.
     double m_decodeSeconds; ///< Of a decode engine, per request.
     std::optional<instant> m_differsSince;
+    std::optional<instant> m_plannedLossAt;
     std::optional<instant> m_lastMove;
     struct move_under_way
     {
--- a/tests/phase_planner_test.cpp
+++ b/tests/phase_planner_test.cpp
@@ -106,6 +106,31 @@
     EXPECT_EQ(pool.moves, 0);
 }
 
+// Load pattern: a prefill engine is replaced for good in the middle of a burst.
+TEST(PhasePlanner, PlannedLossIsFilledSoon)
+{
+    engine_pool pool(2);
+    pool.planner.notePrefill(milliseconds(95));
+    pool.run(seconds(1));
+    pool.planner.noteLeaving(pool.now);
+    pool.runs.erase(pool.runs.begin());
+    pool.run(milliseconds(800));
+    EXPECT_EQ(pool.moves, 1);
+}
+
+// The entry that takes the lease over has seen for long that an engine is missing.
+TEST(PhasePlanner, NewHolderDoesNotWaitAnew)
+{
+    engine_pool pool(1);
+    pool.planner.notePrefill(milliseconds(95));
+    std::vector<const registration *> engines;
+    for (const registration &run : pool.runs) {
+        engines.push_back(&run);
+    }
+    pool.planner.observe(instant{}, engines);
+    EXPECT_TRUE(pool.planner.plan(instant{} + seconds(4), engines, {}));
+}
+
 TEST(PhasePlanner, LostPoolIsFilledAtOnce)
 {
     engine_pool pool(0, 8);
