--- a/apps/heatherrouted.cpp
+++ b/apps/heatherrouted.cpp
@@ -53,7 +53,7 @@
 }
 
 /// Serves as a relay on the users' platform.
-int relay(const entry_settings &settings)
+int relay(const entry_settings &settings, const std::string &settingsFile)
 {
     heatherroute::configureLogging(settings.log());
     heatherroute::last_reason reason;
@@ -62,7 +62,15 @@
         std::cerr << "heatherrouted: platform.log must be IP:port\n";
         return kExitFailure;
     }
-    const auto node = heatherroute::relay_node::make(settings, heatherroute::platform::makeDialect(), heatherroute::platform::makeStore(*store), &reason);
+    const auto readAgain = [settingsFile](heatherroute::last_reason *why) {
+        auto read = readSettings(settingsFile);
+        if (!read) {
+            heatherroute::setReason(why, "the file has faults, which are on standard error");
+        }
+        return read;
+    };
+    const auto node =
+        heatherroute::relay_node::make(settings, readAgain, heatherroute::platform::makeDialect(), heatherroute::platform::makeStore(*store), &reason);
     if (!node) {
         std::cerr << "heatherrouted: " << reason.text() << '\n';
         return kExitFailure;
@@ -95,7 +103,7 @@
     if (arguments.count("check-settings") > 0) {
         return kExitSuccess;
     }
-    return arguments.count("relay") > 0 ? relay(*settings) : serve(*settings);
+    return arguments.count("relay") > 0 ? relay(*settings, arguments["settings"].as<std::string>()) : serve(*settings);
 }
 
 } // namespace
--- a/include/heatherroute/relay_node.h
+++ b/include/heatherroute/relay_node.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "heatherroute/last_reason.h"
@@ -22,13 +24,17 @@
 class relay_node
 {
 public:
-    /// Opens the sockets that @p settings name. On failure returns null and sets @p reason.
-    static std::unique_ptr<relay_node> make(const entry_settings &settings, platform_dialect dialect, platform_store store, last_reason *reason);
+    /// Reads the settings file again; empty with the reason set when it can't be used.
+    using settings_reader = std::function<std::optional<entry_settings>(last_reason *)>;
+
+    /// Opens the sockets that @p settings name; @p readSettings serves reloads. On failure returns null and sets @p reason.
+    static std::unique_ptr<relay_node>
+    make(const entry_settings &settings, settings_reader readSettings, platform_dialect dialect, platform_store store, last_reason *reason);
     ~relay_node();
     relay_node(const relay_node &) = delete;
     relay_node &operator=(const relay_node &) = delete;
 
-    /// Runs until a graceful shutdown has ended and returns the exit code. SIGTERM starts it.
+    /// Runs until a graceful shutdown has ended and returns the exit code. SIGTERM starts it; SIGHUP reloads the settings.
     int run();
 
 private:
--- a/src/node/relay_node.cpp
+++ b/src/node/relay_node.cpp
@@ -79,8 +79,9 @@
     impl(const impl &) = delete;
     impl &operator=(const impl &) = delete;
 
-    bool open(const entry_settings &settings, platform_dialect dialect, platform_store store, last_reason *reason)
+    bool open(const entry_settings &settings, settings_reader readSettings, platform_dialect dialect, platform_store store, last_reason *reason)
     {
+        m_readSettings = std::move(readSettings);
         const auto callers = net::parseEndpoint(settings.listen().callers);
         const auto readiness = net::parseEndpoint(settings.listen().readiness.value_or(""));
         const auto directory = net::parseEndpoint(settings.listen().directory.value_or(""));
@@ -215,7 +216,7 @@
                 return;
             }
             if (signal == SIGHUP) {
-                m_log.post({log_level::Info, "reload", {{"outcome", "what the settings file holds takes effect at the next start"}}});
+                reload();
             } else if (!m_stopping) {
                 m_stopping = true;
                 asio::post(m_relayThread.context(), [this] { m_relay->stop([this] { endSoon(); }); });
@@ -224,6 +225,19 @@
         });
     }
 
+    /// Takes over the log level of the settings file; a file that can't be read changes nothing.
+    void reload()
+    {
+        last_reason reason;
+        const auto settings = m_readSettings ? m_readSettings(&reason) : std::nullopt;
+        if (!settings) {
+            m_log.post({log_level::Error, "reload", {{"outcome", "refused"}, {"reason", reason.text()}}});
+            return;
+        }
+        setLogLevel(settings->log().level);
+        m_log.post({log_level::Info, "reload", {{"outcome", "log level taken over"}, {"level", std::string(toString(settings->log().level))}}});
+    }
+
     void endSoon()
     {
         asio::post(m_main, [this] {
@@ -237,6 +251,7 @@
     asio::io_context m_main{1};
     asio::signal_set m_signals;
     asio::steady_timer m_flushTimer{m_main};
+    settings_reader m_readSettings;
     bool m_stopping = false;
 
     node::channel<relay_event> m_storeToRelay{kChannelCapacity};
@@ -256,10 +271,11 @@
     std::unique_ptr<net::http_server> m_metrics;
 };
 
-std::unique_ptr<relay_node> relay_node::make(const entry_settings &settings, platform_dialect dialect, platform_store store, last_reason *reason)
+std::unique_ptr<relay_node>
+relay_node::make(const entry_settings &settings, settings_reader readSettings, platform_dialect dialect, platform_store store, last_reason *reason)
 {
     auto implementation = std::make_unique<impl>();
-    if (!implementation->open(settings, std::move(dialect), std::move(store), reason)) {
+    if (!implementation->open(settings, std::move(readSettings), std::move(dialect), std::move(store), reason)) {
         return nullptr;
     }
     return std::unique_ptr<relay_node>(new relay_node(std::move(implementation)));
--- a/tests/process_relay_test.cpp
+++ b/tests/process_relay_test.cpp
@@ -242,6 +242,7 @@
         site.entry(0).signal(SIGHUP);
         co_await pause(milliseconds(200));
         co_await expectSuccess(site, 0, kBookingPath);
+        EXPECT_NE(site.entry(0).output().find("\"event\":\"reload\",\"outcome\":\"log level taken over\""), std::string::npos);
     });
 }
 
--- a/tests/support/relay_site.cpp
+++ b/tests/support/relay_site.cpp
@@ -1,10 +1,12 @@
 #include "support/relay_site.h"
 
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <filesystem>
 #include <fstream>
+#include <random>
 
 namespace heatherroute::support
 {
@@ -23,11 +25,25 @@
 constexpr const char *kHost = "site.example";
 constexpr unsigned kFirstRedirect = 300;
 
-/// A port that was free a moment ago.
-std::uint16_t freePort(asio::io_context &context)
+/// A port that was free a moment ago, below those that the kernel gives to outgoing connections, which would take it meanwhile.
+std::uint16_t freePort(asio::io_context &context, std::mt19937 &random)
 {
-    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return acceptor.local_endpoint().port();
+    constexpr std::uint16_t kLowest = 12'000;
+    constexpr std::uint16_t kHighest = 30'000;
+    std::uniform_int_distribution<std::uint16_t> ports(kLowest, kHighest);
+    while (true) {
+        const std::uint16_t port = ports(random);
+        boost::system::error_code error;
+        tcp::acceptor acceptor(context, tcp::v4());
+        acceptor.bind(tcp::endpoint(asio::ip::address_v4::loopback(), port), error);
+        asio::ip::udp::socket datagrams(context, asio::ip::udp::v4());
+        if (!error) {
+            datagrams.bind(asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), port), error);
+        }
+        if (!error) {
+            return port;
+        }
+    }
 }
 
 std::string routeText(const std::string &prefix, const std::string &kind, const std::string &service, bool generates)
@@ -142,7 +158,7 @@
     entry.proxy = std::make_unique<fault_proxy>(m_context, m_storeServer->endpoint());
     entry.settingsFile = m_folder + "/entry-" + std::to_string(index) + ".yaml";
     for (const char *name : {"callers", "readiness", "directory", "operators", "peers"}) {
-        entry.ports[name] = freePort(m_context);
+        entry.ports[name] = freePort(m_context, m_random);
     }
     std::ofstream file(entry.settingsFile);
     file << "name: entry-" << index << "\nhalf: fleet\nzone: z\nregion: r\nlisten:\n";
@@ -194,7 +210,8 @@
             ++index;
             continue;
         }
-        if (std::chrono::steady_clock::now() > until) {
+        const bool ended = m_entries[index].process->waitForEnd(milliseconds(0)).has_value();
+        if (ended || std::chrono::steady_clock::now() > until) {
             co_return false;
         }
         co_await pause(milliseconds(20));
--- a/tests/support/relay_site.h
+++ b/tests/support/relay_site.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -59,7 +60,7 @@
     relay_site(const relay_site &) = delete;
     relay_site &operator=(const relay_site &) = delete;
 
-    /// Waits until every entry is ready; false when that takes longer than @p limit.
+    /// Waits until every entry is ready; false when one ends or it takes longer than @p limit.
     boost::asio::awaitable<bool> waitUntilReady(std::chrono::milliseconds limit);
     /// Whether entry @p index says that it is ready.
     boost::asio::awaitable<bool> isReady(std::size_t index);
@@ -117,6 +118,7 @@
     std::vector<std::unique_ptr<standins::site_upstream>> m_upstreams;
     std::vector<running_entry> m_entries;
     std::string m_folder;
+    std::mt19937 m_random{std::random_device{}()}; ///< Of ports; other runs on the machine must get other ones.
     std::uint64_t m_version = 0;
     std::uint64_t m_requests = 0;
 };
