--- a/src/relay/upstream_judge.cpp
+++ b/src/relay/upstream_judge.cpp
@@ -64,6 +64,7 @@
 {
     if (const auto found = m_byId.find(id); found != m_byId.end()) {
         m_health.noteFailure(now, found->second.index, health_sign::Failure);
+        applyChanges(now);
     }
 }
 
@@ -77,6 +78,7 @@
     upstream.pause = std::clamp(2 * upstream.pause, kFirstPause, kLongestPause);
     upstream.unreachableUntil = now + upstream.pause;
     m_health.noteFailure(now, upstream.index, health_sign::Failure);
+    applyChanges(now);
 }
 
 bool upstream_judge::isReachable(instant now, const std::string &id) const
@@ -100,12 +102,17 @@
             probes.push_back(found->second);
         }
     }
+    applyChanges(now);
+    return probes;
+}
+
+void upstream_judge::applyChanges(instant now)
+{
     for (const weight_change &change : m_health.advance(now)) {
         if (const auto found = m_ids.find(change.replica); found != m_ids.end()) {
             m_byId.at(found->second).weight = change.weight;
         }
     }
-    return probes;
 }
 
 double upstream_judge::weight(const std::string &id) const
--- a/src/relay/upstream_judge.h
+++ b/src/relay/upstream_judge.h
@@ -56,6 +56,7 @@
 
     explicit upstream_judge(const upstream_health_settings &settings);
     pool_index poolOf(const registration &run);
+    void applyChanges(instant now);
 
     upstream_health m_health;
     std::map<std::string, judged> m_byId;
--- a/tests/process_relay_test.cpp
+++ b/tests/process_relay_test.cpp
@@ -123,6 +123,19 @@
     });
 }
 
+// Load pattern: one of two upstreams refuses all with its health check good; each refusal takes a repeat of the fleet's budget.
+TEST(ProcessRelay, UpstreamThatShedsDoesNotUseUpTheBudget)
+{
+    onSite({}, [](relay_site &site) -> asio::awaitable<void> {
+        standins::upstream_faults faults;
+        faults.refuse = true;
+        site.upstreams().back()->setFaults(faults);
+        for (int i = 0; i < 80; ++i) {
+            co_await expectSuccess(site, 0, kBookingPath);
+        }
+    });
+}
+
 TEST(ProcessRelay, BrokenStreamDoesNotLookComplete)
 {
     onSite({}, [](relay_site &site) -> asio::awaitable<void> {
