Soak: no port is drawn twice for one site

Ports of all entries were drawn before the first was bound, 30 of 18,000, so now and then one was drawn twice. The earlier guess, ports of outgoing connections, explained at most a part.

--- a/bench/heatherbench_soak.cpp
+++ b/bench/heatherbench_soak.cpp
@@ -277,6 +277,9 @@
     soak one(context, options, *site);
     asio::co_spawn(context, one.run(), [&context](const std::exception_ptr &) { context.stop(); });
     context.run();
+    if (!site->unready().empty()) {
+        out << site->unready() << '\n';
+    }
     const soak_audit &audit = one.audit();
     out << "seed " << options.seed << ": " << audit.requests() << " requests,";
     for (const auto &[status, count] : audit.byStatus()) {
--- a/tests/support/relay_site.cpp
+++ b/tests/support/relay_site.cpp
@@ -158,7 +158,9 @@
     entry.proxy = std::make_unique<fault_proxy>(m_context, m_storeServer->endpoint());
     entry.settingsFile = m_folder + "/entry-" + std::to_string(index) + ".yaml";
     for (const char *name : {"callers", "readiness", "directory", "operators", "peers"}) {
-        entry.ports[name] = freePort(m_context, m_random);
+        do {
+            entry.ports[name] = freePort(m_context, m_random);
+        } while (!m_ports.insert(entry.ports[name]).second);
     }
     std::ofstream file(entry.settingsFile);
     file << "name: entry-" << index << "\nhalf: fleet\nzone: z\nregion: r\nlisten:\n";
@@ -210,8 +212,12 @@
             ++index;
             continue;
         }
-        const bool ended = m_entries[index].process->waitForEnd(milliseconds(0)).has_value();
-        if (ended || std::chrono::steady_clock::now() > until) {
+        const auto code = m_entries[index].process->waitForEnd(milliseconds(0));
+        if (code || std::chrono::steady_clock::now() > until) {
+            constexpr std::size_t kLastBytes = 2000;
+            const std::string log = m_entries[index].process->output();
+            m_unready = "entry " + std::to_string(index) + (code ? " ended with code " + std::to_string(*code) : " isn't ready") + "; its log ends:\n"
+                        + log.substr(log.size() - std::min(log.size(), kLastBytes));
             co_return false;
         }
         co_await pause(milliseconds(20));
--- a/tests/support/relay_site.h
+++ b/tests/support/relay_site.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,11 @@
 
     /// Waits until every entry is ready; false when one ends or it takes longer than @p limit.
     boost::asio::awaitable<bool> waitUntilReady(std::chrono::milliseconds limit);
+    /// Why the last waitUntilReady() failed.
+    const std::string &unready() const noexcept
+    {
+        return m_unready;
+    }
     /// Whether entry @p index says that it is ready.
     boost::asio::awaitable<bool> isReady(std::size_t index);
     /// Sends a request to entry @p index and judges the answer.
@@ -117,7 +123,9 @@
     std::unique_ptr<net::http_server> m_storeServer;
     std::vector<std::unique_ptr<standins::site_upstream>> m_upstreams;
     std::vector<running_entry> m_entries;
+    std::set<std::uint16_t> m_ports; ///< Of all entries; none is bound yet when the next is drawn.
     std::string m_folder;
+    std::string m_unready;
     std::mt19937 m_random{std::random_device{}()}; ///< Of ports; other runs on the machine must get other ones.
     std::uint64_t m_version = 0;
     std::uint64_t m_requests = 0;
