--- /dev/null
+++ b/src/net/http_status.h
@@ -0,0 +1,22 @@
+#pragma once
+
+/// Status codes that the relay and its decisions name.
+namespace heatherroute::net::status
+{
+
+inline constexpr unsigned kOk = 200;
+inline constexpr unsigned kFirstRedirect = 300;
+inline constexpr unsigned kNotFound = 404;
+inline constexpr unsigned kMisdirected = 421;
+inline constexpr unsigned kFirstServerError = 500;
+inline constexpr unsigned kBadGateway = 502;
+inline constexpr unsigned kUnavailable = 503;
+inline constexpr unsigned kGatewayTimeout = 504;
+
+/// Whether @p code tells of a success. Thread safe.
+constexpr bool isSuccess(unsigned code) noexcept
+{
+    return code >= kOk && code < kFirstRedirect;
+}
+
+} // namespace heatherroute::net::status
--- a/src/node/plain_relay.cpp
+++ b/src/node/plain_relay.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 
+#include "net/http_status.h"
 #include "relay/plain_policy.h"
 
 namespace heatherroute::node
@@ -16,12 +17,6 @@
 namespace
 {
 
-constexpr unsigned kFirstServerError = 500;
-constexpr unsigned kFirstSuccess = 200;
-constexpr unsigned kFirstRedirect = 300;
-constexpr unsigned kStatusBadGateway = 502;
-constexpr unsigned kStatusUnavailable = 503;
-constexpr unsigned kStatusTimeout = 504;
 /// How long callers should stay away when no upstream of a service is there.
 constexpr duration kNoUpstreamWait = std::chrono::milliseconds(500);
 
@@ -79,7 +74,7 @@
             m_reason = result.reason;
             (result.ran == verdict::NotRun ? m_unrun : m_ran) += 1;
             if (result.answer) {
-                const bool failed = result.answer->status >= kFirstServerError;
+                const bool failed = result.answer->status >= net::status::kFirstServerError;
                 m_best = std::move(result.answer);
                 if (!failed) {
                     co_return "ok";
@@ -123,7 +118,7 @@
         if (!result.answer) {
             if (!m_call.isOver()) {
                 m_state.noteFailedTry(run.id, result.failure.outcome);
-                logTry(run, result.failure.reason, result.failure.outcome);
+                m_call.noteFailedTry(run, "plain", result.failure.reason, result.failure.outcome);
             }
             return {result.failure.outcome, std::nullopt, result.failure.reason};
         }
@@ -134,18 +129,18 @@
         if (facts.notRun) {
             // An upstream that sheds while its health check is good should get less; the judge bounds how many may.
             m_state.judge.noteFailure(now, run.id);
-            logTry(run, "refused", verdict::NotRun);
+            m_call.noteFailedTry(run, "plain", "refused", verdict::NotRun);
             return {verdict::NotRun, std::nullopt, "refused_by_upstream"};
         }
-        const std::string fault = faultOf(facts, *result.answer);
+        const std::string fault = m_call.faultOf(facts, *result.answer);
         if (!fault.empty()) {
             m_state.judge.noteFailure(now, run.id);
-            logTry(run, fault, verdict::MayHaveRun);
+            m_call.noteFailedTry(run, "plain", fault, verdict::MayHaveRun);
             return {verdict::MayHaveRun, std::nullopt, fault};
         }
-        if (result.answer->status >= kFirstServerError) {
+        if (result.answer->status >= net::status::kFirstServerError) {
             m_state.judge.noteFailure(now, run.id);
-            logTry(run, "status_" + std::to_string(result.answer->status), verdict::Ran);
+            m_call.noteFailedTry(run, "plain", "status_" + std::to_string(result.answer->status), verdict::Ran);
         } else {
             m_state.judge.noteSuccess(now, run.id, took, m_state.expectedPlain(m_service));
             m_state.notePlain(m_service, took);
@@ -153,49 +148,20 @@
         return {verdict::Ran, std::move(result.answer), "ok"};
     }
 
-    /// Why @p answer can't be the upstream's own answer to this request; empty when it can.
-    std::string faultOf(const answer_facts &facts, const http_answer &answer) const
-    {
-        const bool success = answer.status >= kFirstSuccess && answer.status < kFirstRedirect;
-        if (!facts.requestId.empty() && facts.requestId != m_call.facts().id) {
-            return "answer_to_another_request";
-        }
-        if (facts.altered) {
-            return "answer_altered";
-        }
-        if (success && !facts.sealed) {
-            return "answer_without_seal";
-        }
-        return {};
-    }
-
     asio::awaitable<void> fail(std::string reason)
     {
         const verdict ran = worst();
         if (ran == verdict::NotRun && !m_call.isLate()) {
             const duration wait = m_tried.empty() ? kNoUpstreamWait : duration::zero();
-            co_await m_call.refuse(kStatusUnavailable, reason, returnAfter(m_state.returns, wait, m_call.timeLeft(), m_state.draw()));
-            m_call.finish({"refused", kStatusUnavailable, reason, ran, m_upstream});
+            co_await m_call.refuse(net::status::kUnavailable, reason, returnAfter(m_state.returns, wait, m_call.timeLeft(), m_state.draw()));
+            m_call.finish({"refused", net::status::kUnavailable, reason, ran, m_upstream});
             co_return;
         }
-        const unsigned status = m_call.isLate() ? kStatusTimeout : kStatusBadGateway;
+        const unsigned status = m_call.isLate() ? net::status::kGatewayTimeout : net::status::kBadGateway;
         co_await m_call.refuse(status, reason, std::nullopt);
         m_call.finish({"failed", status, m_call.isLate() ? "time_over: " + reason : reason, ran, m_upstream});
     }
 
-    void logTry(const registration &run, const std::string &reason, verdict ran) const
-    {
-        m_state.log(log_level::Warning,
-                    "try_failed",
-                    {requestIdField(m_call.facts().id),
-                     upstreamField(run.id),
-                     {"reason", reason},
-                     verdictField(ran),
-                     {"health", m_state.judge.stateOf(run.id)},
-                     {"run_started_at", std::to_string(run.startedAt)},
-                     {"run_sequence", std::to_string(run.sequence)}});
-    }
-
     verdict worst() const
     {
         return m_ran > 0 ? verdict::MayHaveRun : verdict::NotRun;
--- a/src/node/relay_call.cpp
+++ b/src/node/relay_call.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include "net/http_status.h"
+
 namespace heatherroute::node
 {
 
@@ -153,6 +155,34 @@
     co_await m_responder.send(std::move(answer));
 }
 
+std::string relay_call::faultOf(const answer_facts &facts, const http_answer &answer) const
+{
+    if (!facts.requestId.empty() && facts.requestId != m_facts.id) {
+        return "answer_to_another_request";
+    }
+    if (facts.altered) {
+        return "answer_altered";
+    }
+    if (net::status::isSuccess(answer.status) && !facts.sealed) {
+        return "answer_without_seal";
+    }
+    return {};
+}
+
+void relay_call::noteFailedTry(const registration &run, const std::string &stage, const std::string &reason, verdict ran) const
+{
+    m_state.log(log_level::Warning,
+                "try_failed",
+                {requestIdField(m_facts.id),
+                 upstreamField(run.id),
+                 {"stage", stage},
+                 {"reason", reason},
+                 verdictField(ran),
+                 {"health", m_state.judge.stateOf(run.id)},
+                 {"run_started_at", std::to_string(run.startedAt)},
+                 {"run_sequence", std::to_string(run.sequence)}});
+}
+
 void relay_call::addFields(std::vector<log_field> fields)
 {
     m_moreFields.insert(m_moreFields.end(), std::make_move_iterator(fields.begin()), std::make_move_iterator(fields.end()));
--- a/src/node/relay_call.h
+++ b/src/node/relay_call.h
@@ -90,6 +90,10 @@
     boost::asio::awaitable<void> refuse(unsigned status, std::string code, std::optional<duration> retryAfter);
     /// Sends an upstream's whole answer unchanged.
     boost::asio::awaitable<void> pass(net::http_answer answer);
+    /// Why @p answer can't be an upstream's own answer to this request; empty when it can.
+    std::string faultOf(const answer_facts &facts, const net::http_answer &answer) const;
+    /// Logs that a try at @p run failed; @p stage tells at which part of the request.
+    void noteFailedTry(const registration &run, const std::string &stage, const std::string &reason, verdict ran) const;
     /// Adds to the line that finish() writes.
     void addFields(std::vector<log_field> fields);
     /// Writes the line that ends the request's story.
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -12,6 +12,7 @@
 
 #include "core/entry_directory.h"
 #include "net/http_server.h"
+#include "net/http_status.h"
 #include "node/boot_clock.h"
 #include "node/phase_orders.h"
 #include "node/plain_relay.h"
@@ -47,9 +48,6 @@
 constexpr std::chrono::milliseconds kStopMargin{500};
 /// How long callers should stay away from an entry that knows no configuration yet.
 constexpr duration kStartingWait = std::chrono::milliseconds(400);
-constexpr unsigned kStatusOk = 200;
-constexpr unsigned kStatusNotFound = 404;
-constexpr unsigned kStatusUnavailable = 503;
 constexpr std::uint32_t kFullLoadPermille = 1000;
 /// Bytes of a body and of a head before a configuration sets the limits.
 constexpr std::size_t kDefaultBodyBytes = std::size_t{4} * 1024 * 1024;
@@ -147,14 +145,14 @@
     {
         if (!m_state.routes || !m_state.registry.isComplete()) {
             const auto back = returnAfter(m_state.returns, kStartingWait, call.facts().timeLeft.value_or(kStartingWait * 3), m_state.draw());
-            co_await call.refuse(kStatusUnavailable, "starting", back);
-            call.finish({"refused", kStatusUnavailable, "this entry has no configuration yet", verdict::NotRun, ""});
+            co_await call.refuse(net::status::kUnavailable, "starting", back);
+            call.finish({"refused", net::status::kUnavailable, "this entry has no configuration yet", verdict::NotRun, ""});
             co_return;
         }
         const heatherroute::route *matched = m_state.routes->find(call.facts().host, call.facts().path);
         if (matched == nullptr) {
-            co_await call.refuse(kStatusNotFound, "no route", std::nullopt);
-            call.finish({"refused", kStatusNotFound, "no route for " + call.facts().host + call.facts().path, verdict::NotRun, ""});
+            co_await call.refuse(net::status::kNotFound, "no route", std::nullopt);
+            call.finish({"refused", net::status::kNotFound, "no route for " + call.facts().host + call.facts().path, verdict::NotRun, ""});
             co_return;
         }
         call.begin(*matched);
@@ -171,7 +169,7 @@
     {
         const bool known = m_state.dialect.isReadinessQuestion(request);
         http_answer answer;
-        answer.status = known ? (isReady() ? kStatusOk : kStatusUnavailable) : kStatusNotFound;
+        answer.status = known ? (isReady() ? net::status::kOk : net::status::kUnavailable) : net::status::kNotFound;
         co_await responder.send(std::move(answer));
     }
 
@@ -182,7 +180,7 @@
         if (query) {
             answer = m_state.dialect.makeEntryAnswer(entriesNear(query->zone), kDirectoryLifetime);
         } else {
-            answer.status = kStatusNotFound;
+            answer.status = net::status::kNotFound;
         }
         co_await responder.send(std::move(answer));
     }
@@ -413,7 +411,7 @@
         call.target = spec != nullptr ? spec->healthPath : "/";
         call = aimedAt(m_state, run, std::move(call), kProbeTimeout);
         const net::http_result result = co_await net::performCall(std::move(call));
-        const bool well = result.answer && result.answer->status == kStatusOk && m_state.dialect.readInstance(*result.answer) == run.id;
+        const bool well = result.answer && result.answer->status == net::status::kOk && m_state.dialect.readInstance(*result.answer) == run.id;
         m_state.judge.noteProbe(coreNow(), run.id, well);
         m_state.log(log_level::Info, "upstream_probed", {upstreamField(run.id), {"well", well ? "true" : "false"}, {"health", m_state.judge.stateOf(run.id)}});
     }
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <set>
 
+#include "net/http_status.h"
+
 namespace heatherroute::node
 {
 
@@ -17,12 +19,6 @@
 namespace
 {
 
-constexpr unsigned kFirstSuccess = 200;
-constexpr unsigned kFirstRedirect = 300;
-constexpr unsigned kStatusMisdirected = 421;
-constexpr unsigned kStatusBadGateway = 502;
-constexpr unsigned kStatusUnavailable = 503;
-constexpr unsigned kStatusTimeout = 504;
 constexpr std::uint32_t kMostPrefills = 3; ///< Engines asked for the same prompt.
 constexpr std::size_t kMostAsked = 4; ///< Engines asked for memory in one round; more than this are rarely all full by chance.
 constexpr std::uint32_t kMostDecodes = 3; ///< Engines asked to generate before the caller is told.
@@ -183,7 +179,7 @@
             if (!m_call.isOver()) {
                 m_state.noteFailedTry(run.id, result.failure.outcome);
                 m_state.desk.noteFull(coreNow(), run.id);
-                logTry(run, "reserve", result.failure.reason, verdict::NotRun);
+                m_call.noteFailedTry(run, "reserve", result.failure.reason, verdict::NotRun);
             }
             co_return std::nullopt;
         }
@@ -192,7 +188,7 @@
             m_state.registry.onDisplaced(coreNow(), run.id);
             co_return std::nullopt;
         }
-        auto id = result.answer->status == kFirstSuccess ? m_state.dialect.readReservation(*result.answer) : std::nullopt;
+        auto id = result.answer->status == net::status::kOk ? m_state.dialect.readReservation(*result.answer) : std::nullopt;
         if (id) {
             m_state.desk.noteTaken(run.id);
         } else {
@@ -272,7 +268,7 @@
             if (!m_call.isOver()) {
                 m_state.noteFailedTry(run.id, result.failure.outcome);
                 m_state.desk.notePrefill(coreNow(), run.id, m_prompt.promptTokens, took);
-                logTry(run, "prefill", result.failure.reason, verdict::NotRun);
+                m_call.noteFailedTry(run, "prefill", result.failure.reason, verdict::NotRun);
             }
             co_return false;
         }
@@ -280,14 +276,14 @@
         if (facts.wrongInstance) {
             m_state.registry.onDisplaced(coreNow(), run.id);
         }
-        const auto handle = result.answer->status == kFirstSuccess ? m_state.dialect.readPrefill(*result.answer) : std::nullopt;
+        const auto handle = result.answer->status == net::status::kOk ? m_state.dialect.readPrefill(*result.answer) : std::nullopt;
         if (!handle) {
             if (facts.notRun) {
                 m_state.desk.noteWrongPhase(coreNow(), run.id);
             } else {
                 m_state.judge.noteFailure(coreNow(), run.id);
             }
-            logTry(run, "prefill", "status_" + std::to_string(result.answer->status), verdict::NotRun);
+            m_call.noteFailedTry(run, "prefill", "status_" + std::to_string(result.answer->status), verdict::NotRun);
             co_return false;
         }
         m_prefillTook = took;
@@ -324,9 +320,7 @@
     asio::awaitable<bool> begin(http_answer head)
     {
         const answer_facts facts = m_state.dialect.readAnswer(head, m_upstream);
-        const bool success = head.status >= kFirstSuccess && head.status < kFirstRedirect;
-        const bool ours = facts.requestId.empty() || facts.requestId == m_call.facts().id;
-        if (!success || !facts.sealed || facts.altered || !ours) {
+        if (!net::status::isSuccess(head.status) || !m_call.faultOf(facts, head).empty()) {
             co_return false;
         }
         m_started = true;
@@ -362,7 +356,7 @@
                 co_await m_call.responder().endStream();
             } else if (!m_call.isOver()) {
                 m_state.judge.noteFailure(coreNow(), run.id);
-                logTry(run, "decode", result.failure.reason, verdict::Ran);
+                m_call.noteFailedTry(run, "decode", result.failure.reason, verdict::Ran);
             }
             m_reason = result.failure.reason;
             m_computed.reset();
@@ -382,7 +376,7 @@
             return stage_end::Ended;
         }
         m_state.noteFailedTry(run.id, result.failure.outcome);
-        logTry(run, "decode", result.failure.reason, result.failure.outcome);
+        m_call.noteFailedTry(run, "decode", result.failure.reason, result.failure.outcome);
         if (result.failure.outcome == verdict::NotRun) {
             giveBack();
             return stage_end::NotRun;
@@ -394,13 +388,13 @@
     asio::awaitable<stage_end> settleAnswer(registration run, http_answer answer)
     {
         const answer_facts facts = m_state.dialect.readAnswer(answer, run.id);
-        const bool success = answer.status >= kFirstSuccess && answer.status < kFirstRedirect;
-        logTry(run, "decode", "status_" + std::to_string(answer.status), facts.notRun ? verdict::NotRun : verdict::Ran);
+        const bool success = net::status::isSuccess(answer.status);
+        m_call.noteFailedTry(run, "decode", "status_" + std::to_string(answer.status), facts.notRun ? verdict::NotRun : verdict::Ran);
         if (facts.notRun) {
             if (facts.wrongInstance) {
                 m_state.registry.onDisplaced(coreNow(), run.id);
             }
-            if (answer.status == kStatusMisdirected) {
+            if (answer.status == net::status::kMisdirected) {
                 m_state.desk.noteWrongPhase(coreNow(), run.id);
             } else {
                 m_state.desk.noteFull(coreNow(), run.id);
@@ -451,13 +445,13 @@
             if (!m_complete) {
                 m_call.responder().abort();
             }
-            m_call.finish({m_complete ? "answered" : "broken", kFirstSuccess, m_reason, verdict::Ran, m_upstream});
+            m_call.finish({m_complete ? "answered" : "broken", net::status::kOk, m_reason, verdict::Ran, m_upstream});
         } else if (m_passed) {
             m_call.finish({"answered", *m_passed, m_reason, verdict::Ran, m_upstream});
         } else if (m_ran == verdict::NotRun && !m_call.isLate()) {
             co_await refuse();
         } else {
-            const unsigned status = m_call.isLate() ? kStatusTimeout : kStatusBadGateway;
+            const unsigned status = m_call.isLate() ? net::status::kGatewayTimeout : net::status::kBadGateway;
             co_await m_call.refuse(status, "failed", std::nullopt);
             m_call.finish({"failed", status, m_reason, m_ran, m_upstream});
         }
@@ -467,8 +461,8 @@
     {
         const duration wait = m_reason == "no_engine" ? kNoEngineWait : kFullWait;
         const auto back = returnAfter(m_state.returns, wait, m_call.timeLeft(), m_state.draw());
-        co_await m_call.refuse(kStatusUnavailable, m_reason, back);
-        m_call.finish({"refused", kStatusUnavailable, m_reason, verdict::NotRun, m_upstream});
+        co_await m_call.refuse(net::status::kUnavailable, m_reason, back);
+        m_call.finish({"refused", net::status::kUnavailable, m_reason, verdict::NotRun, m_upstream});
     }
 
     /// Gives the reservation back; one that was sent with a request ends with it.
@@ -500,20 +494,6 @@
         asio::co_spawn(m_state.executor, fireAndForget(std::move(call)), asio::detached);
     }
 
-    void logTry(const registration &run, const std::string &stage, const std::string &reason, verdict ran) const
-    {
-        m_state.log(log_level::Warning,
-                    "try_failed",
-                    {requestIdField(m_call.facts().id),
-                     upstreamField(run.id),
-                     {"stage", stage},
-                     {"reason", reason},
-                     verdictField(ran),
-                     {"health", m_state.judge.stateOf(run.id)},
-                     {"run_started_at", std::to_string(run.startedAt)},
-                     {"run_sequence", std::to_string(run.sequence)}});
-    }
-
     relay_call &m_call;
     relay_state &m_state;
     std::string m_service;
--- a/src/relay/platform_dialect.h
+++ b/src/relay/platform_dialect.h
@@ -39,7 +39,6 @@
     bool prefillOnly = false;
     std::optional<kv_handle> source; ///< The KV cache to go on from.
     std::optional<std::string> reservation; ///< Memory reserved before.
-    std::optional<std::uint64_t> resumeAfter; ///< The last event that the caller has.
     auto operator<=>(const upstream_directions &) const = default;
 };
 
@@ -51,7 +50,6 @@
     bool sealed = false; ///< Carries the upstream's own mark.
     bool altered = false; ///< Encoded by something on the way, so the bytes aren't the upstream's.
     std::string requestId; ///< Whose answer it is; empty when it doesn't say.
-    bool keepsRunning = true; ///< False when the upstream announces that it leaves.
     auto operator<=>(const answer_facts &) const = default;
 };
 
@@ -62,10 +60,6 @@
     bool busy = false; ///< An order is being carried out.
     bool leaving = false; ///< It takes no new work and ends soon.
     std::uint64_t ordersAccepted = 0;
-    std::uint32_t running = 0;
-    std::uint32_t queued = 0;
-    std::uint64_t usedTokens = 0;
-    std::uint64_t totalTokens = 0;
     auto operator<=>(const engine_report &) const = default;
 };
 
--- a/tests/platform_dialect_test.cpp
+++ b/tests/platform_dialect_test.cpp
@@ -56,7 +56,6 @@
     EXPECT_EQ(facts.prompt->promptTokens, 1460U);
     EXPECT_EQ(facts.prompt->maxOutputTokens, 80U);
     EXPECT_EQ(facts.prompt->expectedOutputTokens, 70U);
-    EXPECT_EQ(facts.prompt->ownPart, "e4402b7d");
 }
 
 TEST(PlatformDialect, MalformedNumbersAreNotGuessed)
