A decode goes only to an engine that may still get work; connections opened during a stop are ended before the process

Traced: a prefill at a dark engine took 3 s and the decode engine reserved for it had told meanwhile that it leaves; and a connection opened 1 s after the signal was not among those that the first drain ended, its request came while the process ended. The reservation is looked at again before the decode; connections are drained again when the port closes, and requests that are being sent are waited for. Both process tests failed before.

--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -44,6 +44,8 @@
 /// After the signal to stop: until when new connections are taken. Callers whose answer of the directory still names this entry
 /// are served, and streams that begin by then end within the grace.
 constexpr std::chrono::milliseconds kAcceptUntil{2'500};
+/// After the port was closed: how long requests that were being sent may still arrive.
+constexpr std::chrono::milliseconds kLastRequests{800};
 /// Before the end of the grace: when what still runs is cut.
 constexpr std::chrono::milliseconds kStopMargin{500};
 /// How long callers should stay away from an entry that knows no configuration yet.
@@ -426,8 +428,11 @@
         if (since >= kAcceptUntil && !m_closed) {
             m_closed = true;
             m_callers->stopAccepting();
+            // Connections that came after the first drain.
+            m_callers->drain();
         }
-        const bool idle = m_inFlight == 0 && m_closed;
+        const bool unread = m_callers->connectionCount() > 0 && since < kAcceptUntil + kLastRequests;
+        const bool idle = m_inFlight == 0 && m_closed && !unread;
         const bool late = since >= m_settings.stopGrace - kStopMargin;
         if (idle || late) {
             m_state.log(log_level::Info, "stopped", {{"cut", std::to_string(m_inFlight)}});
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -88,6 +88,10 @@
             if (!computed) {
                 break;
             }
+            if (!holdsUsableReservation()) {
+                giveBack();
+                continue;
+            }
             const bool allowed = decodes == 0 || m_state.retries.tryRepeat(coreNow(), m_service);
             if (!allowed) {
                 m_reason = "retry_budget_used_up";
@@ -133,6 +137,12 @@
         co_return false;
     }
 
+    /// Whether the reservation is still good: a prefill may have taken long, and the engine may leave meanwhile.
+    bool holdsUsableReservation() const
+    {
+        return m_state.registry.isUsable(m_reserved->run.id) && coreNow() - m_reservedAt < reservationLifetime();
+    }
+
     /// Asks a few decode engines that aren't known to be full; each question is a connection.
     asio::awaitable<bool> askRound()
     {
@@ -165,6 +175,7 @@
         m_state.desk.addDecode(run.id, tokens);
         m_reserved = reservation{run, *id, tokens};
         m_reservedAfter = m_call.age();
+        m_reservedAt = coreNow();
         m_reservationSent = false;
         co_return true;
     }
@@ -504,6 +515,7 @@
     std::string m_reason;
     instant m_sentAt{};
     std::optional<instant> m_firstAt;
+    instant m_reservedAt{};
     duration m_reservedAfter{};
     duration m_prefillTook{};
     duration m_ranFor{};
--- a/src/relay/upstream_registry.cpp
+++ b/src/relay/upstream_registry.cpp
@@ -167,11 +167,22 @@
     return known == m_runs.end() ? nullptr : &known->second.run;
 }
 
+bool upstream_registry::isUsable(const known_run &entry)
+{
+    return !entry.run.draining && !entry.displaced && !entry.leaving;
+}
+
+bool upstream_registry::isUsable(const std::string &id) const
+{
+    const auto known = m_runs.find(id);
+    return known != m_runs.end() && isUsable(known->second);
+}
+
 std::vector<const registration *> upstream_registry::usable(const std::string &service) const
 {
     std::vector<const registration *> result;
     for (const auto &[id, entry] : m_runs) {
-        if (entry.run.service == service && !entry.run.draining && !entry.displaced && !entry.leaving) {
+        if (entry.run.service == service && isUsable(entry)) {
             result.push_back(&entry.run);
         }
     }
--- a/src/relay/upstream_registry.h
+++ b/src/relay/upstream_registry.h
@@ -65,6 +65,8 @@
     std::vector<const registration *> usable(const std::string &service) const;
     /// The runs of @p service that may get new work in @p phase.
     std::vector<const registration *> usable(const std::string &service, engine_phase phase) const;
+    /// Whether the run of that id may get new work.
+    bool isUsable(const std::string &id) const;
     /// Whether the list was read whole at least once.
     bool isComplete() const noexcept
     {
@@ -91,6 +93,7 @@
     };
 
     upstream_registry(const registry_settings &settings, change_hook onChange);
+    static bool isUsable(const known_run &entry);
     void remove(instant now, const std::string &id);
     void forgetOld(instant now);
     bool isLate(const registration &report) const;
--- a/tests/process_relay_test.cpp
+++ b/tests/process_relay_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -236,6 +237,67 @@
     });
 }
 
+// A connection that a caller opened late in the stop carried a request while the process ended.
+TEST(ProcessRelay, ConnectionsOpenedDuringTheStopAreEndedBeforeTheProcess)
+{
+    onSite({}, [](relay_site &site) -> asio::awaitable<void> {
+        standins::upstream_faults faults;
+        faults.hang = true;
+        for (const auto &upstream : site.upstreams()) {
+            upstream->setFaults(faults);
+        }
+        bool bookingEnded = false;
+        const auto booking = [&]() -> asio::awaitable<void> {
+            co_await site.call(0, kBookingPath, seconds(5));
+            bookingEnded = true;
+        };
+        asio::co_spawn(co_await asio::this_coro::executor, booking, asio::detached);
+        co_await pause(milliseconds(100));
+        asio::ip::tcp::socket socket(co_await asio::this_coro::executor);
+        site.entry(0).signal(SIGTERM);
+        co_await pause(milliseconds(1'500));
+        co_await socket.async_connect(site.callerEndpoint(0), asio::use_awaitable);
+        char byte = 0;
+        boost::system::error_code error;
+        co_await socket.async_read_some(asio::buffer(&byte, 1), asio::redirect_error(asio::use_awaitable, error));
+        EXPECT_EQ(error, asio::error::eof);
+        EXPECT_FALSE(bookingEnded) << "the connection ended with the process";
+        while (!bookingEnded) {
+            co_await pause(milliseconds(20));
+        }
+    });
+}
+
+// Load pattern: a prefill takes seconds; the decode engine whose memory was reserved for it has told meanwhile that it leaves.
+TEST(ProcessRelay, EngineThatBeganToLeaveDuringThePrefillGetsNoDecode)
+{
+    relay_site_settings settings;
+    settings.decodeEngines = 1;
+    onSite(settings, [](relay_site &site) -> asio::awaitable<void> {
+        standins::site_upstream &prefill = *site.upstreams().at(0);
+        standins::site_upstream &decode = *site.upstreams().at(1);
+        standins::upstream_faults faults;
+        faults.hang = true;
+        prefill.setFaults(faults);
+        bool ended = false;
+        caller_result result;
+        const auto stream = [&]() -> asio::awaitable<void> {
+            result = co_await site.call(0, kStreamPath, seconds(6));
+            ended = true;
+        };
+        asio::co_spawn(co_await asio::this_coro::executor, stream, asio::detached);
+        co_await pause(milliseconds(200));
+        decode.drain();
+        co_await pause(milliseconds(2'400));
+        prefill.setFaults({});
+        while (!ended) {
+            co_await pause(milliseconds(20));
+        }
+        EXPECT_EQ(site.runsOf(result.id), 0);
+        EXPECT_EQ(result.status, 503U);
+    });
+}
+
 TEST(ProcessRelay, KilledEntryServesAgainAfterItsStart)
 {
     onSite({}, [](relay_site &site) -> asio::awaitable<void> {
--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -139,6 +139,9 @@
     } else if (request.path() == "/v1/order") {
         answer = order(request);
     } else if (request.header("X-Stage") == "prefill") {
+        while (m_faults.hang && !responder.isClosed()) {
+            co_await pause(m_settings.workTime);
+        }
         answer = prefill(request);
     } else if (!m_settings.phase.empty()) {
         co_await serveStream(request, responder);
--- a/tests/support/relay_site.cpp
+++ b/tests/support/relay_site.cpp
@@ -233,7 +233,7 @@
     http_call call;
     call.method = path == kLookupPath ? "GET" : "POST";
     call.target = path;
-    call.endpoint = tcp::endpoint(asio::ip::address_v4::loopback(), m_entries.at(index).ports.at("callers"));
+    call.endpoint = callerEndpoint(index);
     call.progressTimeout = timeLeft + milliseconds(700);
     call.fields = {{"Host", kHost}, {"X-Attempt-Id", outcome.id}, {"X-Deadline-Ms", std::to_string(timeLeft.count())}};
     const bool streamed = path == kStreamPath;
@@ -261,6 +261,11 @@
     co_return outcome;
 }
 
+tcp::endpoint relay_site::callerEndpoint(std::size_t index) const
+{
+    return tcp::endpoint(asio::ip::address_v4::loopback(), m_entries.at(index).ports.at("callers"));
+}
+
 int relay_site::runsOf(const std::string &id) const
 {
     const auto found = m_runs.find(id);
--- a/tests/support/relay_site.h
+++ b/tests/support/relay_site.h
@@ -81,6 +81,8 @@
     {
         return *m_entries.at(index).process;
     }
+    /// Where callers connect to entry @p index.
+    boost::asio::ip::tcp::endpoint callerEndpoint(std::size_t index) const;
     fault_proxy &storeProxy(std::size_t index)
     {
         return *m_entries.at(index).proxy;
