An entry whose grace ends with a request in flight no longer uses what it has freed

Cause: relay_node destroys the relay before the io_context of its thread. The coroutine frames of requests in flight are destroyed with the io_context; a stream's destructor gives its reservation and its KV handle back through relay_state, which was gone by then. Ruled out: a fault in the exchange itself; the test below fails alike with nothing but a stop.

Change: half a second before the end of the grace every request in flight is cut: the caller is told, what it holds at engines is given back, and its last line is logged. Whatever still remains keeps the relay's state alive. Test processes get MALLOC_PERTURB_, so that a use of freed memory shows.

Test: EndOfTheGraceEndsWhatIsInFlight ended with signal 11 before; passes with either half of the change alone as to the exit code, with both as to the answer and the log.

--- a/src/node/relay_call.cpp
+++ b/src/node/relay_call.cpp
@@ -80,6 +80,13 @@
     });
 }
 
+void relay_call::cut()
+{
+    m_shared->cut = true;
+    addFields({{"cut", "the entry stops"}});
+    m_shared->interrupt();
+}
+
 duration relay_call::timeLeft() const
 {
     return std::max(m_deadline - coreNow(), duration::zero());
--- a/src/node/relay_call.h
+++ b/src/node/relay_call.h
@@ -72,8 +72,10 @@
     }
     bool isOver() const noexcept
     {
-        return isGone() || isLate();
+        return isGone() || isLate() || m_shared->cut;
     }
+    /// Ends the request before its time, because the entry stops; the caller is told whether it may have run.
+    void cut();
     duration timeLeft() const;
     duration age() const;
 
@@ -104,6 +106,7 @@
     {
         bool gone = false;
         bool late = false;
+        bool cut = false;
         std::shared_ptr<net::http_exchange> exchange;
         boost::asio::steady_timer *waiting = nullptr;
         void interrupt() const;
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -10,7 +10,6 @@
 #include <set>
 #include <utility>
 
-#include "core/entry_directory.h"
 #include "net/http_server.h"
 #include "net/http_status.h"
 #include "node/boot_clock.h"
@@ -48,6 +47,8 @@
 constexpr std::chrono::milliseconds kLastRequests{800};
 /// Before the end of the grace: when what still runs is cut.
 constexpr std::chrono::milliseconds kStopMargin{500};
+/// After the cut: how long the last answers to callers and the calls that free engines may take.
+constexpr std::chrono::milliseconds kCutTime{200};
 /// How long callers should stay away from an entry that knows no configuration yet.
 constexpr duration kStartingWait = std::chrono::milliseconds(400);
 constexpr std::uint32_t kFullLoadPermille = 1000;
@@ -61,7 +62,7 @@
 
 } // namespace
 
-class relay_duty::impl
+class relay_duty::impl : public std::enable_shared_from_this<relay_duty::impl>
 {
 public:
     impl(asio::io_context &context,
@@ -93,7 +94,7 @@
         };
         m_limits.maxHeaderBytes = kDefaultHeaderBytes;
         m_limits.maxBodyBytes = kDefaultBodyBytes;
-        const auto serveCaller = [this](http_request request, http_responder &responder) { return serve(std::move(request), responder); };
+        const auto serveCaller = [this](http_request request, http_responder &responder) { return serve(shared_from_this(), std::move(request), responder); };
         const auto serveReadiness = [this](http_request request, http_responder &responder) { return answerReadiness(std::move(request), responder); };
         const auto serveDirectory = [this](http_request request, http_responder &responder) { return answerDirectory(std::move(request), responder); };
         m_callers = http_server::make(m_context, m_settings.callers, m_limits, serveCaller, bad, reason);
@@ -116,7 +117,7 @@
     {
         m_stoppingSince = coreNow();
         m_onStopped = std::move(onStopped);
-        m_state.log(log_level::Info, "stopping", {{"in_flight", std::to_string(m_inFlight)}});
+        m_state.log(log_level::Info, "stopping", {{"in_flight", std::to_string(m_running.size())}});
         tell(m_toMembers, member_event(members_leave{}));
         tell(m_toStore, store_event(store_stop{}));
         checkStopped();
@@ -135,12 +136,13 @@
 
     // Callers.
 
-    asio::awaitable<void> serve(http_request request, http_responder &responder)
+    /// A call frees what it holds at engines when it is destroyed, which may be as late as its io_context; @p self lasts until then.
+    static asio::awaitable<void> serve(std::shared_ptr<impl> self, http_request request, http_responder &responder)
     {
-        ++m_inFlight;
-        relay_call call(m_state, std::move(request), responder);
-        co_await route(call);
-        --m_inFlight;
+        relay_call call(self->m_state, std::move(request), responder);
+        self->m_running.insert(&call);
+        co_await self->route(call);
+        self->m_running.erase(&call);
     }
 
     asio::awaitable<void> route(relay_call &call)
@@ -432,10 +434,13 @@
             m_callers->drain();
         }
         const bool unread = m_callers->connectionCount() > 0 && since < kAcceptUntil + kLastRequests;
-        const bool idle = m_inFlight == 0 && m_closed && !unread;
-        const bool late = since >= m_settings.stopGrace - kStopMargin;
-        if (idle || late) {
-            m_state.log(log_level::Info, "stopped", {{"cut", std::to_string(m_inFlight)}});
+        const bool idle = m_running.empty() && m_closed && !unread;
+        const duration cutAt = m_settings.stopGrace - kStopMargin;
+        if (since >= cutAt) {
+            cutAll();
+        }
+        if (idle || since >= cutAt + kCutTime) {
+            m_state.log(log_level::Info, "stopped", {{"cut", std::to_string(m_cut)}, {"left", std::to_string(m_running.size())}});
             m_onStopped();
             return;
         }
@@ -447,6 +452,16 @@
         });
     }
 
+    void cutAll()
+    {
+        for (relay_call *call : m_running) {
+            if (!call->isOver()) {
+                ++m_cut;
+                call->cut();
+            }
+        }
+    }
+
     asio::io_context &m_context;
     relay_duty_settings m_settings;
     relay_state m_state;
@@ -460,7 +475,8 @@
     std::unique_ptr<http_server> m_readiness;
     std::unique_ptr<http_server> m_directory;
     std::vector<member> m_others;
-    std::size_t m_inFlight = 0;
+    std::set<relay_call *> m_running;
+    std::size_t m_cut = 0;
     std::optional<instant> m_stoppingSince;
     std::function<void()> m_onStopped;
     bool m_drained = false;
@@ -478,14 +494,14 @@
                                              std::function<void(log_line)> log,
                                              last_reason *reason)
 {
-    auto implementation = std::make_unique<impl>(context, std::move(settings), std::move(dialect), toMembers, toStore, std::move(log));
+    auto implementation = std::make_shared<impl>(context, std::move(settings), std::move(dialect), toMembers, toStore, std::move(log));
     if (!implementation->open(reason)) {
         return nullptr;
     }
     return std::unique_ptr<relay_duty>(new relay_duty(std::move(implementation)));
 }
 
-relay_duty::relay_duty(std::unique_ptr<impl> implementation)
+relay_duty::relay_duty(std::shared_ptr<impl> implementation)
     : m_impl(std::move(implementation))
 { }
 
--- a/src/node/relay_duty.h
+++ b/src/node/relay_duty.h
@@ -67,8 +67,8 @@
 
 private:
     class impl;
-    explicit relay_duty(std::unique_ptr<impl> implementation);
-    std::unique_ptr<impl> m_impl;
+    explicit relay_duty(std::shared_ptr<impl> implementation);
+    std::shared_ptr<impl> m_impl; ///< Shared with the requests in flight.
 };
 
 } // namespace heatherroute::node
--- a/tests/process_relay_test.cpp
+++ b/tests/process_relay_test.cpp
@@ -237,6 +237,35 @@
     });
 }
 
+// An entry that ended with a request in flight used what it had freed already.
+TEST(ProcessRelay, EndOfTheGraceEndsWhatIsInFlight)
+{
+    relay_site_settings settings;
+    settings.stopGraceS = 3;
+    onSite(settings, [](relay_site &site) -> asio::awaitable<void> {
+        standins::upstream_faults faults;
+        faults.hang = true;
+        for (std::size_t engine = 1; engine <= 2; ++engine) {
+            site.upstreams().at(engine)->setFaults(faults);
+        }
+        bool ended = false;
+        caller_result result;
+        const auto stream = [&]() -> asio::awaitable<void> {
+            result = co_await site.call(0, kStreamPath, seconds(14));
+            ended = true;
+        };
+        asio::co_spawn(co_await asio::this_coro::executor, stream, asio::detached);
+        co_await pause(milliseconds(200));
+        site.entry(0).signal(SIGTERM);
+        while (!ended) {
+            co_await pause(milliseconds(20));
+        }
+        EXPECT_EQ(result.status, 502U) << "it may have run";
+        EXPECT_EQ(site.entry(0).waitForEnd(seconds(1)), 0);
+        EXPECT_NE(site.entry(0).output().find("\"event\":\"request_ended\",\"request_id\":\"" + result.id + "\""), std::string::npos);
+    });
+}
+
 // A connection that a caller opened late in the stop carried a request while the process ended.
 TEST(ProcessRelay, ConnectionsOpenedDuringTheStopAreEndedBeforeTheProcess)
 {
--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -180,6 +180,9 @@
         co_return;
     }
     noteRun(request);
+    while (m_faults.hang && !responder.isClosed()) {
+        co_await pause(m_settings.workTime);
+    }
     http_answer head = answerTo(request, 200);
     head.contentType = "text/event-stream";
     co_await responder.beginStream(std::move(head));
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -50,8 +50,15 @@
     posix_spawnattr_setsigmask(&attributes, &none);
     posix_spawnattr_setsigdefault(&attributes, &all);
     posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK | POSIX_SPAWN_SETSIGDEF);
+    // Memory that is freed is overwritten, so that a use of it shows.
+    char perturb[] = "MALLOC_PERTURB_=165";
+    std::vector<char *> environment{perturb};
+    for (char **variable = environ; *variable != nullptr; ++variable) {
+        environment.push_back(*variable);
+    }
+    environment.push_back(nullptr);
     pid_t pid = 0;
-    const int error = posix_spawnp(&pid, program.c_str(), &actions, &attributes, words.data(), environ);
+    const int error = posix_spawnp(&pid, program.c_str(), &actions, &attributes, words.data(), environment.data());
     posix_spawnattr_destroy(&attributes);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0) {
--- a/tests/support/relay_site.h
+++ b/tests/support/relay_site.h
@@ -29,6 +29,7 @@
     std::size_t prefillEngines = 1;
     std::size_t decodeEngines = 2;
     std::size_t services = 2;
+    double stopGraceS = 8; ///< From the signal to stop until an entry cuts what still runs.
     bool quiet = true; ///< Drop the entries' log.
 };
 
