Engines on their way to another phase get no reservations; a refused decode keeps its KV cache

Cause: an engine that was ordered from decode to prefill goes on taking reservations while its work ends (3 to 10 s) and then refuses the decode. Besides, the retry budget was charged for each question for a place at a prefill engine, also when none was found: 23 streams were refused with retry_budget_used_up though the entries had repeated one or two.

Ruled out: reservations that had lapsed, sources that were gone (both looked at in the logs of the refused decodes).

Change: the entry that orders tells the others 0.7 s before; no entry reserves there until the new phase is reported or 10 s have passed. A refused decode takes its KV cache to another engine once. The budget is charged when a call is made, and for the second decode before its prompt is read.

--- a/include/heatherroute/store_news.h
+++ b/include/heatherroute/store_news.h
@@ -25,6 +25,8 @@
 {
     registration run;
     bool gone = false; ///< The store holds it no more, and it isn't expected back.
+    /// An order sends it to this phase, or will within a second; its present one when the order was not accepted.
+    std::optional<engine_phase> movingTo;
 
     auto operator<=>(const upstream_news &) const = default;
 
@@ -35,16 +37,25 @@
         serializeText(archive, run.service, kMaxRegistrationTextBytes);
         serializeText(archive, run.address, kMaxRegistrationTextBytes);
         serializeText(archive, run.zone, kMaxRegistrationTextBytes);
-        std::uint8_t phase = run.phase ? static_cast<std::uint8_t>(*run.phase) + 1 : 0;
         std::uint8_t draining = run.draining ? 1 : 0;
         std::uint8_t isGone = gone ? 1 : 0;
-        archive(run.slots, phase, draining, run.startedAt, run.sequence, isGone);
+        archive(run.slots, draining, run.startedAt, run.sequence, isGone);
+        serializePhase(archive, run.phase);
+        serializePhase(archive, movingTo);
+        run.draining = draining != 0;
+        gone = isGone != 0;
+    }
+
+private:
+    template<typename Archive>
+    static void serializePhase(Archive &archive, std::optional<engine_phase> &value)
+    {
+        std::uint8_t phase = value ? static_cast<std::uint8_t>(*value) + 1 : 0;
+        archive(phase);
         if (phase > static_cast<std::uint8_t>(engine_phase::Decode) + 1) {
             throw cereal::Exception("enumerator out of range");
         }
-        run.phase = phase == 0 ? std::nullopt : std::optional<engine_phase>(static_cast<engine_phase>(phase - 1));
-        run.draining = draining != 0;
-        gone = isGone != 0;
+        value = phase == 0 ? std::nullopt : std::optional<engine_phase>(static_cast<engine_phase>(phase - 1));
     }
 };
 
--- a/src/node/phase_orders.cpp
+++ b/src/node/phase_orders.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include "node/boot_clock.h"
 #include "node/relay_call.h"
@@ -15,6 +17,8 @@
 {
 
 constexpr unsigned kFirstFailure = 300;
+/// From telling that an engine is sent to another phase to the order: prompts that are read for it by then still find it.
+constexpr std::chrono::milliseconds kAnnounceTime{700};
 
 std::string nameOf(engine_phase phase)
 {
@@ -59,6 +63,7 @@
         const registration *run = move ? m_state.registry.find(move->id) : nullptr;
         if (run != nullptr) {
             m_pending.insert(run->id);
+            m_state.announceMove(*run, move->to);
             asio::co_spawn(m_state.executor, order(*run, move->to), asio::detached);
         }
     }
@@ -66,6 +71,10 @@
 
 asio::awaitable<void> phase_orders::order(registration run, engine_phase to)
 {
+    if (m_state.plannerOf(run.service).isServing()) {
+        asio::steady_timer timer(m_state.executor, kAnnounceTime);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
     net::http_call ask = aimedAt(m_state, run, m_state.dialect.makeReportCall(run.id), m_state.timing.engineCallTimeout);
     const net::http_result told = co_await net::performCall(std::move(ask));
     const auto report = told.answer ? m_state.dialect.readReport(*told.answer) : std::nullopt;
@@ -90,7 +99,8 @@
     }
     m_pending.erase(run.id);
     if (!given) {
-        m_state.plannerOf(run.service).abandon(run.id);
+        const registration *known = m_state.registry.find(run.id);
+        m_state.announceMove(known != nullptr ? *known : run, known != nullptr && known->phase ? *known->phase : *run.phase);
     }
     m_state.log(log_level::Info, "phase_ordered", {upstreamField(run.id), {"to", nameOf(to)}, {"fencing_token", std::to_string(token)}, {"outcome", outcome}});
 }
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -294,6 +294,9 @@
             } else {
                 m_state.registry.onReport(now, change.run);
             }
+            if (change.movingTo) {
+                m_state.noteMove(change.run, *change.movingTo);
+            }
         }
         if (m_state.routes && event.news.configVersion > m_state.routes->version()) {
             tell(m_toStore, store_event(config_outdated{}));
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -29,7 +29,7 @@
                                            if ((change == "draining" || change == "leaving") && run.phase == engine_phase::Prefill) {
                                                plannerOf(run.service).noteLeaving(coreNow());
                                            }
-                                           if (change != "lapsed" && change != "displaced" && change != "leaving") {
+                                           if (change != "lapsed" && change != "displaced" && change != "leaving" && change != "moving" && change != "stays") {
                                                news.noteChange(coreNow(), {run, change == "removed"});
                                            }
                                            log(log_level::Info,
@@ -45,6 +45,26 @@
     , desk(engine_desk::make({}))
 { }
 
+void relay_state::announceMove(const registration &run, engine_phase to)
+{
+    noteMove(run, to);
+    upstream_news told;
+    told.run = run;
+    told.movingTo = to;
+    news.noteUrgentChange(coreNow(), std::move(told));
+}
+
+void relay_state::noteMove(const registration &run, engine_phase to)
+{
+    const instant now = coreNow();
+    registry.onMoving(now, run.id, to);
+    if (run.phase == to) {
+        plannerOf(run.service).abandon(run.id);
+    } else {
+        plannerOf(run.service).noteMoving(now, run.id, to);
+    }
+}
+
 std::vector<upstream_candidate> relay_state::candidates(const std::vector<const registration *> &runs) const
 {
     std::vector<upstream_candidate> result;
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -52,6 +52,10 @@
     void noteFailedTry(const std::string &id, verdict ran);
     /// The planner of the engines of @p service.
     phase_planner &plannerOf(const std::string &service);
+    /// This entry sends the engine @p run to phase @p to, or to none when that is its present one; the other entries are told.
+    void announceMove(const registration &run, engine_phase to);
+    /// Takes in that an engine is sent to another phase, or stays.
+    void noteMove(const registration &run, engine_phase to);
     void log(log_level level, std::string event, std::vector<log_field> fields) const;
     double draw();
     /// The average time of a plain request at @p service; a default before any was seen.
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -21,6 +21,8 @@
 
 constexpr std::uint32_t kMostPrefills = 3; ///< Engines asked for the same prompt.
 constexpr std::size_t kMostAsked = 4; ///< Engines asked for memory in one round; more than this are rarely all full by chance.
+/// Decodes refused after which a KV cache is computed anew: an engine that can't fetch it refuses like one that leaves its phase.
+constexpr std::uint32_t kMostHandleRefusals = 2;
 constexpr std::uint32_t kMostDecodes = 3; ///< Engines asked to generate before the caller is told.
 /// How long a prefill may take, its queue included, before its engine is given up.
 constexpr std::chrono::milliseconds kPrefillTimeout{3'000};
@@ -79,7 +81,14 @@
         m_prompt = m_call.facts().prompt.value_or(prompt_facts{});
         m_state.retries.noteRequest(coreNow(), m_service);
         std::uint32_t decodes = 0;
+        bool paid = true; // The first try isn't a repeat.
         while (decodes < kMostDecodes) {
+            // Before the prompt is read again, which would be in vain.
+            if (!paid && !m_state.retries.tryRepeat(coreNow(), m_service)) {
+                m_reason = "retry_budget_used_up";
+                break;
+            }
+            paid = true;
             const bool reserved = co_await reserve();
             if (!reserved) {
                 break;
@@ -92,12 +101,8 @@
                 giveBack();
                 continue;
             }
-            const bool allowed = decodes == 0 || m_state.retries.tryRepeat(coreNow(), m_service);
-            if (!allowed) {
-                m_reason = "retry_budget_used_up";
-                break;
-            }
             ++decodes;
+            paid = false;
             const stage_end end = co_await decode();
             if (end != stage_end::NotRun) {
                 break;
@@ -225,6 +230,7 @@
         }
         const instant giveUpAt = coreNow() + m_state.desk.settings().longestWait;
         std::set<std::string> tried;
+        bool paid = m_prefills == 0;
         while (tried.size() < kMostPrefills && !m_call.isOver()) {
             std::vector<upstream_candidate> engines = enginesIn(engine_phase::Prefill);
             if (engines.empty()) {
@@ -240,10 +246,11 @@
                 co_await m_call.wait(std::chrono::duration_cast<std::chrono::milliseconds>(m_state.desk.settings().askInterval));
                 continue;
             }
-            if (m_prefills > 0 && !m_state.retries.tryRepeat(coreNow(), m_service)) {
+            if (!paid && !m_state.retries.tryRepeat(coreNow(), m_service)) {
                 m_reason = "retry_budget_used_up";
                 co_return false;
             }
+            paid = true;
             const registration run = *order.front();
             const std::uint32_t tokens = m_state.desk.prefillReservation(m_prompt, static_cast<std::uint32_t>(memoryOf(run.service)));
             const auto place = co_await reserveAt(run, tokens);
@@ -252,6 +259,7 @@
             }
             tried.insert(run.id);
             const bool done = co_await prefillAt(run);
+            paid = false;
             send(run, m_state.dialect.dropReservation(run.id, *place));
             if (done) {
                 co_return true;
@@ -405,14 +413,12 @@
             if (facts.wrongInstance) {
                 m_state.registry.onDisplaced(coreNow(), run.id);
             }
-            if (answer.status == net::status::kMisdirected) {
-                m_state.desk.noteWrongPhase(coreNow(), run.id);
-            } else {
-                m_state.desk.noteFull(coreNow(), run.id);
-            }
+            // It has kept memory for this request, so it is rather on its way to another phase than full.
+            m_state.desk.noteWrongPhase(coreNow(), run.id);
             giveBack();
-            // The engine may have tried to fetch the handle in vain, so another prefill is the safe way on.
-            freeHandle();
+            if (++m_handleRefusals >= kMostHandleRefusals) {
+                freeHandle();
+            }
             m_reason = "decode_refused";
             co_return stage_end::NotRun;
         }
@@ -522,6 +528,7 @@
     std::optional<unsigned> m_passed; ///< The status of an upstream's own failure that was passed on.
     verdict m_ran = verdict::NotRun;
     std::uint32_t m_prefills = 0;
+    std::uint32_t m_handleRefusals = 0;
     std::uint32_t m_refusals = 0;
     bool m_reservationSent = false;
     bool m_started = false;
--- a/src/relay/news_board.cpp
+++ b/src/relay/news_board.cpp
@@ -33,6 +33,12 @@
     m_changes.emplace_back(now, std::move(change));
 }
 
+void news_board::noteUrgentChange(instant now, upstream_news change)
+{
+    noteChange(now, std::move(change));
+    m_toldAt.reset();
+}
+
 bool news_board::shouldRead(instant now) const
 {
     const bool heard = m_heardAt && now - *m_heardAt <= m_settings.heardFor;
--- a/src/relay/news_board.h
+++ b/src/relay/news_board.h
@@ -47,6 +47,8 @@
     void noteHeard(instant now);
     /// An upstream has changed, as this entry read or heard.
     void noteChange(instant now, upstream_news change);
+    /// As above; the others are told at the next opportunity.
+    void noteUrgentChange(instant now, upstream_news change);
 
     /// Whether this entry should read the store itself.
     bool shouldRead(instant now) const;
--- a/src/relay/phase_planner.cpp
+++ b/src/relay/phase_planner.cpp
@@ -38,6 +38,11 @@
     m_decodeSeconds += m_settings.gain * (secondsOf(ran) * memoryPart - m_decodeSeconds);
 }
 
+void phase_planner::noteMoving(instant now, const std::string &id, engine_phase to)
+{
+    m_moving.try_emplace(id, move_under_way{to, now});
+}
+
 void phase_planner::abandon(const std::string &id)
 {
     m_moving.erase(id);
--- a/src/relay/phase_planner.h
+++ b/src/relay/phase_planner.h
@@ -60,6 +60,13 @@
     /// A generation for which @p memoryPart of a decode engine's memory was reserved ran for @p ran.
     void noteDecode(duration ran, double memoryPart);
 
+    /// Another entry sends the engine of that id to phase @p to.
+    void noteMoving(instant now, const std::string &id, engine_phase to);
+    /// Whether requests were seen, so that a move costs them something.
+    bool isServing() const noexcept
+    {
+        return m_seenWork;
+    }
     /// The order to move that engine was not accepted.
     void abandon(const std::string &id);
 
--- a/src/relay/upstream_registry.cpp
+++ b/src/relay/upstream_registry.cpp
@@ -39,7 +39,7 @@
     m_removed.erase(report.id);
     const auto known = m_runs.find(report.id);
     if (known == m_runs.end()) {
-        m_runs.emplace(report.id, known_run{report, std::nullopt, false, false});
+        m_runs.emplace(report.id, known_run{report, std::nullopt, false, false, std::nullopt});
         m_onChange(report, report.draining ? "added_draining" : "added");
         return;
     }
@@ -48,6 +48,9 @@
     entry.removeAt.reset();
     // A report that is no newer than the upstream's own word says nothing against it.
     entry.leaving = entry.leaving && report.startedAt == before.startedAt && !report.draining && report.sequence <= before.sequence + 1;
+    if (entry.moving && (report.startedAt != before.startedAt || report.phase == entry.moving->to)) {
+        entry.moving.reset();
+    }
     if (report.startedAt != before.startedAt) {
         entry.displaced = false;
         m_onChange(report, "restarted");
@@ -133,10 +136,31 @@
     }
 }
 
+void upstream_registry::onMoving(instant now, const std::string &id, engine_phase to)
+{
+    const auto known = m_runs.find(id);
+    if (known == m_runs.end()) {
+        return;
+    }
+    known_run &entry = known->second;
+    const bool wasMoving = entry.moving.has_value();
+    if (entry.run.phase == to) {
+        entry.moving.reset();
+    } else if (!wasMoving) {
+        entry.moving = phase_change{to, now + m_settings.moveTime};
+    }
+    if (wasMoving != entry.moving.has_value()) {
+        m_onChange(entry.run, wasMoving ? "stays" : "moving");
+    }
+}
+
 void upstream_registry::advance(instant now)
 {
     std::vector<std::string> due;
-    for (const auto &[id, entry] : m_runs) {
+    for (auto &[id, entry] : m_runs) {
+        if (entry.moving && entry.moving->until <= now) {
+            entry.moving.reset();
+        }
         if (entry.removeAt && *entry.removeAt <= now) {
             due.push_back(id);
         }
@@ -175,7 +199,7 @@
 bool upstream_registry::isUsable(const std::string &id) const
 {
     const auto known = m_runs.find(id);
-    return known != m_runs.end() && isUsable(known->second);
+    return known != m_runs.end() && isUsable(known->second) && !known->second.moving;
 }
 
 std::vector<const registration *> upstream_registry::usable(const std::string &service) const
@@ -191,8 +215,12 @@
 
 std::vector<const registration *> upstream_registry::usable(const std::string &service, engine_phase phase) const
 {
-    std::vector<const registration *> result = usable(service);
-    std::erase_if(result, [phase](const registration *run) { return run->phase != phase; });
+    std::vector<const registration *> result;
+    for (const auto &[id, entry] : m_runs) {
+        if (entry.run.service == service && entry.run.phase == phase && isUsable(entry) && !entry.moving) {
+            result.push_back(&entry.run);
+        }
+    }
     return result;
 }
 
--- a/src/relay/upstream_registry.h
+++ b/src/relay/upstream_registry.h
@@ -21,6 +21,8 @@
     duration lapseGrace = std::chrono::seconds(2);
     /// How long a removed run is remembered, so that a late report doesn't bring it back.
     duration removedMemory = std::chrono::minutes(2);
+    /// How long an engine that was ordered to another phase may take to report it: its work ends first, then it switches.
+    duration moveTime = std::chrono::seconds(10);
 
     auto operator<=>(const registry_settings &) const = default;
 };
@@ -56,16 +58,18 @@
     void onDisplaced(instant now, const std::string &id);
     /// An upstream itself said that it leaves; the store may not tell so yet.
     void onLeaving(const std::string &id);
+    /// The engine of that id is sent to phase @p to. It gets no work until it reports that phase; its present phase calls the move off.
+    void onMoving(instant now, const std::string &id, engine_phase to);
     /// Carries out the removals whose grace has passed.
     void advance(instant now);
 
     /// The run of that id; null when there is none. Valid until the next change.
     const registration *find(const std::string &id) const;
-    /// The runs of @p service that may get new work.
+    /// The runs of @p service that may get new work, engines between two phases among them.
     std::vector<const registration *> usable(const std::string &service) const;
     /// The runs of @p service that may get new work in @p phase.
     std::vector<const registration *> usable(const std::string &service, engine_phase phase) const;
-    /// Whether the run of that id may get new work.
+    /// Whether the run of that id may get new work in the phase that it has reported.
     bool isUsable(const std::string &id) const;
     /// Whether the list was read whole at least once.
     bool isComplete() const noexcept
@@ -78,12 +82,18 @@
     }
 
 private:
+    struct phase_change
+    {
+        engine_phase to = engine_phase::Decode;
+        instant until{};
+    };
     struct known_run
     {
         registration run;
         std::optional<instant> removeAt; ///< It has lapsed in the store and is removed then.
         bool displaced = false;
         bool leaving = false; ///< By its own word, until it reports anew.
+        std::optional<phase_change> moving;
     };
     struct removed_run
     {
--- a/tests/news_board_test.cpp
+++ b/tests/news_board_test.cpp
@@ -58,6 +58,18 @@
     EXPECT_LE(told, 10);
 }
 
+TEST(NewsBoard, UrgentChangeIsToldAtOnce)
+{
+    news_board board = news_board::make({});
+    board.noteRead(instant{});
+    EXPECT_EQ(board.due(instant{}, 1).size(), 1U);
+    const instant soon = instant{} + milliseconds(100);
+    board.noteChange(soon, newsOf("a"));
+    EXPECT_TRUE(board.due(soon, 1).empty());
+    board.noteUrgentChange(soon, newsOf("b"));
+    ASSERT_EQ(board.due(soon, 1).size(), 1U);
+}
+
 TEST(NewsBoard, ReaderThatLostTheStoreIsSilent)
 {
     news_board board = news_board::make({});
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -18,6 +18,17 @@
     return {{kCluster, {"entry-1", 8}, 77}, body};
 }
 
+store_news sampleNews()
+{
+    upstream_news moving;
+    moving.run = {"e1", "llm", "10.0.0.9:80", "z", 64, false, engine_phase::Decode, 1'000, 7};
+    moving.movingTo = engine_phase::Prefill;
+    upstream_news gone;
+    gone.run = {"p1", "portal", "10.0.0.8:80", "z", 6, true, std::nullopt, 2'000, 9};
+    gone.gone = true;
+    return {12, {moving, gone}};
+}
+
 std::vector<std::byte> encoded(const peer_message &message)
 {
     auto bytes = encodePeerMessage(message, kMaxDatagramBytes, nullptr);
@@ -40,7 +51,8 @@
                                            indirect_probe{6, {"b", 2}, "10.0.0.3:81"},
                                            join_request{update},
                                            sync_request{{"c", 3}},
-                                           sync_page{false, {"d", 4}, {update}}};
+                                           sync_page{false, {"d", 4}, {update}},
+                                           sampleNews()};
     for (const peer_body &body : bodies) {
         const peer_message message{sample().header, body};
         const auto bytes = encodePeerMessage(message, kMaxDatagramBytes, nullptr);
--- a/tests/phase_planner_test.cpp
+++ b/tests/phase_planner_test.cpp
@@ -131,6 +131,22 @@
     EXPECT_TRUE(pool.planner.plan(instant{} + seconds(4), engines, {}));
 }
 
+// A holder has ordered an engine to prefill and died; the next one heard of it.
+TEST(PhasePlanner, NewHolderKnowsOfMovesUnderWay)
+{
+    engine_pool pool(1);
+    pool.planner.notePrefill(milliseconds(95));
+    EXPECT_TRUE(pool.planner.isServing());
+    std::vector<const registration *> engines;
+    for (const registration &run : pool.runs) {
+        engines.push_back(&run);
+    }
+    pool.planner.noteMoving(instant{}, engines.back()->id, engine_phase::Prefill);
+    pool.planner.observe(instant{}, engines);
+    EXPECT_FALSE(pool.planner.plan(instant{} + seconds(4), engines, {}));
+    EXPECT_TRUE(pool.planner.plan(instant{} + seconds(20), engines, {}) || pool.planner.plan(instant{} + seconds(24), engines, {}));
+}
+
 TEST(PhasePlanner, LostPoolIsFilledAtOnce)
 {
     engine_pool pool(0, 8);
--- a/tests/process_relay_test.cpp
+++ b/tests/process_relay_test.cpp
@@ -327,6 +327,22 @@
     });
 }
 
+// Load pattern: an engine on its way to another phase takes reservations and then refuses the decode; its prompt had been read.
+TEST(ProcessRelay, DecodeThatWasRefusedGoesOnAtAnotherEngineWithTheSameKvCache)
+{
+    onSite({}, [](relay_site &site) -> asio::awaitable<void> {
+        standins::site_upstream &prefill = *site.upstreams().at(0);
+        standins::upstream_faults faults;
+        faults.refuseDecodes = true;
+        site.upstreams().at(1)->setFaults(faults);
+        constexpr std::uint64_t kStreams = 12;
+        for (std::uint64_t i = 0; i < kStreams; ++i) {
+            co_await expectSuccess(site, 0, kStreamPath);
+        }
+        EXPECT_EQ(prefill.prefills(), kStreams);
+    });
+}
+
 TEST(ProcessRelay, KilledEntryServesAgainAfterItsStart)
 {
     onSite({}, [](relay_site &site) -> asio::awaitable<void> {
--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -179,6 +179,13 @@
         co_await responder.send(std::move(answer));
         co_return;
     }
+    if (m_faults.refuseDecodes) {
+        http_answer answer;
+        answer.status = 503;
+        answer.fields = {{"X-Not-Executed", "1"}};
+        co_await responder.send(std::move(answer));
+        co_return;
+    }
     noteRun(request);
     while (m_faults.hang && !responder.isClosed()) {
         co_await pause(m_settings.workTime);
@@ -223,6 +230,7 @@
         return jsonAnswer(json::object(), 421);
     }
     static_cast<void>(request);
+    ++m_prefills;
     const std::string handle = "k" + std::to_string(++m_names);
     m_handles.insert(handle);
     return jsonAnswer(json::object{{"KvHandle", handle}, {"Tokens", 10}, {"Version", 1}});
--- a/tests/standins/site_upstream.h
+++ b/tests/standins/site_upstream.h
@@ -35,6 +35,7 @@
     bool loseAnswers = false; ///< Runs requests and closes the connection.
     bool fail = false; ///< Answers 500.
     bool refuse = false; ///< Answers 503 and doesn't run.
+    bool refuseDecodes = false; ///< The same for streams only; reservations are taken, as by an engine that leaves its phase.
     bool foreignAnswers = false; ///< Answers for another request.
     bool breakStreams = false; ///< Ends streams in the middle.
 };
@@ -59,6 +60,11 @@
     void drain();
     /// The runs that began after drain() by more than @p slack.
     int runsAfterDrain(std::chrono::milliseconds slack) const;
+    /// Prompts that were computed for other engines.
+    std::uint64_t prefills() const noexcept
+    {
+        return m_prefills;
+    }
     const std::string &id() const noexcept
     {
         return m_settings.id;
@@ -87,6 +93,7 @@
     std::uint64_t m_startedAt = 0;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_orders = 0;
+    std::uint64_t m_prefills = 0;
     std::uint64_t m_names = 0;
     std::map<std::string, std::uint64_t> m_reservations;
     std::set<std::string> m_handles;
--- a/tests/upstream_registry_test.cpp
+++ b/tests/upstream_registry_test.cpp
@@ -108,6 +108,50 @@
     EXPECT_FALSE(watched.isUsable("a"));
 }
 
+// Load pattern: an engine that was ordered to another phase takes reservations until it switches, and refuses what comes for them.
+TEST(UpstreamRegistry, EngineOnItsWayToAnotherPhaseGetsNoWork)
+{
+    watched_registry watched;
+    registration engine = reportOf("a", 1, 1);
+    engine.phase = engine_phase::Decode;
+    watched.registry.onReport(watched.now, engine);
+    EXPECT_EQ(watched.registry.usable("portal", engine_phase::Decode).size(), 1U);
+    watched.registry.onMoving(watched.now, "a", engine_phase::Prefill);
+    EXPECT_TRUE(watched.registry.usable("portal", engine_phase::Decode).empty());
+    EXPECT_FALSE(watched.registry.isUsable("a"));
+    EXPECT_EQ(watched.registry.usable("portal").size(), 1U) << "it still counts as an engine";
+    engine.sequence = 2;
+    watched.registry.onReport(watched.now, engine);
+    EXPECT_FALSE(watched.registry.isUsable("a")) << "a report of the old phase says nothing new";
+    engine.sequence = 3;
+    engine.phase = engine_phase::Prefill;
+    watched.registry.onReport(watched.now, engine);
+    EXPECT_EQ(watched.registry.usable("portal", engine_phase::Prefill).size(), 1U);
+    EXPECT_EQ(watched.changes.back(), "a phase");
+}
+
+TEST(UpstreamRegistry, MoveEndsByItsTimeByARestartAndWhenItIsCalledOff)
+{
+    watched_registry watched;
+    registration engine = reportOf("a", 1, 1);
+    engine.phase = engine_phase::Decode;
+    watched.registry.onReport(watched.now, engine);
+    watched.registry.onMoving(watched.now, "a", engine_phase::Prefill);
+    watched.registry.onMoving(watched.now + seconds(3), "a", engine_phase::Prefill);
+    watched.registry.advance(watched.now + seconds(9));
+    EXPECT_FALSE(watched.registry.isUsable("a"));
+    watched.registry.advance(watched.now + seconds(11));
+    EXPECT_TRUE(watched.registry.isUsable("a")) << "told again, it still began with the first";
+    watched.registry.onMoving(watched.now, "a", engine_phase::Prefill);
+    watched.registry.onMoving(watched.now, "a", engine_phase::Decode);
+    EXPECT_TRUE(watched.registry.isUsable("a"));
+    EXPECT_EQ(watched.changes.back(), "a stays");
+    watched.registry.onMoving(watched.now, "a", engine_phase::Prefill);
+    engine.startedAt = 2;
+    watched.registry.onReport(watched.now, engine);
+    EXPECT_TRUE(watched.registry.isUsable("a"));
+}
+
 TEST(UpstreamRegistry, OwnWordOfLeavingHoldsUntilANewerReport)
 {
     watched_registry watched;
