The lease to give orders changes hands only when its holder stops or falls silent

Cause: the first two entries by name always tried for the lease.

Change: the holder says that it holds the lease with its news to the other entries; others try only after 2 s without that word, one second after each other, or at once when a stopping holder gives it up. Decision: src/relay/lease_seeker.

--- a/include/heatherroute/store_news.h
+++ b/include/heatherroute/store_news.h
@@ -59,10 +59,19 @@
     }
 };
 
-/// What a reader of the store knows now.
+/// What the teller says of the right to give orders.
+enum class lease_word : std::uint8_t {
+    None,
+    Held, ///< The teller holds it.
+    GivenUp, ///< The teller held it and gives it up.
+};
+
+/// What a reader of the store, or the holder of the lease, knows now.
 struct store_news
 {
     std::uint64_t configVersion = 0;
+    bool reads = true; ///< The teller follows the store, so those who hear it needn't.
+    lease_word lease = lease_word::None;
     std::vector<upstream_news> changes; ///< Of the last seconds.
 
     auto operator<=>(const store_news &) const = default;
@@ -70,7 +79,14 @@
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(configVersion);
+        std::uint8_t isReader = reads ? 1 : 0;
+        auto word = static_cast<std::uint8_t>(lease);
+        archive(configVersion, isReader, word);
+        if (word > static_cast<std::uint8_t>(lease_word::GivenUp)) {
+            throw cereal::Exception("enumerator out of range");
+        }
+        reads = isReader != 0;
+        lease = static_cast<lease_word>(word);
         serializeList(archive, changes, kMaxNewsPerMessage);
     }
 };
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -17,6 +17,7 @@
 #include "node/plain_relay.h"
 #include "node/relay_call.h"
 #include "node/stream_relay.h"
+#include "relay/lease_seeker.h"
 
 namespace heatherroute::node
 {
@@ -36,8 +37,6 @@
 /// Entries of the caller's zone below which others are named too, so that one loss leaves a choice.
 constexpr std::size_t kEnoughNearEntries = 2;
 constexpr std::size_t kMostEntriesNamed = 64;
-/// Entries that compete for the right to give orders.
-constexpr std::size_t kLeaseCandidates = 2;
 /// After the signal to stop: when idle connections of callers are ended.
 constexpr std::chrono::milliseconds kDrainAfter{600};
 /// After the signal to stop: until when new connections are taken. Callers whose answer of the directory still names this entry
@@ -75,6 +74,7 @@
         , m_settings(std::move(settings))
         , m_state(context.get_executor(), std::move(dialect), m_settings.retries, m_settings.seed)
         , m_orders(m_state, m_settings.takeOverWait)
+        , m_leaseSeeker(lease_seeker::make({}, coreNow()))
         , m_toMembers(toMembers)
         , m_toStore(toStore)
         , m_tick(context)
@@ -275,6 +275,8 @@
     void on(lease_changed &event)
     {
         m_orders.setLease(event);
+        m_leaseSeeker.setHolds(event.holds);
+        tellLease(event.holds);
     }
 
     void on(members_changed &event)
@@ -287,7 +289,14 @@
     void on(news_heard &event)
     {
         const instant now = coreNow();
-        m_state.news.noteHeard(now);
+        if (event.news.reads) {
+            m_state.news.noteHeard(now);
+        }
+        if (event.news.lease == lease_word::Held) {
+            m_leaseSeeker.noteHolder(now);
+        } else if (event.news.lease == lease_word::GivenUp) {
+            m_leaseSeeker.noteGivenUp(now);
+        }
         for (const upstream_news &change : event.news.changes) {
             if (change.gone) {
                 m_state.registry.onGone(now, change.run);
@@ -316,7 +325,13 @@
         }
     }
 
-    /// Only the first few entries by name compete for the lease, since each renewal is a call to the store.
+    void tellLease(bool holds)
+    {
+        const bool givesUp = m_held && !holds && m_stoppingSince;
+        m_state.news.setLease(holds ? lease_word::Held : (givesUp ? lease_word::GivenUp : lease_word::None));
+        m_held = holds;
+    }
+
     void wantLease()
     {
         std::size_t before = 0;
@@ -324,7 +339,8 @@
             before += other.state == member_state::Alive && other.id.name < m_settings.entryName ? 1 : 0;
         }
         m_state.news.setRank(m_stoppingSince ? m_others.size() : before);
-        const bool wanted = before < kLeaseCandidates && !m_stoppingSince;
+        m_leaseSeeker.setRank(before);
+        const bool wanted = m_leaseSeeker.shouldTry(coreNow()) && !m_stoppingSince;
         if (wanted != m_leaseWanted) {
             m_leaseWanted = wanted;
             tell(m_toStore, store_event(lease_wanted{wanted}));
@@ -469,6 +485,7 @@
     relay_duty_settings m_settings;
     relay_state m_state;
     phase_orders m_orders;
+    lease_seeker m_leaseSeeker;
     channel<member_event> &m_toMembers;
     channel<store_event> &m_toStore;
     asio::steady_timer m_tick;
@@ -486,6 +503,7 @@
     bool m_closed = false;
     bool m_toldReady = false;
     bool m_leaseWanted = false;
+    bool m_held = false; ///< The lease.
     bool m_followsClosely = true;
 };
 
--- a/src/relay/news_board.cpp
+++ b/src/relay/news_board.cpp
@@ -17,6 +17,14 @@
     m_before = before;
 }
 
+void news_board::setLease(lease_word word)
+{
+    if (m_lease != word) {
+        m_lease = word;
+        m_toldAt.reset();
+    }
+}
+
 void news_board::noteRead(instant now)
 {
     m_readAt = now;
@@ -52,7 +60,8 @@
     }
     const bool fresh = m_readAt && now - *m_readAt <= m_settings.freshFor;
     const bool isDue = !m_toldAt || now - *m_toldAt >= m_settings.interval;
-    if (m_before >= m_settings.readers || !fresh || !isDue) {
+    const bool reads = m_before < m_settings.readers && fresh;
+    if ((!reads && m_lease == lease_word::None) || !isDue) {
         return {};
     }
     m_toldAt = now;
@@ -65,7 +74,11 @@
     }
     for (store_news &message : messages) {
         message.configVersion = configVersion;
+        message.reads = reads;
+        message.lease = m_lease;
     }
+    // Told once; told for longer it would speak against the next holder.
+    m_lease = m_lease == lease_word::GivenUp ? lease_word::None : m_lease;
     return messages;
 }
 
--- a/src/relay/news_board.h
+++ b/src/relay/news_board.h
@@ -41,6 +41,8 @@
 
     /// @p before entries that are alive come before this one by name.
     void setRank(std::size_t before);
+    /// What this entry says of the lease; told at the next opportunity when it changes. That it was given up is told once.
+    void setLease(lease_word word);
     /// The store answered this entry.
     void noteRead(instant now);
     /// Another entry told news.
@@ -60,6 +62,7 @@
 
     news_settings m_settings;
     std::size_t m_before = 0;
+    lease_word m_lease = lease_word::None;
     std::optional<instant> m_readAt;
     std::optional<instant> m_heardAt;
     std::optional<instant> m_toldAt;
--- a/tests/news_board_test.cpp
+++ b/tests/news_board_test.cpp
@@ -70,6 +70,22 @@
     ASSERT_EQ(board.due(soon, 1).size(), 1U);
 }
 
+TEST(NewsBoard, HolderOfTheLeaseSaysSoWithoutReadingAndThatItGaveItUpOnce)
+{
+    news_board board = news_board::make({});
+    board.setRank(50);
+    board.setLease(lease_word::Held);
+    const auto held = board.due(instant{}, 1);
+    ASSERT_EQ(held.size(), 1U);
+    EXPECT_EQ(held.front().lease, lease_word::Held);
+    EXPECT_FALSE(held.front().reads);
+    board.setLease(lease_word::GivenUp);
+    const auto givenUp = board.due(instant{} + milliseconds(100), 1);
+    ASSERT_EQ(givenUp.size(), 1U);
+    EXPECT_EQ(givenUp.front().lease, lease_word::GivenUp);
+    EXPECT_TRUE(board.due(instant{} + seconds(2), 1).empty());
+}
+
 TEST(NewsBoard, ReaderThatLostTheStoreIsSilent)
 {
     news_board board = news_board::make({});
