--- a/src/node/phase_orders.cpp
+++ b/src/node/phase_orders.cpp
@@ -32,15 +32,14 @@
     , m_takeOverWait(takeOverWait)
 { }
 
-void phase_orders::setLease(const lease_changed &lease)
+void phase_orders::setLease(const lease_term &lease)
 {
     m_lease = lease;
 }
 
 bool phase_orders::mayOrder() const
 {
-    const std::int64_t now = bootMilliseconds();
-    return m_lease.holds && now < m_lease.validUntilMs && now >= m_lease.heldSinceMs + m_takeOverWait.count();
+    return heatherroute::mayOrder(m_lease, bootMilliseconds(), m_takeOverWait);
 }
 
 void phase_orders::advance(instant now)
--- a/src/node/phase_orders.h
+++ b/src/node/phase_orders.h
@@ -25,7 +25,7 @@
     /// @p takeOverWait is waited from the start of a lease to the first order.
     phase_orders(relay_state &state, std::chrono::milliseconds takeOverWait);
 
-    void setLease(const lease_changed &lease);
+    void setLease(const lease_term &lease);
     /// Starts the orders that are due.
     void advance(instant now);
 
@@ -35,7 +35,7 @@
 
     relay_state &m_state;
     std::chrono::milliseconds m_takeOverWait;
-    lease_changed m_lease;
+    lease_term m_lease;
     std::set<std::string> m_pending; ///< Engines that an order is being given to.
 };
 
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -272,7 +272,7 @@
         }
     }
 
-    void on(lease_changed &event)
+    void on(lease_term &event)
     {
         m_orders.setLease(event);
         m_leaseSeeker.setHolds(event.holds);
--- a/src/node/relay_event.h
+++ b/src/node/relay_event.h
@@ -10,6 +10,7 @@
 #include "heatherroute/registration.h"
 #include "heatherroute/route_table.h"
 #include "heatherroute/store_news.h"
+#include "relay/lease_term.h"
 #include "relay/platform_store.h"
 
 namespace heatherroute::node
@@ -35,15 +36,6 @@
     bool reached = false;
 };
 
-/// Whether this entry may give orders to engines.
-struct lease_changed
-{
-    bool holds = false;
-    std::uint64_t fencingToken = 0;
-    std::int64_t validUntilMs = 0; ///< On the clock that goes on while the VM is suspended.
-    std::int64_t heldSinceMs = 0; ///< Since when it is held without a gap.
-};
-
 /// The other entries that are not dead have changed.
 struct members_changed
 {
@@ -57,7 +49,7 @@
 };
 
 /// What the relay's thread hears from the other duties.
-using relay_event = std::variant<routes_read, upstreams_reported, store_reached, lease_changed, members_changed, news_heard>;
+using relay_event = std::variant<routes_read, upstreams_reported, store_reached, lease_term, members_changed, news_heard>;
 
 /// Where entries may be found, as the store's records say.
 struct entry_addresses
--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -327,7 +327,9 @@
                 co_await self->renewLease();
             } else if (self->m_isMember) {
                 self->m_isMember = false;
-                co_await self->tellLease(false, 0);
+                const lease_term before = self->m_lease.term();
+                self->m_lease.onLeft();
+                co_await self->tellLease(before);
                 co_await self->m_store.leaveLease(self->m_settings.entryName);
             }
             co_await self->pause(self->m_settings.leaseInterval);
@@ -336,37 +338,28 @@
 
     asio::awaitable<void> renewLease()
     {
-        lease_request request{m_settings.entryName, m_settings.leaseLifetime, m_generation};
+        lease_request request{m_settings.entryName, m_lease.settings().lifetime, m_lease.generation()};
         const std::int64_t sentAt = bootMilliseconds();
         const lease_answer answer = co_await m_store.joinLease(std::move(request));
         if (answer.outcome == store_outcome::Unavailable) {
-            log(log_level::Warning, "lease_not_renewed", {{"reason", answer.reason}, {"generation", std::to_string(m_generation)}});
+            log(log_level::Warning, "lease_not_renewed", {{"reason", answer.reason}, {"generation", std::to_string(m_lease.generation())}});
             co_return;
         }
-        if (answer.outcome != store_outcome::Done) {
-            m_generation = 0;
-            co_await tellLease(false, sentAt);
-            co_return;
-        }
-        m_isMember = true;
-        m_generation = answer.generation;
-        co_await tellLease(answer.holds, sentAt);
+        m_isMember = m_isMember || answer.outcome == store_outcome::Done;
+        const lease_term before = m_lease.term();
+        m_lease.onAnswer(answer, sentAt, bootMilliseconds());
+        co_await tellLease(before);
     }
 
-    asio::awaitable<void> tellLease(bool holds, std::int64_t sentAt)
+    asio::awaitable<void> tellLease(lease_term before)
     {
-        const std::int64_t until = sentAt + m_settings.leaseLifetime.count() - m_settings.leaseMargin.count();
-        // A lease that ran out meanwhile may have been another's, unless the generation shows that nothing changed.
-        const bool unchanged = m_generation == m_heldGeneration;
-        const bool goesOn = holds && (unchanged || (m_lease.holds && sentAt <= m_lease.validUntilMs));
-        lease_changed now{holds, m_generation, until, goesOn ? m_lease.heldSinceMs : bootMilliseconds()};
-        if (now.holds != m_lease.holds || (holds && now.fencingToken != m_lease.fencingToken) || (holds && !goesOn)) {
+        const lease_term &now = m_lease.term();
+        const bool goesOn = now.heldSinceMs == before.heldSinceMs;
+        if (now.holds != before.holds || (now.holds && (now.fencingToken != before.fencingToken || !goesOn))) {
             log(log_level::Info,
-                holds ? "lease_held" : "lease_not_held",
-                {{"generation", std::to_string(m_generation)}, {"goes_on", goesOn ? "true" : "false"}});
+                now.holds ? "lease_held" : "lease_not_held",
+                {{"generation", std::to_string(now.fencingToken)}, {"goes_on", now.holds && goesOn ? "true" : "false"}});
         }
-        m_lease = now;
-        m_heldGeneration = holds ? m_generation : 0;
         relay_event event = now;
         co_await m_toRelay.push(std::move(event));
     }
@@ -392,9 +385,7 @@
     std::map<store_stream, asio::steady_timer *> m_resting; ///< Those that wait between two reads.
     bool m_isMember = false;
     std::uint64_t m_version = 0;
-    std::uint64_t m_generation = 0;
-    std::uint64_t m_heldGeneration = 0; ///< Of the lease held last; 0 when another may have held it since.
-    lease_changed m_lease;
+    lease_book m_lease = lease_book::make({});
     std::map<std::string, std::string> m_entries;
     std::set<std::string> m_unreadable;
 };
--- a/src/node/store_duty.h
+++ b/src/node/store_duty.h
@@ -28,9 +28,7 @@
     std::chrono::milliseconds firstPause{150}; ///< After a failure; doubles with each further one.
     std::chrono::milliseconds longestPause{1'000};
     std::chrono::milliseconds lostAfter{1'500}; ///< Without an answer, after which the store counts as lost.
-    std::chrono::milliseconds leaseLifetime{1'500};
     std::chrono::milliseconds leaseInterval{450}; ///< Between two renewals.
-    std::chrono::milliseconds leaseMargin{300}; ///< Before its end, from when on the lease isn't used.
 };
 
 /**
--- /dev/null
+++ b/src/relay/lease_term.cpp
@@ -0,0 +1,44 @@
+#include "relay/lease_term.h"
+
+namespace heatherroute
+{
+
+bool mayOrder(const lease_term &term, std::int64_t nowMs, std::chrono::milliseconds takeOverWait)
+{
+    return term.holds && nowMs < term.validUntilMs && nowMs >= term.heldSinceMs + takeOverWait.count();
+}
+
+lease_book lease_book::make(const lease_settings &settings)
+{
+    return lease_book(settings);
+}
+
+lease_book::lease_book(const lease_settings &settings)
+    : m_settings(settings)
+{ }
+
+void lease_book::onAnswer(const lease_answer &answer, std::int64_t sentAtMs, std::int64_t nowMs)
+{
+    if (answer.outcome == store_outcome::Unavailable) {
+        return;
+    }
+    const bool done = answer.outcome == store_outcome::Done;
+    m_generation = done ? answer.generation : 0;
+    const bool holds = done && answer.holds;
+    // A term that ran out meanwhile may have been another's, unless the generation shows that nothing changed.
+    const bool unchanged = m_generation == m_heldGeneration;
+    const bool goesOn = holds && (unchanged || (m_term.holds && sentAtMs <= m_term.validUntilMs));
+    m_term.heldSinceMs = goesOn ? m_term.heldSinceMs : nowMs;
+    m_term.holds = holds;
+    m_term.fencingToken = m_generation;
+    m_term.validUntilMs = sentAtMs + m_settings.lifetime.count() - m_settings.margin.count();
+    m_heldGeneration = holds ? m_generation : 0;
+}
+
+void lease_book::onLeft()
+{
+    m_term.holds = false;
+    m_heldGeneration = 0;
+}
+
+} // namespace heatherroute
