A started entry's retry budget begins empty, and a growing fleet doesn't refill it

Ruled out: unequal callers and lost sight alone; without restarts no run breaks the limit.

Change: the bucket starts with one repeat; a change of the fleet's size keeps what is saved, cut to the new capacity.

--- a/include/heatherroute/retry_budget.h
+++ b/include/heatherroute/retry_budget.h
@@ -13,6 +13,7 @@
     double share = 0.1; ///< Retries per request.
     double floorPerSecond = 1.0; ///< Retries that a quiet pool may get all the same.
     double capacity = 20.0; ///< The largest number saved up.
+    double atStart = 20.0; ///< Saved up at the start; more than the capacity counts as the capacity.
 
     auto operator<=>(const retry_budget_settings &) const = default;
 };
@@ -26,11 +27,13 @@
 class retry_budget
 {
 public:
-    /// Starts full, at @p now.
+    /// Starts at @p now.
     static retry_budget make(instant now, const retry_budget_settings &settings);
 
     /// A first attempt was sent.
     void noteRequest(instant now);
+    /// Goes on with @p settings; what is saved up beyond their capacity is lost.
+    void change(instant now, const retry_budget_settings &settings);
     /// Takes one retry; false when none is left, and then the failure goes to the caller.
     bool tryRetry(instant now);
     /// Retries left.
--- a/src/core/retry_budget.cpp
+++ b/src/core/retry_budget.cpp
@@ -8,7 +8,7 @@
 retry_budget::retry_budget(instant now, const retry_budget_settings &settings)
     : m_settings(settings)
     , m_filledAt(now)
-    , m_tokens(settings.capacity)
+    , m_tokens(std::min(settings.atStart, settings.capacity))
 { }
 
 retry_budget retry_budget::make(instant now, const retry_budget_settings &settings)
@@ -22,6 +22,13 @@
     m_tokens = std::min(m_settings.capacity, m_tokens + m_settings.share);
 }
 
+void retry_budget::change(instant now, const retry_budget_settings &settings)
+{
+    refill(now);
+    m_settings = settings;
+    m_tokens = std::min(m_tokens, settings.capacity);
+}
+
 bool retry_budget::tryRetry(instant now)
 {
     refill(now);
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -282,7 +282,7 @@
     void on(members_changed &event)
     {
         m_others = std::move(event.others);
-        m_state.retries.setFleet(m_others.size() + 1);
+        m_state.retries.setFleet(coreNow(), m_others.size() + 1);
         wantLease();
     }
 
--- a/src/relay/retry_pool.cpp
+++ b/src/relay/retry_pool.cpp
@@ -28,26 +28,33 @@
     , m_entries(kFewestEntries)
 { }
 
-void retry_pool::setFleet(std::size_t entries)
+void retry_pool::setFleet(instant now, std::size_t entries)
 {
-    if (entries > m_entries) {
-        m_entries = entries;
-        m_budgets.clear();
+    if (entries <= m_entries) {
+        return;
+    }
+    m_entries = entries;
+    const retry_budget_settings settings = settingsOfEntry();
+    for (auto &[service, budget] : m_budgets) {
+        budget.change(now, settings);
     }
 }
 
-retry_budget &retry_pool::budgetOf(instant now, const std::string &service)
+retry_budget_settings retry_pool::settingsOfEntry() const
 {
-    const auto found = m_budgets.find(service);
-    if (found != m_budgets.end()) {
-        return found->second;
-    }
     const double slack = kUsedPart * m_limit.slack / static_cast<double>(m_entries);
     retry_budget_settings settings;
     settings.share = kUsedPart * m_limit.share;
     settings.floorPerSecond = kSlackFlowing * slack / std::chrono::duration<double>(m_limit.window).count();
     settings.capacity = std::max(1.0, kSlackSaved * slack);
-    return m_budgets.emplace(service, retry_budget::make(now, settings)).first->second;
+    settings.atStart = 1.0;
+    return settings;
+}
+
+retry_budget &retry_pool::budgetOf(instant now, const std::string &service)
+{
+    const auto found = m_budgets.find(service);
+    return found != m_budgets.end() ? found->second : m_budgets.emplace(service, retry_budget::make(now, settingsOfEntry())).first->second;
 }
 
 void retry_pool::noteRequest(instant now, const std::string &service)
--- a/src/relay/retry_pool.h
+++ b/src/relay/retry_pool.h
@@ -24,7 +24,8 @@
  *
  * Load pattern: a service fails for all entries at once and each wants to repeat. Each entry takes the share of its own
  * requests and an equal part of the slack, counted by the largest fleet it has seen, so that entries which lose sight of
- * each other don't add up to more than the limit. Not thread safe. Instants must not decrease.
+ * each other don't add up to more than the limit. A started entry has saved up nothing, as the repeats of its last life may
+ * still count. Not thread safe. Instants must not decrease.
  */
 class retry_pool
 {
@@ -32,7 +33,7 @@
     static retry_pool make(const retry_limit &limit);
 
     /// The fleet has @p entries entries, this one included.
-    void setFleet(std::size_t entries);
+    void setFleet(instant now, std::size_t entries);
     /// A request for @p service has come from a caller.
     void noteRequest(instant now, const std::string &service);
     /// Takes one repeat at @p service; false when none is left.
@@ -40,6 +41,7 @@
 
 private:
     explicit retry_pool(const retry_limit &limit);
+    retry_budget_settings settingsOfEntry() const;
     retry_budget &budgetOf(instant now, const std::string &service);
 
     retry_limit m_limit;
--- a/tests/retry_pool_test.cpp
+++ b/tests/retry_pool_test.cpp
@@ -15,7 +15,7 @@
     const retry_limit limit{0.2, 104.0, seconds(10)};
     std::vector<retry_pool> pools(kEntries, retry_pool::make(limit));
     for (retry_pool &pool : pools) {
-        pool.setFleet(kEntries);
+        pool.setFleet(instant{}, kEntries);
     }
     std::vector<int> repeats(kSeconds, 0);
     for (int tick = 0; tick < kSeconds * kRequestsPerSecond; ++tick) {
