What entries hear of leaving upstreams is bounded also when its readers lose the store; a state test of it

The new state test (entries that read the store or hear of it; messages lost, late and twice; entries frozen and cut off) found three ways past the 2 s within which an upstream that leaves must get no more requests: - an entry that had read a newer report itself took the news that the run is gone for late, and went on using it until its next seldom read, up to 15 s later. Such news now count against any report of that run. - a reader that had lost the store for itself postpones removals for 2 s after its return, and the others relied on it meanwhile. It is now silent until it is certain. - a reader that lost the store told for 1.6 s what it had read before, and was believed for another 1.8 s. News now tell the age of the read, and an entry reads itself when the newest read that it heard of is older than 1.65 s.

--- a/include/heatherroute/store_news.h
+++ b/include/heatherroute/store_news.h
@@ -71,6 +71,7 @@
 {
     std::uint64_t configVersion = 0;
     bool reads = true; ///< The teller follows the store, so those who hear it needn't.
+    std::uint32_t readAgeMs = 0; ///< Since its last read.
     lease_word lease = lease_word::None;
     std::vector<upstream_news> changes; ///< Of the last seconds.
 
@@ -81,7 +82,7 @@
     {
         std::uint8_t isReader = reads ? 1 : 0;
         auto word = static_cast<std::uint8_t>(lease);
-        archive(configVersion, isReader, word);
+        archive(configVersion, isReader, readAgeMs, word);
         if (word > static_cast<std::uint8_t>(lease_word::GivenUp)) {
             throw cereal::Exception("enumerator out of range");
         }
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -248,7 +248,9 @@
     void on(upstreams_reported &event)
     {
         const instant now = coreNow();
-        m_state.news.noteRead(now);
+        if (m_state.registry.isCertain(now)) {
+            m_state.news.noteRead(now);
+        }
         std::set<std::string> ids;
         for (const registration &report : event.reports) {
             ids.insert(report.id);
@@ -290,7 +292,7 @@
     {
         const instant now = coreNow();
         if (event.news.reads) {
-            m_state.news.noteHeard(now);
+            m_state.news.noteHeard(now, std::chrono::milliseconds(event.news.readAgeMs));
         }
         if (event.news.lease == lease_word::Held) {
             m_leaseSeeker.noteHolder(now);
--- a/src/relay/news_board.cpp
+++ b/src/relay/news_board.cpp
@@ -1,5 +1,7 @@
 #include "relay/news_board.h"
 
+#include <algorithm>
+
 namespace heatherroute
 {
 
@@ -30,9 +32,9 @@
     m_readAt = now;
 }
 
-void news_board::noteHeard(instant now)
+void news_board::noteHeard(instant now, duration readAge)
 {
-    m_heardAt = now;
+    m_heardOf = std::max(m_heardOf.value_or(now - readAge), now - readAge);
 }
 
 void news_board::noteChange(instant now, upstream_news change)
@@ -49,7 +51,7 @@
 
 bool news_board::shouldRead(instant now) const
 {
-    const bool heard = m_heardAt && now - *m_heardAt <= m_settings.heardFor;
+    const bool heard = m_heardOf && now - *m_heardOf <= m_settings.heardFor;
     return m_before < m_settings.readers || !heard;
 }
 
@@ -75,6 +77,7 @@
     for (store_news &message : messages) {
         message.configVersion = configVersion;
         message.reads = reads;
+        message.readAgeMs = reads ? static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_readAt).count()) : 0;
         message.lease = m_lease;
     }
     // Told once; told for longer it would speak against the next holder.
--- a/src/relay/news_board.h
+++ b/src/relay/news_board.h
@@ -22,7 +22,9 @@
     duration interval = std::chrono::milliseconds(500); ///< Between two tellings.
     duration repeatFor = std::chrono::seconds(4); ///< How long a change is told again.
     duration freshFor = std::chrono::milliseconds(1'600); ///< How old the reader's own last read may be.
-    duration heardFor = std::chrono::milliseconds(1'800); ///< Without news for so long, an entry reads the store itself.
+    /// How old the last read that an entry has heard of may be before it reads itself; a reader reads every 0.9 s and tells every
+    /// 0.5 s, and the platform allows 2 s until an upstream that leaves gets no more requests.
+    duration heardFor = std::chrono::milliseconds(1'650);
 
     auto operator<=>(const news_settings &) const = default;
 };
@@ -45,8 +47,8 @@
     void setLease(lease_word word);
     /// The store answered this entry.
     void noteRead(instant now);
-    /// Another entry told news.
-    void noteHeard(instant now);
+    /// Another entry told news; it has read the store @p readAge ago.
+    void noteHeard(instant now, duration readAge);
     /// An upstream has changed, as this entry read or heard.
     void noteChange(instant now, upstream_news change);
     /// As above; the others are told at the next opportunity.
@@ -64,7 +66,7 @@
     std::size_t m_before = 0;
     lease_word m_lease = lease_word::None;
     std::optional<instant> m_readAt;
-    std::optional<instant> m_heardAt;
+    std::optional<instant> m_heardOf; ///< The newest read of another entry.
     std::optional<instant> m_toldAt;
     std::deque<std::pair<instant, upstream_news>> m_changes;
 };
--- a/src/relay/upstream_registry.cpp
+++ b/src/relay/upstream_registry.cpp
@@ -70,8 +70,7 @@
     if (known == m_runs.end()) {
         return;
     }
-    const bool afterOutage = m_lostAt.has_value() || now < m_graceUntil;
-    if (!afterOutage) {
+    if (isCertain(now)) {
         remove(now, id);
     } else if (!known->second.removeAt) {
         known->second.removeAt = m_lostAt ? now + m_settings.lapseGrace : m_graceUntil;
@@ -82,8 +81,11 @@
 void upstream_registry::onGone(instant now, const registration &report)
 {
     const auto known = m_runs.find(report.id);
-    if (known != m_runs.end() && !isLate(report)) {
-        known->second.run.sequence = report.sequence;
+    // The last report that the teller has read may be older than one that this entry has read itself.
+    if (known != m_runs.end() && known->second.run.startedAt <= report.startedAt) {
+        registration &run = known->second.run;
+        run.sequence = run.startedAt < report.startedAt ? report.sequence : std::max(run.sequence, report.sequence);
+        run.startedAt = report.startedAt;
         remove(now, report.id);
     }
 }
--- a/src/relay/upstream_registry.h
+++ b/src/relay/upstream_registry.h
@@ -71,6 +71,11 @@
     std::vector<const registration *> usable(const std::string &service, engine_phase phase) const;
     /// Whether the run of that id may get new work in the phase that it has reported.
     bool isUsable(const std::string &id) const;
+    /// Whether removals take effect at once, so that others may rely on this entry's list; not while the store is away and soon after.
+    bool isCertain(instant now) const noexcept
+    {
+        return !m_lostAt && now >= m_graceUntil;
+    }
     /// Whether the list was read whole at least once.
     bool isComplete() const noexcept
     {
--- a/tests/news_board_test.cpp
+++ b/tests/news_board_test.cpp
@@ -26,7 +26,7 @@
     for (std::size_t rank = 0; rank < 126; ++rank) {
         news_board board = news_board::make({});
         board.setRank(rank);
-        board.noteHeard(instant{});
+        board.noteHeard(instant{}, {});
         readers += board.shouldRead(instant{} + seconds(1)) ? 1 : 0;
     }
     EXPECT_EQ(readers, 3U);
@@ -37,8 +37,10 @@
     news_board board = news_board::make({});
     board.setRank(50);
     EXPECT_TRUE(board.shouldRead(instant{}));
-    board.noteHeard(instant{});
+    board.noteHeard(instant{}, {});
     EXPECT_FALSE(board.shouldRead(instant{} + milliseconds(1500)));
+    board.noteHeard(instant{} + milliseconds(1'500), milliseconds(1'400));
+    EXPECT_TRUE(board.shouldRead(instant{} + milliseconds(1'800))) << "a word counts from the read that it tells of";
     EXPECT_TRUE(board.shouldRead(instant{} + seconds(2)));
 }
 
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -26,7 +26,7 @@
     upstream_news gone;
     gone.run = {"p1", "portal", "10.0.0.8:80", "z", 6, true, std::nullopt, 2'000, 9};
     gone.gone = true;
-    return {12, false, lease_word::Held, {moving, gone}};
+    return {12, true, 350, lease_word::Held, {moving, gone}};
 }
 
 std::vector<std::byte> encoded(const peer_message &message)
--- a/tests/upstream_registry_test.cpp
+++ b/tests/upstream_registry_test.cpp
@@ -152,6 +152,20 @@
     EXPECT_TRUE(watched.registry.isUsable("a"));
 }
 
+// An entry has read a report that those who read for all hadn't when the upstream left without a word.
+TEST(UpstreamRegistry, NewsThatARunIsGoneCountsAgainstItsNewestReport)
+{
+    watched_registry watched;
+    watched.registry.onReport(watched.now, reportOf("a", 1, 9));
+    watched.registry.onGone(watched.now, reportOf("a", 1, 8));
+    EXPECT_FALSE(watched.isUsable("a"));
+    watched.registry.onReport(watched.now, reportOf("a", 1, 9));
+    EXPECT_FALSE(watched.isUsable("a")) << "late";
+    watched.registry.onReport(watched.now, reportOf("a", 2, 1));
+    watched.registry.onGone(watched.now, reportOf("a", 1, 9));
+    EXPECT_TRUE(watched.isUsable("a")) << "another run of that name";
+}
+
 TEST(UpstreamRegistry, OwnWordOfLeavingHoldsUntilANewerReport)
 {
     watched_registry watched;
