What hundreds of entries read and tell at a start, and how long they stand in line for it

Change: the first whole list is no news; a change is told for 2 s instead of 4; seldom reads take the newest reports, every 30 s; the patience with a whole list doubles up to 6 s.

Left: at 300 entries the changes of a release are still told to each entry twelve times.

--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -29,7 +29,9 @@
                                            if ((change == "draining" || change == "leaving") && run.phase == engine_phase::Prefill) {
                                                plannerOf(run.service).noteLeaving(coreNow());
                                            }
-                                           if (change != "lapsed" && change != "displaced" && change != "leaving" && change != "moving" && change != "stays") {
+                                           // What the first whole list holds is no news: every entry begins with it.
+                                           if (registry.isComplete() && change != "lapsed" && change != "displaced" && change != "leaving" && change != "moving"
+                                               && change != "stays") {
                                                news.noteChange(coreNow(), {run, change == "removed"});
                                            }
                                            log(log_level::Info,
--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -80,7 +80,7 @@
         isWhole = !at.next.has_value();
         keyed_page page;
         if (isWhole) {
-            page = co_await m_store.readNewest(at.stream);
+            page = co_await m_store.readNewest(at.stream, patienceOf(at));
         } else {
             page = co_await m_store.readFrom(at.stream, *at.next, wait);
         }
@@ -190,6 +190,14 @@
         return std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(bound.count() / 2, bound.count())(m_random));
     }
 
+    /// Entries that start together stand in line at the store for the whole list; who gives up early stands in line again.
+    std::chrono::milliseconds patienceOf(const position &at) const
+    {
+        constexpr std::uint32_t kMostDoublings = 4;
+        const auto grown = m_settings.shortPatience * (1U << std::min(at.failures, kMostDoublings));
+        return std::min<std::chrono::milliseconds>(grown, m_settings.longPatience);
+    }
+
     static asio::awaitable<void> followConfiguration(std::shared_ptr<impl> self)
     {
         position at;
@@ -236,10 +244,15 @@
     {
         position at;
         at.stream = store_stream::Registrations;
+        instant lastRead = coreNow();
         while (!self->m_stopping) {
             bool isWhole = false;
+            if (coreNow() - lastRead > self->m_settings.historyWorthReading) {
+                at.next.reset();
+            }
             const keyed_page page = co_await self->readNext(at, std::chrono::milliseconds(0), isWhole);
             if (page.outcome == store_outcome::Done) {
+                lastRead = coreNow();
                 relay_event event = self->decode(page, isWhole);
                 co_await self->m_toRelay.push(std::move(event));
                 co_await self->rest(at.stream, self->m_closely ? self->m_settings.registrationInterval : self->seldomPause());
--- a/src/relay/news_board.h
+++ b/src/relay/news_board.h
@@ -20,7 +20,7 @@
 {
     std::size_t readers = 3; ///< Entries that read for all; more than may fail at once.
     duration interval = std::chrono::milliseconds(500); ///< Between two tellings.
-    duration repeatFor = std::chrono::seconds(4); ///< How long a change is told again.
+    duration repeatFor = std::chrono::seconds(2); ///< How long a change is told again; by three readers that makes twelve tellings.
     duration freshFor = std::chrono::milliseconds(1'600); ///< How old the reader's own last read may be.
     /// How old the last read that an entry has heard of may be before it reads itself; a reader reads every 0.9 s and tells every
     /// 0.5 s, and the platform allows 2 s until an upstream that leaves gets no more requests.
--- a/src/relay/platform_store.h
+++ b/src/relay/platform_store.h
@@ -78,7 +78,8 @@
  */
 struct platform_store
 {
-    std::function<boost::asio::awaitable<keyed_page>(store_stream)> readNewest; ///< The newest record of each key.
+    /// The newest record of each key; the store may be silent for as long as the second argument.
+    std::function<boost::asio::awaitable<keyed_page>(store_stream, std::chrono::milliseconds)> readNewest;
     std::function<boost::asio::awaitable<keyed_page>(store_stream, std::uint64_t from, std::chrono::milliseconds wait)> readFrom;
     std::function<boost::asio::awaitable<store_outcome>(store_stream, keyed_record)> append;
     std::function<boost::asio::awaitable<lease_answer>(lease_request)> joinLease;
