--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -45,7 +45,7 @@
 /// After the port was closed: how long requests that were being sent may still arrive.
 constexpr std::chrono::milliseconds kLastRequests{800};
 /// Before the end of the grace: when what still runs is cut.
-constexpr std::chrono::milliseconds kStopMargin{500};
+constexpr std::chrono::milliseconds kStopMargin{700};
 /// After the cut: how long the last answers to callers and the calls that free engines may take.
 constexpr std::chrono::milliseconds kCutTime{200};
 /// How long callers should stay away from an entry that knows no configuration yet.
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -24,8 +24,9 @@
 /// Decodes refused after which a KV cache is computed anew: an engine that can't fetch it refuses like one that leaves its phase.
 constexpr std::uint32_t kMostHandleRefusals = 2;
 constexpr std::uint32_t kMostDecodes = 3; ///< Engines asked to generate before the caller is told.
-/// How long a prefill may take, its queue included, before its engine is given up.
-constexpr std::chrono::milliseconds kPrefillTimeout{3'000};
+/// How long a prefill may take before its engine is given up: prompts are admitted with half a second of work before them, and
+/// callers go away after some 3.5 s without an event.
+constexpr std::chrono::milliseconds kPrefillTimeout{1'500};
 constexpr std::chrono::milliseconds kFullWait{2000}; ///< How long engines that are full are expected to stay so.
 constexpr std::chrono::milliseconds kNoEngineWait{2500};
 /// Time of a plain part of a decode that placement compares with: from sending to the first event.
--- a/tests/process_relay_test.cpp
+++ b/tests/process_relay_test.cpp
@@ -343,6 +343,23 @@
     });
 }
 
+// An engine computed the prompt and its answer was lost; the caller leaves 3.5 s after its request.
+TEST(ProcessRelay, PrefillWithoutAnswerIsGivenUpWhileItsCallerStillWaits)
+{
+    relay_site_settings settings;
+    settings.prefillEngines = 2;
+    onSite(settings, [](relay_site &site) -> asio::awaitable<void> {
+        standins::upstream_faults faults;
+        faults.hang = true;
+        site.upstreams().at(0)->setFaults(faults);
+        for (int i = 0; i < 6; ++i) {
+            const caller_result result = co_await site.call(0, kStreamPath, milliseconds(2'500));
+            EXPECT_EQ(result.status, 200U) << i;
+        }
+        EXPECT_EQ(site.upstreams().at(1)->prefills(), 6U);
+    });
+}
+
 TEST(ProcessRelay, KilledEntryServesAgainAfterItsStart)
 {
     onSite({}, [](relay_site &site) -> asio::awaitable<void> {
