--- a/bench/heatherbench_soak.cpp
+++ b/bench/heatherbench_soak.cpp
@@ -33,6 +33,8 @@
 constexpr milliseconds kLongestPause{1'500}; ///< Of a process.
 constexpr milliseconds kDrainSlack{4'000}; ///< Drain bound, and as much again for a process that was paused.
 constexpr seconds kRecoveryLimit{30};
+constexpr unsigned kOk = 200;
+constexpr unsigned kNotFound = 404;
 
 /// Options of one soak.
 struct soak_options
@@ -63,6 +65,8 @@
 
     asio::awaitable<void> run()
     {
+        // The site has published its first configuration, with lookups.
+        m_audit.notePublished({}, true);
         const bool ready = co_await m_site.waitUntilReady(kRecoveryLimit);
         if (!ready) {
             m_audit.noteNotRecovered(0);
@@ -119,7 +123,12 @@
             const std::size_t entry = random() % m_site.entryCount();
             std::string path = paths[random() % std::size(paths)];
             const std::uint64_t before = m_disturbances[entry];
+            const std::string life = lifeOf(entry);
+            const auto sent = std::chrono::steady_clock::now();
             const caller_result result = co_await m_site.call(entry, std::move(path), kTimeLeft);
+            if (result.path == kLookupPath && (result.status == kOk || result.status == kNotFound) && life == lifeOf(entry)) {
+                m_audit.noteLookup(life, sent, std::chrono::steady_clock::now(), result.status == kOk);
+            }
             m_audit.noteEnd(result, !m_options.checkTimes || m_busy.count(entry) > 0 || m_disturbances[entry] != before);
             co_await pause(kBetweenRequests);
         }
@@ -144,7 +153,7 @@
             co_await harmUpstream(time);
             break;
         case 5:
-            m_site.publish(draw(3) > 0);
+            publish(draw(3) > 0);
             break;
         default:
             co_await harmProcess(entry);
@@ -152,6 +161,17 @@
         --m_open;
     }
 
+    void publish(bool lookups)
+    {
+        m_audit.notePublished(std::chrono::steady_clock::now(), lookups);
+        m_site.publish(lookups);
+    }
+
+    std::string lifeOf(std::size_t entry)
+    {
+        return "entry " + std::to_string(entry) + ", process " + std::to_string(m_site.entry(entry).pid());
+    }
+
     asio::awaitable<void> harmStore(milliseconds time)
     {
         standins::store_faults faults;
@@ -238,7 +258,7 @@
 
     asio::awaitable<void> checkRecovery()
     {
-        m_site.publish(true);
+        publish(true);
         for (std::size_t entry = 0; entry < m_site.entryCount(); ++entry) {
             const auto until = std::chrono::steady_clock::now() + kRecoveryLimit;
             bool serves = false;
--- a/tests/soak_audit_test.cpp
+++ b/tests/soak_audit_test.cpp
@@ -68,3 +68,24 @@
     audit.noteNotRecovered(3);
     EXPECT_EQ(audit.violations().size(), 2U);
 }
+
+TEST(SoakAudit, FindsAConfigurationOlderThanBefore)
+{
+    using clock = std::chrono::steady_clock;
+    const auto at = [](int ms) { return clock::time_point(std::chrono::milliseconds(ms)); };
+    soak_audit audit;
+    audit.notePublished(at(0), true);
+    audit.noteLookup("a", at(10), at(20), true);
+    audit.notePublished(at(100), false);
+    audit.noteLookup("a", at(150), at(160), true); // Not in force yet.
+    audit.noteLookup("a", at(200), at(210), false);
+    audit.noteLookup("b", at(220), at(230), true);
+    EXPECT_TRUE(audit.violations().empty());
+    audit.noteLookup("a", at(205), at(240), true); // Was handled before it was known that the newer one is in force.
+    EXPECT_TRUE(audit.violations().empty());
+    audit.noteLookup("a", at(250), at(260), true);
+    EXPECT_EQ(audit.violations().size(), 1U);
+    audit.notePublished(at(300), true);
+    audit.noteLookup("a", at(310), at(320), true);
+    EXPECT_EQ(audit.violations().size(), 1U);
+}
--- a/tests/support/soak_audit.cpp
+++ b/tests/support/soak_audit.cpp
@@ -1,5 +1,7 @@
 #include "support/soak_audit.h"
 
+#include <algorithm>
+
 namespace heatherroute::support
 {
 
@@ -46,6 +48,28 @@
     }
 }
 
+void soak_audit::notePublished(std::chrono::steady_clock::time_point at, bool lookups)
+{
+    m_published.push_back({at, lookups});
+}
+
+void soak_audit::noteLookup(const std::string &life, std::chrono::steady_clock::time_point sent, std::chrono::steady_clock::time_point ended, bool routed)
+{
+    std::vector<oldest_version> &known = m_oldest[life];
+    std::size_t index = 0;
+    for (const oldest_version &oldest : known) {
+        index = oldest.knownAt < sent ? std::max(index, oldest.index) : index;
+    }
+    while (index < m_published.size() && m_published[index].at <= ended && m_published[index].lookups != routed) {
+        ++index;
+    }
+    if (index == m_published.size() || m_published[index].at > ended) {
+        m_violations.push_back("a configuration older than before: " + life + (routed ? " routed a lookup" : " did not route a lookup"));
+        return;
+    }
+    known.push_back({ended, index});
+}
+
 void soak_audit::noteRunsAfterDrain(const std::string &upstream, int runs)
 {
     if (runs > 0) {
--- a/tests/support/soak_audit.h
+++ b/tests/support/soak_audit.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <map>
 #include <string>
 #include <vector>
@@ -21,6 +22,11 @@
     void noteEnd(const caller_result &result, bool disturbed);
     /// The run is over: @p runsOf gives how often a request ran in all.
     void conclude(const std::function<int(const std::string &id)> &runsOf);
+    /// A configuration is being published; @p lookups tells whether it routes them. Call it before, in the order of versions.
+    void notePublished(std::chrono::steady_clock::time_point at, bool lookups);
+    /// A process handled a lookup as some configuration says, at some moment between @p sent and @p ended. @p life names the process.
+    /// Call it in the order of the ends.
+    void noteLookup(const std::string &life, std::chrono::steady_clock::time_point sent, std::chrono::steady_clock::time_point ended, bool routed);
     /// An upstream that was told to leave has begun @p runs requests after its time.
     void noteRunsAfterDrain(const std::string &upstream, int runs);
     /// An entry did not serve again after everything was healed.
@@ -42,11 +48,25 @@
     }
 
 private:
+    struct published_configuration
+    {
+        std::chrono::steady_clock::time_point at;
+        bool lookups = false;
+    };
+    /// The oldest version that a process may still use, as was known at some time.
+    struct oldest_version
+    {
+        std::chrono::steady_clock::time_point knownAt;
+        std::size_t index = 0;
+    };
+
     void violate(const std::string &promise, const caller_result &result, const std::string &what);
 
     std::vector<caller_result> m_results;
     std::map<unsigned, std::size_t> m_byStatus;
     std::vector<std::string> m_violations;
+    std::vector<published_configuration> m_published;
+    std::map<std::string, std::vector<oldest_version>> m_oldest; ///< By process.
 };
 
 } // namespace heatherroute::support
