Who is named to callers is decided apart from I/O; engine calls are aimed once

namedEntries() was part of the relay's duty; it now also prefers the caller's region when its zone has fewer than two entries. relay_call::perform() set the endpoint that aimedAt() had set before. Unused parts go.

--- a/src/node/plain_relay.cpp
+++ b/src/node/plain_relay.cpp
@@ -99,13 +99,13 @@
         upstream_directions directions;
         directions.instance = run.id;
         directions.timeLeft = m_call.timeLeft();
-        http_call call = m_call.forward(directions);
+        http_call call = m_call.forward(run, directions);
         if (limit) {
             call.progressTimeout = std::chrono::duration_cast<std::chrono::milliseconds>(*limit);
         }
         const instant sentAt = coreNow();
         m_state.inFlight[run.id] += 1;
-        http_result result = co_await m_call.perform(run, std::move(call));
+        http_result result = co_await m_call.perform(std::move(call));
         if (--m_state.inFlight[run.id] == 0) {
             m_state.inFlight.erase(run.id);
         }
--- a/src/node/relay_call.cpp
+++ b/src/node/relay_call.cpp
@@ -97,23 +97,18 @@
     return coreNow() - m_startedAt;
 }
 
-asio::awaitable<http_result> relay_call::perform(const registration &run, http_call call)
+asio::awaitable<http_result> relay_call::perform(http_call call)
 {
     const auto collect = [](const http_answer &) -> asio::awaitable<bool> { co_return false; };
     const auto ignore = [](std::string_view) -> asio::awaitable<void> { co_return; };
-    co_return co_await perform(run, std::move(call), collect, ignore);
+    co_return co_await perform(std::move(call), collect, ignore);
 }
 
-asio::awaitable<http_result> relay_call::perform(const registration &run, http_call call, http_exchange::head_hook onHead, http_exchange::body_hook onBody)
+asio::awaitable<http_result> relay_call::perform(http_call call, http_exchange::head_hook onHead, http_exchange::body_hook onBody)
 {
     if (isOver()) {
         co_return http_result{std::nullopt, {verdict::NotRun, "the request is over"}, false};
     }
-    const auto endpoint = net::parseEndpoint(run.address);
-    if (!endpoint) {
-        co_return http_result{std::nullopt, {verdict::NotRun, "not an address: " + run.address}, false};
-    }
-    call.endpoint = *endpoint;
     const auto exchange = http_exchange::make(m_state.executor, std::move(call));
     m_shared->exchange = exchange;
     http_result result = co_await exchange->run(std::move(onHead), std::move(onBody));
@@ -121,16 +116,14 @@
     co_return result;
 }
 
-http_call relay_call::forward(const upstream_directions &directions) const
+http_call relay_call::forward(const registration &run, const upstream_directions &directions) const
 {
-    http_call call;
+    http_call call = aimedAt(m_state, run, {}, std::max(toMilliseconds(timeLeft()), m_state.timing.leastTime));
     call.method = m_request.method;
     call.target = m_request.target;
     call.body = m_request.body;
     call.contentType.clear();
     call.fields = m_state.dialect.upstreamFields(m_request, directions);
-    call.connectTimeout = m_state.timing.connectTimeout;
-    call.progressTimeout = std::max(toMilliseconds(timeLeft()), m_state.timing.leastTime);
     return call;
 }
 
--- a/src/node/relay_call.h
+++ b/src/node/relay_call.h
@@ -79,12 +79,11 @@
     duration timeLeft() const;
     duration age() const;
 
-    /// Performs @p call to @p run; ended early when the caller leaves or the time is over.
-    boost::asio::awaitable<net::http_result> perform(const registration &run, net::http_call call);
-    boost::asio::awaitable<net::http_result>
-    perform(const registration &run, net::http_call call, net::http_exchange::head_hook onHead, net::http_exchange::body_hook onBody);
-    /// The caller's request as @p directions say, ready for perform().
-    net::http_call forward(const upstream_directions &directions) const;
+    /// Performs @p call; ended early when the caller leaves or the time is over.
+    boost::asio::awaitable<net::http_result> perform(net::http_call call);
+    boost::asio::awaitable<net::http_result> perform(net::http_call call, net::http_exchange::head_hook onHead, net::http_exchange::body_hook onBody);
+    /// The caller's request to @p run as @p directions say, ready for perform().
+    net::http_call forward(const registration &run, const upstream_directions &directions) const;
     /// Waits; ended early like perform().
     boost::asio::awaitable<void> wait(std::chrono::milliseconds time);
 
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -18,6 +18,7 @@
 #include "node/relay_call.h"
 #include "node/stream_relay.h"
 #include "relay/lease_seeker.h"
+#include "relay/named_entries.h"
 
 namespace heatherroute::node
 {
@@ -34,9 +35,6 @@
 constexpr std::chrono::milliseconds kTickInterval{100};
 /// How long callers may keep the directory's answer.
 constexpr std::chrono::seconds kDirectoryLifetime{3};
-/// Entries of the caller's zone below which others are named too, so that one loss leaves a choice.
-constexpr std::size_t kEnoughNearEntries = 2;
-constexpr std::size_t kMostEntriesNamed = 64;
 /// After the signal to stop: when idle connections of callers are ended.
 constexpr std::chrono::milliseconds kDrainAfter{600};
 /// After the signal to stop: until when new connections are taken. Callers whose answer of the directory still names this entry
@@ -195,28 +193,13 @@
         self.id.name = m_settings.entryName;
         self.callerAddress = m_settings.callerAddress;
         self.zone = m_settings.zone;
-        std::vector<const member *> known;
+        self.region = m_settings.region;
+        self.state = isReady() ? member_state::Alive : member_state::Leaving;
+        std::vector<const member *> known{&self};
         for (const member &other : m_others) {
             known.push_back(&other);
         }
-        if (isReady()) {
-            known.push_back(&self);
-        }
-        std::vector<std::string> near;
-        std::vector<std::string> all;
-        for (const member *one : known) {
-            if (one->state != member_state::Alive) {
-                continue;
-            }
-            all.push_back(one->callerAddress);
-            if (one->zone == zone) {
-                near.push_back(one->callerAddress);
-            }
-        }
-        std::vector<std::string> named = near.size() >= kEnoughNearEntries ? near : all;
-        std::shuffle(named.begin(), named.end(), m_state.random);
-        named.resize(std::min(named.size(), kMostEntriesNamed));
-        return named;
+        return namedEntries(zone, known, m_state.random);
     }
 
     // Other duties.
--- a/src/node/relay_duty.h
+++ b/src/node/relay_duty.h
@@ -29,6 +29,7 @@
     std::string callerAddress; ///< What callers are told to connect to.
     std::string entryName;
     std::string zone;
+    std::string region;
     retry_limit retries;
     std::chrono::milliseconds stopGrace{8'000}; ///< From the signal to stop until the platform ends the process.
     std::chrono::milliseconds takeOverWait{3'300}; ///< Before the first order under a lease, as its last holder's may still arrive.
--- a/src/node/relay_node.cpp
+++ b/src/node/relay_node.cpp
@@ -103,6 +103,7 @@
         relay.callerAddress = settings.advertise().callers.value_or(settings.listen().callers);
         relay.entryName = settings.name();
         relay.zone = settings.zone();
+        relay.region = settings.region();
         relay.retries = retriesOf(settings.relay());
         relay.stopGrace = millisecondsOf(settings.relay().stopGraceS * kMillisecondsPerSecond);
         relay.takeOverWait = millisecondsOf(settings.relay().leaseMs + settings.relay().thawMs);
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -191,7 +191,7 @@
     {
         http_call call = m_state.dialect.makeReservation(run.id, tokens, reservationLifetime());
         call = aimedAt(m_state, run, std::move(call), m_state.timing.engineCallTimeout);
-        const http_result result = co_await m_call.perform(run, std::move(call));
+        const http_result result = co_await m_call.perform(std::move(call));
         if (!result.answer) {
             if (!m_call.isOver()) {
                 m_state.noteFailedTry(run.id, result.failure.outcome);
@@ -277,11 +277,11 @@
         directions.instance = run.id;
         directions.timeLeft = m_call.timeLeft();
         directions.prefillOnly = true;
-        http_call call = m_call.forward(directions);
+        http_call call = m_call.forward(run, directions);
         call.progressTimeout = std::min(call.progressTimeout, kPrefillTimeout);
         const instant sentAt = coreNow();
         m_state.desk.addPrefill(run.id, m_prompt.promptTokens);
-        http_result result = co_await m_call.perform(run, std::move(call));
+        http_result result = co_await m_call.perform(std::move(call));
         m_state.desk.removePrefill(run.id, m_prompt.promptTokens);
         const duration took = coreNow() - sentAt;
         if (!result.answer) {
@@ -326,13 +326,13 @@
             directions.source = kv_handle{m_computed->run.address, m_computed->handle};
         }
         directions.reservation = m_reserved->id;
-        http_call call = m_call.forward(directions);
+        http_call call = m_call.forward(run, directions);
         m_upstream = run.id;
         m_sentAt = coreNow();
         m_reservationSent = true;
         auto onHead = [this](const http_answer &head) { return begin(head); };
         auto onBody = [this](std::string_view piece) { return passOn(piece); };
-        http_result result = co_await m_call.perform(run, std::move(call), onHead, onBody);
+        http_result result = co_await m_call.perform(std::move(call), onHead, onBody);
         co_return co_await settle(run, std::move(result));
     }
 
