--- a/src/relay/retry_pool.cpp
+++ b/src/relay/retry_pool.cpp
@@ -11,10 +11,13 @@
 /// Entries assumed before others are known; a fleet of one is rare and a restarted entry knows nobody at first.
 constexpr std::size_t kFewestEntries = 8;
 /// Part of the limit that is used, since the windows of the one who counts aren't those of the bucket.
-constexpr double kUsedPart = 0.8;
+constexpr double kUsedPart = 0.75;
 /// Parts of the slack: what a bucket holds at most, and what flows into it within a window.
-constexpr double kSlackSaved = 0.4;
-constexpr double kSlackFlowing = 0.6;
+constexpr double kSlackSaved = 0.45;
+constexpr double kSlackFlowing = 0.4;
+/// Part of its slack that a started entry has, so that two starts within a window stay within it.
+constexpr double kPartAtStart = 0.5;
+constexpr double kMostAtStart = 3.0; ///< Whatever the fleet's size, which a started entry doesn't know.
 
 } // namespace
 
@@ -47,7 +50,7 @@
     settings.share = kUsedPart * m_limit.share;
     settings.floorPerSecond = kSlackFlowing * slack / std::chrono::duration<double>(m_limit.window).count();
     settings.capacity = std::max(1.0, kSlackSaved * slack);
-    settings.atStart = 1.0;
+    settings.atStart = std::min(kPartAtStart * m_limit.slack / static_cast<double>(m_entries), kMostAtStart);
     return settings;
 }
 
--- a/src/relay/retry_pool.h
+++ b/src/relay/retry_pool.h
@@ -24,8 +24,8 @@
  *
  * Load pattern: a service fails for all entries at once and each wants to repeat. Each entry takes the share of its own
  * requests and an equal part of the slack, counted by the largest fleet it has seen, so that entries which lose sight of
- * each other don't add up to more than the limit. A started entry has saved up nothing, as the repeats of its last life may
- * still count. Not thread safe. Instants must not decrease.
+ * each other don't add up to more than the limit. A started entry has less, as the repeats of its last life may still
+ * count. Not thread safe. Instants must not decrease.
  */
 class retry_pool
 {
