--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -268,7 +268,7 @@
     {
         m_others = std::move(event.others);
         m_state.retries.setFleet(coreNow(), m_others.size() + 1);
-        wantLease();
+        takePlace();
     }
 
     void on(news_heard &event)
@@ -317,7 +317,8 @@
         m_held = holds;
     }
 
-    void wantLease()
+    /// This entry's place by name among those that are alive decides whether it reads the store for others and tries for the lease.
+    void takePlace()
     {
         std::size_t before = 0;
         for (const member &other : m_others) {
@@ -370,7 +371,7 @@
         }
         askRefusers(now);
         m_orders.advance(now);
-        wantLease();
+        takePlace();
         shareNews(now);
         m_tick.expires_after(kTickInterval);
         m_tick.async_wait([this](const boost::system::error_code &error) {
--- a/tests/named_entries_test.cpp
+++ b/tests/named_entries_test.cpp
@@ -23,6 +23,7 @@
 std::set<std::string> namedOf(const std::vector<member> &members, const std::string &zone)
 {
     std::vector<const member *> known;
+    known.reserve(members.size());
     for (const member &one : members) {
         known.push_back(&one);
     }
@@ -54,8 +55,10 @@
 
 TEST(NamedEntries, LargeFleetsAreCutToWhatACallerTakes)
 {
+    constexpr std::size_t kEntries = 340;
     std::vector<member> members;
-    for (int i = 0; i < 340; ++i) {
+    members.reserve(kEntries);
+    for (std::size_t i = 0; i < kEntries; ++i) {
         members.push_back(entryIn("e" + std::to_string(i), "z1", "r1"));
     }
     EXPECT_EQ(namedOf(members, "z1").size(), kMostEntriesNamed);
