--- a/src/control/commands.cpp
+++ b/src/control/commands.cpp
@@ -10,6 +10,7 @@
 
 #include "control/blocking_call.h"
 #include "control/publisher.h"
+#include "net/http_status.h"
 #include "node/core_time.h"
 #include "telemetry/text_table.h"
 
@@ -23,7 +24,6 @@
 
 constexpr std::chrono::milliseconds kPollInterval{20};
 constexpr std::chrono::milliseconds kEntryTimeout{2'000};
-constexpr unsigned kFirstErrorStatus = 300;
 
 /// The answer of an entry, of whatever status; empty when there is none.
 std::optional<net::http_answer> askEntry(const std::string &address, const std::string &method, const std::string &target)
@@ -43,7 +43,7 @@
 std::optional<json::object> stateOf(const std::string &address)
 {
     const auto answer = askEntry(address, "GET", "/debug/state");
-    if (!answer || answer->status >= kFirstErrorStatus) {
+    if (!answer || answer->status >= net::status::kFirstRedirect) {
         return std::nullopt;
     }
     json::error_code error;
@@ -106,7 +106,7 @@
     for (const std::string &entry : entries) {
         const auto answer = askEntry(entry, method, target);
         out << entry << ": " << (answer ? answer->body : std::string("no answer")) << '\n';
-        if (!answer || answer->status >= kFirstErrorStatus) {
+        if (!answer || answer->status >= net::status::kFirstRedirect) {
             code = kExitUnreachable;
         }
     }
@@ -182,7 +182,7 @@
     for (const std::string &entry : entries) {
         const auto answer = askEntry(entry, "GET", "/debug/state?format=text");
         out << "address  " << entry << '\n' << (answer ? answer->body : std::string("no answer\n")) << '\n';
-        code = answer && answer->status < kFirstErrorStatus ? code : kExitUnreachable;
+        code = answer && answer->status < net::status::kFirstRedirect ? code : kExitUnreachable;
     }
     return code;
 }
--- a/src/control/config_reader.cpp
+++ b/src/control/config_reader.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "control/blocking_call.h"
+#include "net/http_status.h"
 #include "node/core_time.h"
 #include "node/log_answer.h"
 
@@ -13,7 +14,6 @@
 {
 
 constexpr std::chrono::milliseconds kReadWait{200};
-constexpr unsigned kFirstErrorStatus = 300;
 
 } // namespace
 
@@ -54,7 +54,7 @@
         setReason(reason, result.failure.reason);
         return false;
     }
-    if (result.answer->status >= kFirstErrorStatus) {
+    if (result.answer->status >= net::status::kFirstRedirect) {
         setReason(reason, "the log answered with status " + std::to_string(result.answer->status));
         return false;
     }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -16,6 +16,8 @@
 #include <array>
 #include <charconv>
 
+#include "net/http_status.h"
+
 namespace heatherroute::net
 {
 
@@ -28,7 +30,6 @@
 {
 
 constexpr std::size_t kBodyChunkBytes = std::size_t{16} * 1024;
-constexpr unsigned kFirstErrorStatus = 300;
 /// Of TCP keep-alive: a connection that lost its path is noticed after these times, though the other end may think for longer.
 constexpr int kProbeIdleS = 1;
 constexpr int kProbeIntervalS = 1;
@@ -47,7 +48,7 @@
     asio::awaitable<http_result> run(body_hook onBody) override
     {
         head_hook onHead = [streams = static_cast<bool>(onBody)](const http_answer &head) -> asio::awaitable<bool> {
-            co_return streams &&head.status < kFirstErrorStatus;
+            co_return streams &&head.status < status::kFirstRedirect;
         };
         co_return co_await run(std::move(onHead), std::move(onBody));
     }
--- a/src/net/http_status.h
+++ b/src/net/http_status.h
@@ -1,12 +1,14 @@
 #pragma once
 
-/// Status codes that the relay and its decisions name.
+/// Status codes that the router names.
 namespace heatherroute::net::status
 {
 
 inline constexpr unsigned kOk = 200;
 inline constexpr unsigned kFirstRedirect = 300;
 inline constexpr unsigned kNotFound = 404;
+inline constexpr unsigned kConflict = 409;
+inline constexpr unsigned kGone = 410;
 inline constexpr unsigned kMisdirected = 421;
 inline constexpr unsigned kFirstServerError = 500;
 inline constexpr unsigned kBadGateway = 502;
--- a/src/node/phase_orders.cpp
+++ b/src/node/phase_orders.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "net/http_status.h"
 #include "node/boot_clock.h"
 #include "node/relay_call.h"
 
@@ -16,7 +17,6 @@
 namespace
 {
 
-constexpr unsigned kFirstFailure = 300;
 /// From telling that an engine is sent to another phase to the order: prompts that are read for it by then still find it.
 constexpr std::chrono::milliseconds kAnnounceTime{700};
 
@@ -91,7 +91,7 @@
         net::http_call call = aimedAt(m_state, run, m_state.dialect.makePhaseOrder(wanted), m_state.timing.engineCallTimeout);
         const net::http_result result = co_await net::performCall(std::move(call));
         // Without an answer the order may have been accepted.
-        given = !result.answer || result.answer->status < kFirstFailure;
+        given = !result.answer || result.answer->status < net::status::kFirstRedirect;
         outcome = result.answer ? "status_" + std::to_string(result.answer->status) : result.failure.reason;
     } else if (report) {
         outcome = report->busy ? "busy" : "not_needed";
@@ -99,7 +99,8 @@
     m_pending.erase(run.id);
     if (!given) {
         const registration *known = m_state.registry.find(run.id);
-        m_state.announceMove(known != nullptr ? *known : run, known != nullptr && known->phase ? *known->phase : *run.phase);
+        const registration &current = known != nullptr && known->phase ? *known : run;
+        m_state.announceMove(current, *current.phase);
     }
     m_state.log(log_level::Info, "phase_ordered", {upstreamField(run.id), {"to", nameOf(to)}, {"fencing_token", std::to_string(token)}, {"outcome", outcome}});
 }
--- a/src/node/upstream_duty.cpp
+++ b/src/node/upstream_duty.cpp
@@ -8,6 +8,7 @@
 
 #include "net/event_stream.h"
 #include "net/http_client.h"
+#include "net/http_status.h"
 #include "node/engine_messages.h"
 
 namespace heatherroute::node
@@ -22,7 +23,6 @@
 constexpr std::chrono::milliseconds kEngineSilence{60'000};
 constexpr std::chrono::milliseconds kCancelTimeout{2'000};
 constexpr std::chrono::milliseconds kPollTimeout{1'000};
-constexpr unsigned kFirstErrorStatus = 300;
 
 /// Reads a decode stream's pieces into events for the core.
 class decode_reader
@@ -197,7 +197,7 @@
     {
         const net::http_result result = co_await exchange->run({});
         m_open.erase(attempt);
-        const bool ok = result.answer && result.answer->status < kFirstErrorStatus;
+        const bool ok = result.answer && result.answer->status < net::status::kFirstRedirect;
         const auto finished = ok ? parsePrefill(attempt, result.answer->body) : std::nullopt;
         if (finished) {
             co_await m_toCore.push(*finished);
@@ -215,7 +215,7 @@
             co_return;
         }
         attempt_failed failure = failureOf(attempt, result);
-        if (result.answer && result.answer->status < kFirstErrorStatus) {
+        if (result.answer && result.answer->status < net::status::kFirstRedirect) {
             failure = {attempt, attempt_failure::ConnectionLost, verdict::MayHaveRun, "the stream ended early"};
         }
         // An engine that says why it ended a request has nothing left to resume.
@@ -240,7 +240,7 @@
     asio::awaitable<void> runCancel(attempt_id attempt, net::http_call call)
     {
         const net::http_result result = co_await net::performCall(std::move(call));
-        const bool done = result.answer && result.answer->status < kFirstErrorStatus;
+        const bool done = result.answer && result.answer->status < net::status::kFirstRedirect;
         co_await m_toCore.push(cancel_finished{attempt, done});
     }
 
@@ -253,7 +253,7 @@
             call.method = "GET";
             call.progressTimeout = kPollTimeout;
             const net::http_result result = co_await net::performCall(std::move(call));
-            const bool ok = result.answer && result.answer->status < kFirstErrorStatus;
+            const bool ok = result.answer && result.answer->status < net::status::kFirstRedirect;
             report.load = ok ? parseLoad(result.answer->body) : std::nullopt;
         }
         co_await m_toCore.push(std::move(report));
--- a/tests/support/relay_site.cpp
+++ b/tests/support/relay_site.cpp
@@ -8,6 +8,8 @@
 #include <fstream>
 #include <random>
 
+#include "net/http_status.h"
+
 namespace heatherroute::support
 {
 
@@ -23,7 +25,6 @@
 {
 
 constexpr const char *kHost = "site.example";
-constexpr unsigned kFirstRedirect = 300;
 
 /// A port that was free a moment ago, below those that the kernel gives to outgoing connections, which would take it meanwhile.
 std::uint16_t freePort(asio::io_context &context, std::mt19937 &random)
@@ -251,7 +252,7 @@
     const http_answer &answer = *result.answer;
     outcome.status = answer.status;
     outcome.whole = true;
-    const bool success = answer.status < kFirstRedirect;
+    const bool success = answer.status < net::status::kFirstRedirect;
     if (answer.header("X-Attempt-Id") != outcome.id) {
         outcome.fault = "the answer names another request";
     } else if (success && answer.header("X-Server-Seal").empty()) {
