--- a/src/core/entry_directory.cpp
+++ b/src/core/entry_directory.cpp
@@ -46,12 +46,6 @@
     return -std::log(uniform) / weightOf(entry);
 }
 
-std::string regionOf(const std::string &zone, const std::vector<const member *> &members)
-{
-    const auto found = std::find_if(members.begin(), members.end(), [&zone](const member *one) { return one->zone == zone; });
-    return found == members.end() ? std::string() : (*found)->region;
-}
-
 distance distanceTo(const member &entry, const std::string &zone, const std::string &region)
 {
     if (zone.empty() || entry.zone == zone) {
@@ -62,6 +56,12 @@
 
 } // namespace
 
+std::string regionOf(const std::string &zone, const std::vector<const member *> &members)
+{
+    const auto found = std::find_if(members.begin(), members.end(), [&zone](const member *one) { return one->zone == zone; });
+    return found == members.end() ? std::string() : (*found)->region;
+}
+
 std::vector<const member *> entriesFor(const entry_question &question, const std::string &half, const std::vector<const member *> &members)
 {
     const std::string region = regionOf(question.zone, members);
--- a/src/core/entry_directory.h
+++ b/src/core/entry_directory.h
@@ -18,6 +18,9 @@
 /// At most so many entries are named of each of: the caller's zone, its region, and elsewhere.
 inline constexpr std::size_t kMaxEntriesPerDistance = 8;
 
+/// The region of @p zone as one of @p members there tells; empty when none is. Thread safe.
+std::string regionOf(const std::string &zone, const std::vector<const member *> &members);
+
 /**
  * The entries that a caller should use, best first.
  *
--- a/src/relay/named_entries.cpp
+++ b/src/relay/named_entries.cpp
@@ -2,19 +2,10 @@
 
 #include <algorithm>
 
-namespace heatherroute
-{
-
-namespace
-{
+#include "core/entry_directory.h"
 
-std::string regionOf(const std::string &zone, const std::vector<const member *> &members)
+namespace heatherroute
 {
-    const auto found = std::find_if(members.begin(), members.end(), [&zone](const member *one) { return one->zone == zone; });
-    return found == members.end() ? std::string() : (*found)->region;
-}
-
-} // namespace
 
 std::vector<std::string> namedEntries(const std::string &zone, const std::vector<const member *> &members, std::mt19937_64 &random)
 {
