Changes of an upstream are an enumeration; an entry's place is found when the members change

What the store shows was told from what an entry learned otherwise by a growing list of words that are no news, in relay_state and again in a test; isSeenInStore() says it once. onReport() and onDisplaced() took an instant that nothing used, and size() had no caller. The place among the members was counted every 100 ms; it changes only with the members and at a stop. The words in the logs and the assertions of the tests are as before.

--- a/src/node/plain_relay.cpp
+++ b/src/node/plain_relay.cpp
@@ -124,7 +124,7 @@
         }
         const answer_facts facts = m_state.dialect.readAnswer(*result.answer, run.id);
         if (facts.wrongInstance) {
-            m_state.registry.onDisplaced(now, run.id);
+            m_state.registry.onDisplaced(run.id);
         }
         if (facts.notRun) {
             // An upstream that sheds while its health check is good should get less; the judge bounds how many may.
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -115,6 +115,7 @@
     {
         m_stoppingSince = coreNow();
         m_onStopped = std::move(onStopped);
+        takePlace();
         m_state.log(log_level::Info, "stopping", {{"in_flight", std::to_string(m_running.size())}});
         tell(m_toMembers, member_event(members_leave{}));
         tell(m_toStore, store_event(store_stop{}));
@@ -237,7 +238,7 @@
         std::set<std::string> ids;
         for (const registration &report : event.reports) {
             ids.insert(report.id);
-            m_state.registry.onReport(now, report);
+            m_state.registry.onReport(report);
         }
         for (const std::string &id : event.removed) {
             m_state.registry.onRemoved(now, id);
@@ -269,6 +270,7 @@
         m_others = std::move(event.others);
         m_state.retries.setFleet(coreNow(), m_others.size() + 1);
         takePlace();
+        wantLease();
     }
 
     void on(news_heard &event)
@@ -286,7 +288,7 @@
             if (change.gone) {
                 m_state.registry.onGone(now, change.run);
             } else {
-                m_state.registry.onReport(now, change.run);
+                m_state.registry.onReport(change.run);
             }
             if (change.movingTo) {
                 m_state.noteMove(change.run, *change.movingTo);
@@ -326,6 +328,10 @@
         }
         m_state.news.setRank(m_stoppingSince ? m_others.size() : before);
         m_leaseSeeker.setRank(before);
+    }
+
+    void wantLease()
+    {
         const bool wanted = m_leaseSeeker.shouldTry(coreNow()) && !m_stoppingSince;
         if (wanted != m_leaseWanted) {
             m_leaseWanted = wanted;
@@ -371,7 +377,7 @@
         }
         askRefusers(now);
         m_orders.advance(now);
-        takePlace();
+        wantLease();
         shareNews(now);
         m_tick.expires_after(kTickInterval);
         m_tick.async_wait([this](const boost::system::error_code &error) {
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -19,34 +19,35 @@
     , random(seed)
     , news(news_board::make({}))
     , judge(upstream_judge::make({}))
-    , registry(upstream_registry::make({},
-                                       [this](const registration &run, const std::string &change) {
-                                           if (change == "removed") {
-                                               judge.remove(run.id);
-                                           } else if (change == "added" || change == "restarted" || change == "phase") {
-                                               judge.add(run);
-                                           }
-                                           if ((change == "draining" || change == "leaving") && run.phase == engine_phase::Prefill) {
-                                               plannerOf(run.service).noteLeaving(coreNow());
-                                           }
-                                           // What the first whole list holds is no news: every entry begins with it.
-                                           if (registry.isComplete() && change != "lapsed" && change != "displaced" && change != "leaving" && change != "moving"
-                                               && change != "stays") {
-                                               news.noteChange(coreNow(), {run, change == "removed"});
-                                           }
-                                           log(log_level::Info,
-                                               "upstream_changed",
-                                               {upstreamField(run.id),
-                                                {"change", change},
-                                                {"service", run.service},
-                                                {"address", run.address},
-                                                {"started_at", std::to_string(run.startedAt)},
-                                                {"sequence", std::to_string(run.sequence)}});
-                                       }))
+    , registry(upstream_registry::make({}, [this](const registration &run, upstream_change change) { onUpstreamChange(run, change); }))
     , retries(retry_pool::make(limit))
     , desk(engine_desk::make({}))
 { }
 
+void relay_state::onUpstreamChange(const registration &run, upstream_change change)
+{
+    if (change == upstream_change::Removed) {
+        judge.remove(run.id);
+    } else if (change == upstream_change::Added || change == upstream_change::Restarted || change == upstream_change::Phase) {
+        judge.add(run);
+    }
+    if ((change == upstream_change::Draining || change == upstream_change::Leaving) && run.phase == engine_phase::Prefill) {
+        plannerOf(run.service).noteLeaving(coreNow());
+    }
+    // What the first whole list holds is no news: every entry begins with it.
+    if (registry.isComplete() && isSeenInStore(change)) {
+        news.noteChange(coreNow(), {run, change == upstream_change::Removed, std::nullopt});
+    }
+    log(log_level::Info,
+        "upstream_changed",
+        {upstreamField(run.id),
+         {"change", toString(change)},
+         {"service", run.service},
+         {"address", run.address},
+         {"started_at", std::to_string(run.startedAt)},
+         {"sequence", std::to_string(run.sequence)}});
+}
+
 void relay_state::announceMove(const registration &run, engine_phase to)
 {
     noteMove(run, to);
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -54,6 +54,8 @@
     phase_planner &plannerOf(const std::string &service);
     /// This entry sends the engine @p run to phase @p to, or to none when that is its present one; the other entries are told.
     void announceMove(const registration &run, engine_phase to);
+    /// Tells the modules that decide, the other entries and the log.
+    void onUpstreamChange(const registration &run, upstream_change change);
     /// Takes in that an engine is sent to another phase, or stays.
     void noteMove(const registration &run, engine_phase to);
     void log(log_level level, std::string event, std::vector<log_field> fields) const;
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -202,7 +202,7 @@
         }
         const answer_facts facts = m_state.dialect.readAnswer(*result.answer, run.id);
         if (facts.wrongInstance) {
-            m_state.registry.onDisplaced(coreNow(), run.id);
+            m_state.registry.onDisplaced(run.id);
             co_return std::nullopt;
         }
         auto id = result.answer->status == net::status::kOk ? m_state.dialect.readReservation(*result.answer) : std::nullopt;
@@ -294,7 +294,7 @@
         }
         const answer_facts facts = m_state.dialect.readAnswer(*result.answer, run.id);
         if (facts.wrongInstance) {
-            m_state.registry.onDisplaced(coreNow(), run.id);
+            m_state.registry.onDisplaced(run.id);
         }
         const auto handle = result.answer->status == net::status::kOk ? m_state.dialect.readPrefill(*result.answer) : std::nullopt;
         if (!handle) {
@@ -412,7 +412,7 @@
         m_call.noteFailedTry(run, "decode", "status_" + std::to_string(answer.status), facts.notRun ? verdict::NotRun : verdict::Ran);
         if (facts.notRun) {
             if (facts.wrongInstance) {
-                m_state.registry.onDisplaced(coreNow(), run.id);
+                m_state.registry.onDisplaced(run.id);
             }
             // It has kept memory for this request, so it is rather on its way to another phase than full.
             m_state.desk.noteWrongPhase(coreNow(), run.id);
--- a/src/relay/upstream_registry.cpp
+++ b/src/relay/upstream_registry.cpp
@@ -6,6 +6,44 @@
 namespace heatherroute
 {
 
+const char *toString(upstream_change change) noexcept
+{
+    switch (change) {
+    case upstream_change::Added:
+        return "added";
+    case upstream_change::AddedDraining:
+        return "added_draining";
+    case upstream_change::Restarted:
+        return "restarted";
+    case upstream_change::Draining:
+        return "draining";
+    case upstream_change::Ready:
+        return "ready";
+    case upstream_change::Phase:
+        return "phase";
+    case upstream_change::Moved:
+        return "moved";
+    case upstream_change::Removed:
+        return "removed";
+    case upstream_change::Lapsed:
+        return "lapsed";
+    case upstream_change::Displaced:
+        return "displaced";
+    case upstream_change::Leaving:
+        return "leaving";
+    case upstream_change::Moving:
+        return "moving";
+    case upstream_change::Stays:
+        return "stays";
+    }
+    return "unknown";
+}
+
+bool isSeenInStore(upstream_change change) noexcept
+{
+    return change <= upstream_change::Removed;
+}
+
 upstream_registry upstream_registry::make(const registry_settings &settings, change_hook onChange)
 {
     return upstream_registry(settings, std::move(onChange));
@@ -31,7 +69,7 @@
     return report.startedAt < run.startedAt || (report.startedAt == run.startedAt && report.sequence <= run.sequence);
 }
 
-void upstream_registry::onReport(instant now, const registration &report)
+void upstream_registry::onReport(const registration &report)
 {
     if (isLate(report)) {
         return;
@@ -40,7 +78,7 @@
     const auto known = m_runs.find(report.id);
     if (known == m_runs.end()) {
         m_runs.emplace(report.id, known_run{report, std::nullopt, false, false, std::nullopt});
-        m_onChange(report, report.draining ? "added_draining" : "added");
+        m_onChange(report, report.draining ? upstream_change::AddedDraining : upstream_change::Added);
         return;
     }
     known_run &entry = known->second;
@@ -53,15 +91,14 @@
     }
     if (report.startedAt != before.startedAt) {
         entry.displaced = false;
-        m_onChange(report, "restarted");
+        m_onChange(report, upstream_change::Restarted);
     } else if (report.draining != before.draining) {
-        m_onChange(report, report.draining ? "draining" : "ready");
+        m_onChange(report, report.draining ? upstream_change::Draining : upstream_change::Ready);
     } else if (report.phase != before.phase) {
-        m_onChange(report, "phase");
+        m_onChange(report, upstream_change::Phase);
     } else if (report.address != before.address || report.service != before.service) {
-        m_onChange(report, "moved");
+        m_onChange(report, upstream_change::Moved);
     }
-    static_cast<void>(now);
 }
 
 void upstream_registry::onRemoved(instant now, const std::string &id)
@@ -74,7 +111,7 @@
         remove(now, id);
     } else if (!known->second.removeAt) {
         known->second.removeAt = m_lostAt ? now + m_settings.lapseGrace : m_graceUntil;
-        m_onChange(known->second.run, "lapsed");
+        m_onChange(known->second.run, upstream_change::Lapsed);
     }
 }
 
@@ -119,14 +156,13 @@
     }
 }
 
-void upstream_registry::onDisplaced(instant now, const std::string &id)
+void upstream_registry::onDisplaced(const std::string &id)
 {
     const auto known = m_runs.find(id);
     if (known != m_runs.end() && !known->second.displaced) {
         known->second.displaced = true;
-        m_onChange(known->second.run, "displaced");
+        m_onChange(known->second.run, upstream_change::Displaced);
     }
-    static_cast<void>(now);
 }
 
 void upstream_registry::onLeaving(const std::string &id)
@@ -134,7 +170,7 @@
     const auto known = m_runs.find(id);
     if (known != m_runs.end() && !known->second.leaving) {
         known->second.leaving = true;
-        m_onChange(known->second.run, "leaving");
+        m_onChange(known->second.run, upstream_change::Leaving);
     }
 }
 
@@ -152,7 +188,7 @@
         entry.moving = phase_change{to, now + m_settings.moveTime};
     }
     if (wasMoving != entry.moving.has_value()) {
-        m_onChange(entry.run, wasMoving ? "stays" : "moving");
+        m_onChange(entry.run, wasMoving ? upstream_change::Stays : upstream_change::Moving);
     }
 }
 
@@ -179,7 +215,7 @@
     const registration run = known->second.run;
     m_runs.erase(known);
     m_removed.insert_or_assign(id, removed_run{run.startedAt, run.sequence, now});
-    m_onChange(run, "removed");
+    m_onChange(run, upstream_change::Removed);
 }
 
 void upstream_registry::forgetOld(instant now)
--- a/src/relay/upstream_registry.h
+++ b/src/relay/upstream_registry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -14,6 +15,28 @@
 namespace heatherroute
 {
 
+/// What became of an upstream: first what the store shows, then what an entry learned otherwise.
+enum class upstream_change : std::uint8_t {
+    Added,
+    AddedDraining,
+    Restarted, ///< Another run of the same name.
+    Draining,
+    Ready, ///< It drains no more.
+    Phase,
+    Moved, ///< To another address or service.
+    Removed,
+    Lapsed, ///< In the store; it may come back.
+    Displaced,
+    Leaving, ///< By its own word.
+    Moving, ///< An order sends it to another phase.
+    Stays, ///< That order was not accepted.
+};
+
+/// The change as a word in logs. Thread safe.
+const char *toString(upstream_change change) noexcept;
+/// Whether what the store holds shows the change, so that every entry that reads it sees the same. Thread safe.
+bool isSeenInStore(upstream_change change) noexcept;
+
 /// Times of an upstream_registry.
 struct registry_settings
 {
@@ -37,13 +60,13 @@
 class upstream_registry
 {
 public:
-    /// Told of each change that concerns routing: the run and what became of it (`added`, `draining`, `phase`, `removed`, ...).
-    using change_hook = std::function<void(const registration &run, const std::string &change)>;
+    /// Told of each change that concerns routing.
+    using change_hook = std::function<void(const registration &run, upstream_change change)>;
 
     static upstream_registry make(const registry_settings &settings, change_hook onChange);
 
     /// An upstream has reported.
-    void onReport(instant now, const registration &report);
+    void onReport(const registration &report);
     /// The store holds no report of @p id any more.
     void onRemoved(instant now, const std::string &id);
     /// An entry that reads the store says that the run of @p report is gone for good.
@@ -55,7 +78,7 @@
     /// The store answers again.
     void onStoreBack(instant now);
     /// An upstream itself said that another run holds @p id now, so this run is gone.
-    void onDisplaced(instant now, const std::string &id);
+    void onDisplaced(const std::string &id);
     /// An upstream itself said that it leaves; the store may not tell so yet.
     void onLeaving(const std::string &id);
     /// The engine of that id is sent to phase @p to. It gets no work until it reports that phase; its present phase calls the move off.
@@ -81,10 +104,6 @@
     {
         return m_complete;
     }
-    std::size_t size() const noexcept
-    {
-        return m_runs.size();
-    }
 
 private:
     struct phase_change
--- a/tests/drain_state_test.cpp
+++ b/tests/drain_state_test.cpp
@@ -74,9 +74,9 @@
     struct entry
     {
         news_board board = news_board::make({});
-        upstream_registry registry = upstream_registry::make({}, [this](const registration &run, const std::string &change) {
-            if (change != "lapsed" && change != "displaced" && change != "leaving") {
-                board.noteChange(*clock, {run, change == "removed", std::nullopt});
+        upstream_registry registry = upstream_registry::make({}, [this](const registration &run, upstream_change change) {
+            if (isSeenInStore(change)) {
+                board.noteChange(*clock, {run, change == upstream_change::Removed, std::nullopt});
             }
         });
         const instant *clock = nullptr;
@@ -183,7 +183,7 @@
             if (change.gone) {
                 self.registry.onGone(m_now, change.run);
             } else {
-                self.registry.onReport(m_now, change.run);
+                self.registry.onReport(change.run);
             }
         }
     }
@@ -231,7 +231,7 @@
         for (const auto &[index, upstream] : m_upstreams) {
             if (upstream.listed) {
                 ids.insert(upstream.run.id);
-                self.registry.onReport(m_now, upstream.run);
+                self.registry.onReport(upstream.run);
             }
         }
         self.registry.onComplete(m_now, ids);
--- a/tests/upstream_registry_test.cpp
+++ b/tests/upstream_registry_test.cpp
@@ -24,7 +24,7 @@
 {
     std::vector<std::string> changes;
     upstream_registry registry =
-        upstream_registry::make({}, [this](const registration &run, const std::string &change) { changes.push_back(run.id + " " + change); });
+        upstream_registry::make({}, [this](const registration &run, upstream_change change) { changes.push_back(run.id + " " + toString(change)); });
     instant now{};
 
     bool isUsable(const std::string &id)
@@ -39,11 +39,11 @@
 TEST(UpstreamRegistry, DrainingRunGetsNoNewWork)
 {
     watched_registry watched;
-    watched.registry.onReport(watched.now, reportOf("a", 1, 1));
+    watched.registry.onReport(reportOf("a", 1, 1));
     EXPECT_TRUE(watched.isUsable("a"));
     registration draining = reportOf("a", 1, 2);
     draining.draining = true;
-    watched.registry.onReport(watched.now, draining);
+    watched.registry.onReport(draining);
     EXPECT_FALSE(watched.isUsable("a"));
     EXPECT_EQ(watched.changes.back(), "a draining");
 }
@@ -53,30 +53,30 @@
     watched_registry watched;
     registration draining = reportOf("a", 5, 9);
     draining.draining = true;
-    watched.registry.onReport(watched.now, draining);
-    watched.registry.onReport(watched.now, reportOf("a", 5, 8));
-    watched.registry.onReport(watched.now, reportOf("a", 4, 100));
+    watched.registry.onReport(draining);
+    watched.registry.onReport(reportOf("a", 5, 8));
+    watched.registry.onReport(reportOf("a", 4, 100));
     EXPECT_FALSE(watched.isUsable("a"));
 }
 
 TEST(UpstreamRegistry, RemovedRunIsNotBroughtBackByItsLastReport)
 {
     watched_registry watched;
-    watched.registry.onReport(watched.now, reportOf("a", 5, 9));
+    watched.registry.onReport(reportOf("a", 5, 9));
     watched.registry.onRemoved(watched.now, "a");
-    watched.registry.onReport(watched.now, reportOf("a", 5, 9));
+    watched.registry.onReport(reportOf("a", 5, 9));
     EXPECT_FALSE(watched.isUsable("a"));
-    watched.registry.onReport(watched.now, reportOf("a", 5, 10));
+    watched.registry.onReport(reportOf("a", 5, 10));
     EXPECT_TRUE(watched.isUsable("a"));
 }
 
 TEST(UpstreamRegistry, RestartUnderTheSameIdCountsFromAnew)
 {
     watched_registry watched;
-    watched.registry.onReport(watched.now, reportOf("a", 5, 900));
-    watched.registry.onDisplaced(watched.now, "a");
+    watched.registry.onReport(reportOf("a", 5, 900));
+    watched.registry.onDisplaced("a");
     EXPECT_FALSE(watched.isUsable("a"));
-    watched.registry.onReport(watched.now, reportOf("a", 6, 1));
+    watched.registry.onReport(reportOf("a", 6, 1));
     EXPECT_TRUE(watched.isUsable("a"));
     EXPECT_EQ(watched.changes.back(), "a restarted");
 }
@@ -85,7 +85,7 @@
 {
     watched_registry watched;
     for (const char *id : {"alive", "gone"}) {
-        watched.registry.onReport(watched.now, reportOf(id, 1, 1));
+        watched.registry.onReport(reportOf(id, 1, 1));
     }
     watched.registry.onStoreLost(watched.now);
     watched.now += seconds(8);
@@ -93,7 +93,7 @@
     watched.registry.onComplete(watched.now, {});
     EXPECT_TRUE(watched.isUsable("alive"));
     watched.now += milliseconds(1500);
-    watched.registry.onReport(watched.now, reportOf("alive", 1, 2));
+    watched.registry.onReport(reportOf("alive", 1, 2));
     watched.now += milliseconds(600);
     watched.registry.advance(watched.now);
     EXPECT_TRUE(watched.isUsable("alive"));
@@ -103,7 +103,7 @@
 TEST(UpstreamRegistry, RemovalWithoutOutageTakesEffectAtOnce)
 {
     watched_registry watched;
-    watched.registry.onReport(watched.now, reportOf("a", 1, 1));
+    watched.registry.onReport(reportOf("a", 1, 1));
     watched.registry.onComplete(watched.now, {"b"});
     EXPECT_FALSE(watched.isUsable("a"));
 }
@@ -114,18 +114,18 @@
     watched_registry watched;
     registration engine = reportOf("a", 1, 1);
     engine.phase = engine_phase::Decode;
-    watched.registry.onReport(watched.now, engine);
+    watched.registry.onReport(engine);
     EXPECT_EQ(watched.registry.usable("portal", engine_phase::Decode).size(), 1U);
     watched.registry.onMoving(watched.now, "a", engine_phase::Prefill);
     EXPECT_TRUE(watched.registry.usable("portal", engine_phase::Decode).empty());
     EXPECT_FALSE(watched.registry.isUsable("a"));
     EXPECT_EQ(watched.registry.usable("portal").size(), 1U) << "it still counts as an engine";
     engine.sequence = 2;
-    watched.registry.onReport(watched.now, engine);
+    watched.registry.onReport(engine);
     EXPECT_FALSE(watched.registry.isUsable("a")) << "a report of the old phase says nothing new";
     engine.sequence = 3;
     engine.phase = engine_phase::Prefill;
-    watched.registry.onReport(watched.now, engine);
+    watched.registry.onReport(engine);
     EXPECT_EQ(watched.registry.usable("portal", engine_phase::Prefill).size(), 1U);
     EXPECT_EQ(watched.changes.back(), "a phase");
 }
@@ -135,7 +135,7 @@
     watched_registry watched;
     registration engine = reportOf("a", 1, 1);
     engine.phase = engine_phase::Decode;
-    watched.registry.onReport(watched.now, engine);
+    watched.registry.onReport(engine);
     watched.registry.onMoving(watched.now, "a", engine_phase::Prefill);
     watched.registry.onMoving(watched.now + seconds(3), "a", engine_phase::Prefill);
     watched.registry.advance(watched.now + seconds(9));
@@ -148,7 +148,7 @@
     EXPECT_EQ(watched.changes.back(), "a stays");
     watched.registry.onMoving(watched.now, "a", engine_phase::Prefill);
     engine.startedAt = 2;
-    watched.registry.onReport(watched.now, engine);
+    watched.registry.onReport(engine);
     EXPECT_TRUE(watched.registry.isUsable("a"));
 }
 
@@ -156,12 +156,12 @@
 TEST(UpstreamRegistry, NewsThatARunIsGoneCountsAgainstItsNewestReport)
 {
     watched_registry watched;
-    watched.registry.onReport(watched.now, reportOf("a", 1, 9));
+    watched.registry.onReport(reportOf("a", 1, 9));
     watched.registry.onGone(watched.now, reportOf("a", 1, 8));
     EXPECT_FALSE(watched.isUsable("a"));
-    watched.registry.onReport(watched.now, reportOf("a", 1, 9));
+    watched.registry.onReport(reportOf("a", 1, 9));
     EXPECT_FALSE(watched.isUsable("a")) << "late";
-    watched.registry.onReport(watched.now, reportOf("a", 2, 1));
+    watched.registry.onReport(reportOf("a", 2, 1));
     watched.registry.onGone(watched.now, reportOf("a", 1, 9));
     EXPECT_TRUE(watched.isUsable("a")) << "another run of that name";
 }
@@ -169,11 +169,11 @@
 TEST(UpstreamRegistry, OwnWordOfLeavingHoldsUntilANewerReport)
 {
     watched_registry watched;
-    watched.registry.onReport(watched.now, reportOf("a", 1, 4));
+    watched.registry.onReport(reportOf("a", 1, 4));
     watched.registry.onLeaving("a");
     EXPECT_FALSE(watched.isUsable("a"));
-    watched.registry.onReport(watched.now, reportOf("a", 1, 5));
+    watched.registry.onReport(reportOf("a", 1, 5));
     EXPECT_FALSE(watched.isUsable("a")) << "that report may have been under way";
-    watched.registry.onReport(watched.now, reportOf("a", 1, 7));
+    watched.registry.onReport(reportOf("a", 1, 7));
     EXPECT_TRUE(watched.isUsable("a"));
 }
