--- a/tests/process_relay_test.cpp
+++ b/tests/process_relay_test.cpp
@@ -52,6 +52,13 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
+void setFaultsOfAll(relay_site &site, const standins::upstream_faults &faults)
+{
+    for (const auto &upstream : site.upstreams()) {
+        upstream->setFaults(faults);
+    }
+}
+
 /// Calls and expects a whole success.
 asio::awaitable<caller_result> expectSuccess(relay_site &site, std::size_t entry, std::string path)
 {
@@ -80,9 +87,7 @@
     onSite({}, [](relay_site &site) -> asio::awaitable<void> {
         standins::upstream_faults faults;
         faults.loseAnswers = true;
-        for (const auto &upstream : site.upstreams()) {
-            upstream->setFaults(faults);
-        }
+        setFaultsOfAll(site, faults);
         const caller_result booking = co_await site.call(0, kBookingPath, kTimeLeft);
         EXPECT_EQ(booking.status, 502U);
         EXPECT_EQ(site.runsOf(booking.id), 1);
@@ -96,9 +101,7 @@
     onSite({}, [](relay_site &site) -> asio::awaitable<void> {
         standins::upstream_faults faults;
         faults.foreignAnswers = true;
-        for (const auto &upstream : site.upstreams()) {
-            upstream->setFaults(faults);
-        }
+        setFaultsOfAll(site, faults);
         for (const char *path : {kLookupPath, kBookingPath, kStreamPath}) {
             const caller_result result = co_await site.call(0, path, kTimeLeft);
             EXPECT_EQ(result.status, 502U) << path;
@@ -142,9 +145,7 @@
     onSite({}, [](relay_site &site) -> asio::awaitable<void> {
         standins::upstream_faults faults;
         faults.breakStreams = true;
-        for (const auto &upstream : site.upstreams()) {
-            upstream->setFaults(faults);
-        }
+        setFaultsOfAll(site, faults);
         const caller_result result = co_await site.call(0, kStreamPath, kTimeLeft);
         EXPECT_FALSE(result.whole);
         EXPECT_EQ(site.runsOf(result.id), 1);
@@ -272,9 +273,7 @@
     onSite({}, [](relay_site &site) -> asio::awaitable<void> {
         standins::upstream_faults faults;
         faults.hang = true;
-        for (const auto &upstream : site.upstreams()) {
-            upstream->setFaults(faults);
-        }
+        setFaultsOfAll(site, faults);
         bool bookingEnded = false;
         const auto booking = [&]() -> asio::awaitable<void> {
             co_await site.call(0, kBookingPath, seconds(5));
@@ -390,15 +389,11 @@
         standins::upstream_faults faults;
         faults.loseAnswers = true;
         faults.breakStreams = true;
-        for (const auto &upstream : site.upstreams()) {
-            upstream->setFaults(faults);
-        }
+        setFaultsOfAll(site, faults);
         const caller_result booking = co_await site.call(0, kBookingPath, kTimeLeft);
         const caller_result stream = co_await site.call(0, kStreamPath, kTimeLeft);
         faults.refuse = true;
-        for (const auto &upstream : site.upstreams()) {
-            upstream->setFaults(faults);
-        }
+        setFaultsOfAll(site, faults);
         const caller_result refused = co_await site.call(0, kStreamPath, kTimeLeft);
         co_await pause(milliseconds(200));
         const std::string log = site.entry(0).output();
--- a/tests/standins/site_store.cpp
+++ b/tests/standins/site_store.cpp
@@ -45,7 +45,9 @@
     return text;
 }
 
-http_answer jsonAnswer(const json::value &body, unsigned status = 200)
+} // namespace
+
+http_answer jsonAnswer(const json::value &body, unsigned status)
 {
     http_answer answer;
     answer.status = status;
@@ -53,8 +55,6 @@
     return answer;
 }
 
-} // namespace
-
 site_store::site_store(asio::io_context &context)
     : m_context(context)
 { }
--- a/tests/standins/site_store.h
+++ b/tests/standins/site_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/json/value.hpp>
 
 #include <cstdint>
 #include <map>
@@ -21,6 +22,9 @@
     std::chrono::milliseconds delay{0}; ///< Before each answer.
 };
 
+/// An answer with @p body as JSON. Thread safe.
+net::http_answer jsonAnswer(const boost::json::value &body, unsigned status = 200);
+
 /**
  * A stand-in for the platform's store: logs of keyed records, long reads, one group with a lease.
  *
--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -20,14 +20,6 @@
 
 constexpr milliseconds kReportInterval{300};
 
-http_answer jsonAnswer(const json::value &body, unsigned status = 200)
-{
-    http_answer answer;
-    answer.status = status;
-    answer.body = json::serialize(body);
-    return answer;
-}
-
 } // namespace
 
 site_upstream::site_upstream(asio::io_context &context, site_upstream_settings settings, site_store &store, run_counts &runs)
