Tests' support: a child process inherits no sockets of its parent

Seen: a stand-in upstream that closed its port could not listen on it again ('Address already in use'), and its port went on accepting connections that nobody served. Cause: the sockets of asio are inherited by the entries that the test starts, so a listening socket stays open in them after the test has closed it. Change: a child closes all descriptors above standard error. Result: a stand-in that crashes refuses connections and listens again at the same address.

--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -40,6 +40,8 @@
     if (quiet) {
         posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, "/dev/null", O_WRONLY, 0);
     }
+    // A listening socket that the child inherits stays open after this process has closed it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     // Resets the signal mask and handlers, so that the child inherits no blocked or ignored signals.
     posix_spawnattr_t attributes;
     posix_spawnattr_init(&attributes);
