Logs and metrics tell a request's attempts apart from its repeats

Neither logs nor metrics could tell whether one attempt of a caller was retried or the caller's request came again under a new id, and granted retries weren't counted. Change: attempt_failed and request_ended carry a fingerprint of the request (caller's address, method, host, target, body) and request_ended the caller; heatherroute_retries_total counts what the retry budget granted and refused. The idempotency keys of the product's own interface use the same hash.

--- a/src/core/service_handler.cpp
+++ b/src/core/service_handler.cpp
@@ -1,9 +1,8 @@
 #include "core/service_handler.h"
 
 #include <algorithm>
-#include <string_view>
 
-#include <xxhash.h>
+#include "heatherroute/request_fingerprint.h"
 
 namespace heatherroute
 {
@@ -14,16 +13,6 @@
 constexpr unsigned kAttemptLimit = 3;
 constexpr duration kRetryAfter = std::chrono::seconds(1);
 
-/// Returns a hash that distinguishes different requests with the same key.
-std::uint64_t fingerprintOf(const service_requested &request)
-{
-    std::uint64_t hash = 0;
-    for (const std::string_view part : {std::string_view(request.method), std::string_view(request.path), std::string_view(request.body)}) {
-        hash = XXH3_64bits_withSeed(part.data(), part.size(), hash);
-    }
-    return hash;
-}
-
 } // namespace
 
 service_handler::service_handler(core_context &context, upstream_table &upstreams, idempotency_hook isIdempotent)
@@ -65,7 +54,7 @@
         return true;
     }
     idempotency_key key{traits.team, work.request.service, traits.idempotencyKey};
-    const key_state known = m_keys.claim(m_context.now(), key, fingerprintOf(work.request));
+    const key_state known = m_keys.claim(m_context.now(), key, fingerprintOf({{}, work.request.method, {}, work.request.path, work.request.body}));
     if (known != key_state::New) {
         answerDuplicate(work.request.caller, key, known);
         return false;
--- a/src/node/plain_relay.cpp
+++ b/src/node/plain_relay.cpp
@@ -65,7 +65,7 @@
             if (run == nullptr) {
                 co_return m_triedIds.empty() ? "no_upstream" : "no_other_upstream";
             }
-            if (!m_triedIds.empty() && !m_state.retryBudget.tryRetry(coreNow(), m_service)) {
+            if (!m_triedIds.empty() && !m_state.tryRetry(m_service)) {
                 co_return "retry_budget_used_up";
             }
             m_triedIds.insert(run->id);
--- a/src/node/relay_call.cpp
+++ b/src/node/relay_call.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 
+#include "heatherroute/request_fingerprint.h"
 #include "net/http_status.h"
 
 namespace heatherroute::node
@@ -43,6 +44,7 @@
     : m_state(state)
     , m_request(std::move(request))
     , m_facts(state.dialect.readRequest(m_request))
+    , m_fingerprint(fingerprintOf({m_request.remoteAddress, m_request.method, m_facts.host, m_request.target, m_request.body}))
     , m_responder(responder)
     , m_routes(state.routes)
     , m_startedAt(coreNow())
@@ -174,6 +176,7 @@
     m_state.log(log_level::Warning,
                 "attempt_failed",
                 {requestIdField(m_facts.id),
+                 {"fingerprint", fingerprintText(m_fingerprint)},
                  upstreamField(run.id),
                  {"stage", stage},
                  {"reason", reason},
@@ -196,6 +199,8 @@
     m_state.metrics.histogram("heatherroute_request_seconds", "Time from a request's arrival to its end.", exponentialBounds(0.005, 2.0, 12), {{"kind", kind}})
         .observe(seconds);
     std::vector<log_field> fields = {requestIdField(m_facts.id),
+                                     {"fingerprint", fingerprintText(m_fingerprint)},
+                                     {"caller", m_request.remoteAddress},
                                      {"kind", kind},
                                      {"route", m_route == nullptr ? m_facts.path : m_route->name},
                                      {"config_version", m_routes ? std::to_string(m_routes->version()) : "none"},
--- a/src/node/relay_call.h
+++ b/src/node/relay_call.h
@@ -54,6 +54,11 @@
     {
         return m_facts;
     }
+    /// Identifies the request over all attempts of its caller, at any entry.
+    std::uint64_t fingerprint() const noexcept
+    {
+        return m_fingerprint;
+    }
     /// Precondition: begin() was called.
     const route &matchedRoute() const noexcept
     {
@@ -121,6 +126,7 @@
     relay_state &m_state;
     net::http_request m_request;
     relay_request m_facts;
+    std::uint64_t m_fingerprint;
     net::http_responder &m_responder;
     std::shared_ptr<const route_table> m_routes; ///< Keeps the route valid when the configuration changes.
     const route *m_route = nullptr;
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -92,6 +92,14 @@
     }
 }
 
+bool relay_state::tryRetry(const std::string &service)
+{
+    const bool granted = retryBudget.tryRetry(coreNow(), service);
+    const std::string outcome = granted ? "granted" : "refused";
+    metrics.counter("heatherroute_retries_total", "Retries asked of the fleet's retry budget.", {{"outcome", outcome}, {"service", service}}).value += 1;
+    return granted;
+}
+
 phase_planner &relay_state::plannerOf(const std::string &service)
 {
     return planners.try_emplace(service, phase_planner::make({})).first->second;
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -51,6 +51,8 @@
     /// Records a failed attempt at upstream @p id. It counts as a failed connection if @p execution is NotRun, otherwise as a
     /// failed request.
     void noteFailedAttempt(const std::string &id, verdict execution);
+    /// Consumes one retry of the fleet's budget for @p service and counts it. Returns false when none is left.
+    bool tryRetry(const std::string &service);
     /// Returns the phase planner of @p service; it is created on first use.
     phase_planner &plannerOf(const std::string &service);
     /// Records that this entry orders the engine @p run to change to phase @p to, and announces it to the other entries. The
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -88,7 +88,7 @@
         bool retryGranted = true; // The first attempt needs no retry budget.
         while (decodes < kMaxDecodes) {
             // Checked before another prefill, which would be wasted without the budget for the decode.
-            if (!retryGranted && !m_state.retryBudget.tryRetry(coreNow(), m_service)) {
+            if (!retryGranted && !m_state.tryRetry(m_service)) {
                 m_reason = "retry_budget_used_up";
                 break;
             }
@@ -252,7 +252,7 @@
                 co_await m_call.wait(std::chrono::duration_cast<std::chrono::milliseconds>(m_state.scheduler.settings().reservationRetryInterval));
                 continue;
             }
-            if (!retryGranted && !m_state.retryBudget.tryRetry(coreNow(), m_service)) {
+            if (!retryGranted && !m_state.tryRetry(m_service)) {
                 m_reason = "retry_budget_used_up";
                 co_return false;
             }
