--- a/tests/process_relay_test.cpp
+++ b/tests/process_relay_test.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 
 #include "support/relay_site.h"
+#include "support/site_run.h"
 
 using namespace heatherroute;
 using namespace heatherroute::support;
@@ -21,37 +22,6 @@
 
 constexpr milliseconds kRequestDeadline{3'000};
 
-/// Runs @p body on a small site. Fails the test when the site isn't ready in time or the body takes too long.
-void runOnSite(relay_site_settings settings, std::function<asio::awaitable<void>(relay_site &)> body)
-{
-    asio::io_context context(1);
-    settings.program = std::string(HEATHERROUTE_BIN_DIR) + "/heatherrouted";
-    last_reason reason;
-    const auto site = relay_site::make(context, std::move(settings), &reason);
-    ASSERT_TRUE(site) << reason.text();
-    bool ended = false;
-    const auto run = [&]() -> asio::awaitable<void> {
-        const bool ready = co_await site->waitUntilReady(seconds(20));
-        EXPECT_TRUE(ready);
-        co_await body(*site);
-        ended = true;
-        context.stop();
-    };
-    asio::co_spawn(context, run, [](const std::exception_ptr &failure) {
-        if (failure) {
-            std::rethrow_exception(failure);
-        }
-    });
-    context.run_for(seconds(60));
-    EXPECT_TRUE(ended);
-}
-
-asio::awaitable<void> pause(milliseconds time)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, time);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 void setFaultsOfAll(relay_site &site, const standins::upstream_faults &faults)
 {
     for (const auto &upstream : site.upstreams()) {
@@ -173,7 +143,7 @@
     runOnSite({}, [](relay_site &site) -> asio::awaitable<void> {
         site.publish(false);
         site.store().removeHistory("keyed.op");
-        co_await pause(milliseconds(2'500));
+        co_await pauseFor(milliseconds(2'500));
         for (std::size_t entry = 0; entry < site.entryCount(); ++entry) {
             const caller_result result = co_await site.call(entry, kLookupPath, kRequestDeadline);
             EXPECT_EQ(result.status, 404U) << "entry " << entry;
@@ -204,12 +174,12 @@
             site.storeProxy(entry).setFault(proxy_fault::DropAll);
         }
         site.publish(false);
-        co_await pause(milliseconds(1'000));
+        co_await pauseFor(milliseconds(1'000));
         for (std::size_t entry = 0; entry < site.entryCount(); ++entry) {
             site.storeProxy(entry).resetAll();
             site.storeProxy(entry).setFault(proxy_fault::None);
         }
-        co_await pause(milliseconds(3'500));
+        co_await pauseFor(milliseconds(3'500));
         for (std::size_t entry = 0; entry < site.entryCount(); ++entry) {
             const caller_result result = co_await site.call(entry, kLookupPath, kRequestDeadline);
             EXPECT_EQ(result.status, 404U) << "entry " << entry;
@@ -228,13 +198,13 @@
             };
             asio::co_spawn(co_await asio::this_coro::executor, stream, asio::detached);
         }
-        co_await pause(milliseconds(60));
+        co_await pauseFor(milliseconds(60));
         site.entry(0).signal(SIGTERM);
-        co_await pause(milliseconds(100));
+        co_await pauseFor(milliseconds(100));
         const bool ready = co_await site.isReady(0);
         EXPECT_FALSE(ready);
         for (int i = 0; i < 80 && open > 0; ++i) {
-            co_await pause(milliseconds(100));
+            co_await pauseFor(milliseconds(100));
         }
         EXPECT_EQ(open, 0);
         const auto code = site.entry(0).waitForEnd(seconds(8));
@@ -260,10 +230,10 @@
             ended = true;
         };
         asio::co_spawn(co_await asio::this_coro::executor, stream, asio::detached);
-        co_await pause(milliseconds(200));
+        co_await pauseFor(milliseconds(200));
         site.entry(0).signal(SIGTERM);
         while (!ended) {
-            co_await pause(milliseconds(20));
+            co_await pauseFor(milliseconds(20));
         }
         EXPECT_EQ(result.status, 502U) << "the request may have run";
         EXPECT_EQ(site.entry(0).waitForEnd(seconds(1)), 0);
@@ -284,10 +254,10 @@
             bookingEnded = true;
         };
         asio::co_spawn(co_await asio::this_coro::executor, booking, asio::detached);
-        co_await pause(milliseconds(100));
+        co_await pauseFor(milliseconds(100));
         asio::ip::tcp::socket socket(co_await asio::this_coro::executor);
         site.entry(0).signal(SIGTERM);
-        co_await pause(milliseconds(1'500));
+        co_await pauseFor(milliseconds(1'500));
         co_await socket.async_connect(site.callerEndpoint(0), asio::use_awaitable);
         char byte = 0;
         boost::system::error_code error;
@@ -295,7 +265,7 @@
         EXPECT_EQ(error, asio::error::eof);
         EXPECT_FALSE(bookingEnded) << "the connection was only closed when the process ended";
         while (!bookingEnded) {
-            co_await pause(milliseconds(20));
+            co_await pauseFor(milliseconds(20));
         }
     });
 }
@@ -318,12 +288,12 @@
             ended = true;
         };
         asio::co_spawn(co_await asio::this_coro::executor, stream, asio::detached);
-        co_await pause(milliseconds(200));
+        co_await pauseFor(milliseconds(200));
         decode.drain();
-        co_await pause(milliseconds(2'400));
+        co_await pauseFor(milliseconds(2'400));
         prefill.setFaults({});
         while (!ended) {
-            co_await pause(milliseconds(20));
+            co_await pauseFor(milliseconds(20));
         }
         EXPECT_EQ(site.runCountOf(result.id), 0);
         EXPECT_EQ(result.status, 503U);
@@ -381,7 +351,7 @@
 {
     runOnSite({}, [](relay_site &site) -> asio::awaitable<void> {
         site.entry(0).signal(SIGHUP);
-        co_await pause(milliseconds(200));
+        co_await pauseFor(milliseconds(200));
         co_await expectSuccess(site, 0, kBookingPath);
         EXPECT_NE(site.entry(0).output().find("\"event\":\"reload\",\"outcome\":\"log level applied\""), std::string::npos);
     });
@@ -400,7 +370,7 @@
         faults.refuse = true;
         setFaultsOfAll(site, faults);
         const caller_result refused = co_await site.call(0, kStreamPath, kRequestDeadline);
-        co_await pause(milliseconds(200));
+        co_await pauseFor(milliseconds(200));
         const std::string log = site.entry(0).output();
         const auto endOf = [&log](const caller_result &result) {
             const std::size_t at = log.find("\"event\":\"request_ended\",\"request_id\":\"" + result.id + "\"");
--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -20,6 +20,11 @@
 
 constexpr milliseconds kReportInterval{300};
 
+std::uint64_t unixMilliseconds()
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+}
+
 } // namespace
 
 site_upstream::site_upstream(asio::io_context &context, site_upstream_settings settings, site_store &store, run_counts &runs)
@@ -28,24 +33,85 @@
     , m_store(store)
     , m_runs(runs)
     , m_reportTimer(context)
-    , m_startedAt(static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()))
+    , m_restartTimer(context)
+    , m_startedAt(unixMilliseconds())
+    , m_name(m_settings.id)
 { }
 
 std::unique_ptr<site_upstream>
 site_upstream::make(asio::io_context &context, site_upstream_settings settings, site_store &store, run_counts &runs, last_reason *reason)
 {
     std::unique_ptr<site_upstream> made(new site_upstream(context, std::move(settings), store, runs));
-    const auto handler = [raw = made.get()](http_request request, http_responder &responder) { return raw->serve(std::move(request), responder); };
-    const auto badRequestHandler = [](unsigned status, std::string_view) { return jsonAnswer(json::object(), status); };
-    const asio::ip::tcp::endpoint listenEndpoint(asio::ip::address_v4::loopback(), 0);
-    made->m_server = net::http_server::make(context, listenEndpoint, {}, handler, badRequestHandler, reason);
-    if (!made->m_server) {
+    if (!made->listen(asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0), reason)) {
         return nullptr;
     }
     made->report();
     return made;
 }
 
+bool site_upstream::listen(const asio::ip::tcp::endpoint &endpoint, last_reason *reason)
+{
+    const auto handler = [this](http_request request, http_responder &responder) { return serve(std::move(request), responder); };
+    const auto badRequestHandler = [](unsigned status, std::string_view) { return jsonAnswer(json::object(), status); };
+    m_server = net::http_server::make(m_context, endpoint, {}, handler, badRequestHandler, reason);
+    if (!m_server) {
+        return false;
+    }
+    m_endpoint = m_server->endpoint();
+    return true;
+}
+
+void site_upstream::crash()
+{
+    if (!m_server) {
+        return;
+    }
+    m_server.reset();
+    m_reportTimer.cancel();
+    for (http_responder *responder : std::set<http_responder *>(m_open)) {
+        responder->abort();
+    }
+    m_reservations.clear();
+    m_handles.clear();
+    m_restartTimer.expires_after(m_settings.downTime);
+    m_restartTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            restart();
+        }
+    });
+}
+
+void site_upstream::restart()
+{
+    last_reason reason;
+    if (!listen(m_endpoint, &reason)) {
+        // A connection of the previous instance still occupies the port.
+        m_restartTimer.expires_after(kReportInterval);
+        m_restartTimer.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                restart();
+            }
+        });
+        return;
+    }
+    m_store.put("keyed.servers", m_settings.id, "");
+    m_settings.id = m_name + "-" + std::to_string(++m_restarts);
+    m_startedAt = unixMilliseconds();
+    m_sequence = 0;
+    m_orders = 0;
+    report();
+}
+
+bool site_upstream::crashesOn(const http_request &request)
+{
+    if (request.target.find(kPoisonMarker) == std::string::npos) {
+        return false;
+    }
+    m_poisonCrashes.push_back(std::chrono::steady_clock::now());
+    crash();
+    return true;
+}
+
 void site_upstream::setFaults(const upstream_faults &faults)
 {
     m_faults = faults;
@@ -109,6 +175,20 @@
 }
 
 asio::awaitable<void> site_upstream::serve(http_request request, http_responder &responder)
+{
+    if (!m_server) {
+        responder.abort();
+        co_return;
+    }
+    if (request.target.find(kPoisonMarker) != std::string::npos) {
+        m_poisonArrivals.push_back(std::chrono::steady_clock::now());
+    }
+    m_open.insert(&responder);
+    co_await dispatch(request, responder);
+    m_open.erase(&responder);
+}
+
+asio::awaitable<void> site_upstream::dispatch(const http_request &request, http_responder &responder)
 {
     const std::string_view expected = request.header("X-Expect-Instance");
     http_answer answer;
@@ -148,6 +228,9 @@
 asio::awaitable<void> site_upstream::servePlain(const http_request &request, http_responder &responder)
 {
     recordRun(request);
+    if (crashesOn(request)) {
+        co_return;
+    }
     co_await sleepFor(m_settings.workTime);
     while (m_faults.hang && !responder.isClosed()) {
         co_await sleepFor(m_settings.workTime);
@@ -179,6 +262,9 @@
         co_return;
     }
     recordRun(request);
+    if (crashesOn(request)) {
+        co_return;
+    }
     while (m_faults.hang && !responder.isClosed()) {
         co_await sleepFor(m_settings.workTime);
     }
--- a/tests/standins/site_upstream.h
+++ b/tests/standins/site_upstream.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "net/http_server.h"
 #include "standins/site_store.h"
@@ -26,8 +27,12 @@
     std::chrono::milliseconds workTime{5}; ///< Duration of a plain request.
     std::chrono::milliseconds eventInterval{10}; ///< Interval between the events of a stream.
     std::uint32_t events = 12; ///< Number of events in a stream.
+    std::chrono::milliseconds downTime{1'200}; ///< Time from a crash until a new instance with a new id listens at the same address.
 };
 
+/// A request whose target has this text crashes each upstream that begins to run it.
+inline constexpr const char *kPoisonMarker = "poison";
+
 /// The fault switches of a stand-in upstream.
 struct upstream_faults
 {
@@ -70,11 +75,28 @@
     {
         return m_settings.id;
     }
+    /// Closes all connections and the port. A new instance follows after the down time.
+    void crash();
+    /// The times at which requests with the poison marker arrived, computed prompts and rejected requests included.
+    const std::vector<std::chrono::steady_clock::time_point> &poisonArrivals() const noexcept
+    {
+        return m_poisonArrivals;
+    }
+    /// The times at which requests with the poison marker crashed this upstream.
+    const std::vector<std::chrono::steady_clock::time_point> &poisonCrashes() const noexcept
+    {
+        return m_poisonCrashes;
+    }
 
 private:
     site_upstream(boost::asio::io_context &context, site_upstream_settings settings, site_store &store, run_counts &runs);
+    bool listen(const boost::asio::ip::tcp::endpoint &endpoint, last_reason *reason);
+    void restart();
     void report();
+    /// Whether @p request crashes this upstream, which it does when it begins to run.
+    bool crashesOn(const net::http_request &request);
     boost::asio::awaitable<void> serve(net::http_request request, net::http_responder &responder);
+    boost::asio::awaitable<void> dispatch(const net::http_request &request, net::http_responder &responder);
     boost::asio::awaitable<void> servePlain(const net::http_request &request, net::http_responder &responder);
     boost::asio::awaitable<void> serveStream(const net::http_request &request, net::http_responder &responder);
     net::http_answer reserve(const net::http_request &request);
@@ -90,12 +112,19 @@
     run_counts &m_runs;
     upstream_faults m_faults;
     boost::asio::steady_timer m_reportTimer;
+    boost::asio::steady_timer m_restartTimer;
     std::unique_ptr<net::http_server> m_server;
     std::uint64_t m_startedAt = 0;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_orders = 0;
     std::uint64_t m_prefills = 0;
     std::uint64_t m_lastId = 0;
+    std::uint64_t m_restarts = 0;
+    std::string m_name; ///< The id of the first instance.
+    boost::asio::ip::tcp::endpoint m_endpoint;
+    std::set<net::http_responder *> m_open; ///< The requests in progress.
+    std::vector<std::chrono::steady_clock::time_point> m_poisonArrivals;
+    std::vector<std::chrono::steady_clock::time_point> m_poisonCrashes;
     std::map<std::string, std::uint64_t> m_reservations;
     std::set<std::string> m_handles;
     std::optional<std::chrono::steady_clock::time_point> m_drainedAt;
--- a/tests/support/relay_site.cpp
+++ b/tests/support/relay_site.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <random>
@@ -234,12 +235,12 @@
     outcome.id = "r" + std::to_string(++m_requests);
     outcome.path = path;
     http_call call;
-    call.method = path == kLookupPath ? "GET" : "POST";
+    call.method = path.starts_with("/look/") ? "GET" : "POST";
     call.target = path;
     call.endpoint = callerEndpoint(index);
     call.progressTimeout = timeLeft + milliseconds(700);
     call.fields = {{"Host", kHost}, {"X-Attempt-Id", outcome.id}, {"X-Deadline-Ms", std::to_string(timeLeft.count())}};
-    const bool streamed = path == kStreamPath;
+    const bool streamed = path.starts_with("/gen/");
     if (streamed) {
         call.fields.push_back({"X-Model", "m"});
         call.fields.push_back({"X-Token-Count", "500,800"});
@@ -275,4 +276,24 @@
     return found == m_runs.end() ? 0 : found->second;
 }
 
+std::vector<std::chrono::steady_clock::time_point> relay_site::poisonArrivals() const
+{
+    std::vector<std::chrono::steady_clock::time_point> times;
+    for (const auto &upstream : m_upstreams) {
+        times.insert(times.end(), upstream->poisonArrivals().begin(), upstream->poisonArrivals().end());
+    }
+    std::sort(times.begin(), times.end());
+    return times;
+}
+
+std::vector<std::chrono::steady_clock::time_point> relay_site::poisonCrashes() const
+{
+    std::vector<std::chrono::steady_clock::time_point> times;
+    for (const auto &upstream : m_upstreams) {
+        times.insert(times.end(), upstream->poisonCrashes().begin(), upstream->poisonCrashes().end());
+    }
+    std::sort(times.begin(), times.end());
+    return times;
+}
+
 } // namespace heatherroute::support
--- a/tests/support/relay_site.h
+++ b/tests/support/relay_site.h
@@ -47,6 +47,8 @@
 inline constexpr const char *kLookupPath = "/look/1";
 inline constexpr const char *kBookingPath = "/book/1";
 inline constexpr const char *kStreamPath = "/gen/1";
+/// Paths of the same kinds whose requests crash each upstream that runs them.
+inline constexpr const char *kPoisonPaths[] = {"/look/poison", "/book/poison", "/gen/poison"};
 
 /**
  * A small site for tests and the soak: a stand-in store and upstreams in this process, and each entry in a process of its own.
@@ -102,6 +104,10 @@
     }
     /// The number of times that upstreams executed request @p id.
     int runCountOf(const std::string &id) const;
+    /// The times at which requests with the poison marker arrived at upstreams, in order.
+    std::vector<std::chrono::steady_clock::time_point> poisonArrivals() const;
+    /// The times at which they crashed upstreams, in order.
+    std::vector<std::chrono::steady_clock::time_point> poisonCrashes() const;
 
 private:
     struct running_entry
