A request that crashes upstreams is quarantined by all entries

Cause: nothing remembered a request beyond one attempt of its caller. Each arrival was a first attempt, which neither MaxAttempts nor the retry budget limits; within an attempt, an idempotent request also went on to the next upstream. A poison request (query of death). Change: request_quarantine keeps which requests were in flight on upstreams that crashed. An interruption counts only once the end of the upstream is known: a refused connection, found by a check of its port, or a change of the registry; so lost answers don't count. After three crashes no entry sends the request to prefill engines, decode engines or services; the caller gets 503 with Retry-After, which is true, since that attempt hasn't run. A crash that a quarantined request explains doesn't count against the requests beside it, and a complete answer clears a request. Entries exchange the reports by datagrams, and the first three inform an entry that has just started.

--- a/include/heatherroute/peer_message.h
+++ b/include/heatherroute/peer_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "heatherroute/config_message.h"
+#include "heatherroute/crash_report.h"
 #include "heatherroute/last_reason.h"
 #include "heatherroute/membership_message.h"
 #include "heatherroute/store_update.h"
@@ -23,8 +24,18 @@
  * and append the type to the end of this list. Its index is its number on the wire, so kinds are never reordered or
  * removed within one kPeerProtocolVersion.
  */
-using peer_body =
-    std::variant<probe, probe_ack, indirect_probe, join_request, sync_request, sync_page, config_query, config_reply, config_pull, config_part, store_update>;
+using peer_body = std::variant<probe,
+                               probe_ack,
+                               indirect_probe,
+                               join_request,
+                               sync_request,
+                               sync_page,
+                               config_query,
+                               config_reply,
+                               config_pull,
+                               config_part,
+                               store_update,
+                               crash_reports>;
 
 /// Sender and sequence number of a message.
 struct peer_header
--- /dev/null
+++ b/include/heatherroute/request_quarantine.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "heatherroute/crash_report.h"
+#include "heatherroute/time.h"
+
+namespace heatherroute
+{
+
+/// Limits of a request_quarantine.
+struct quarantine_settings
+{
+    std::uint32_t maxCrashes = 3; ///< Upstreams that may crash under a request before it is quarantined.
+    duration pendingTime = std::chrono::seconds(10); ///< How long after an interruption the end of its upstream still explains it.
+    duration retention = std::chrono::minutes(10); ///< How long a crash counts.
+    /// Crashes of one upstream that are less than this apart are the same one, if its start isn't known.
+    duration sameCrashWindow = std::chrono::seconds(5);
+    std::size_t maxCrashesKept = 512; ///< The oldest crash is forgotten beyond this number.
+    std::size_t maxSuspectsPerCrash = 256;
+    std::size_t maxPending = 4096; ///< Interruptions that wait for an explanation.
+
+    auto operator<=>(const quarantine_settings &) const = default;
+};
+
+/**
+ * Finds requests that crash the upstreams that run them, and keeps them from further upstreams.
+ *
+ * Load pattern: a caller sends a request again and again, under a new id each time and to any entry; each upstream that begins
+ * to run it crashes, and interrupts the requests that run beside it. Without a memory of the request beyond one attempt, it
+ * takes down one upstream after another.
+ *
+ * An interruption alone proves nothing, since upstreams lose answers and connections too. It counts once the end of the
+ * upstream is known: the request then is a suspect of that crash. A suspect of too many crashes is quarantined. Requests that
+ * ran beside it are suspects of the same crashes; a crash doesn't count against a request when a quarantined request explains it,
+ * and a request that was answered completely since then is cleared. All entries exchange what they observed, so they come to
+ * the same verdict. The verdict lapses with the evidence.
+ *
+ * Pure; not thread safe. Instants must not decrease.
+ */
+class request_quarantine
+{
+public:
+    static request_quarantine make(const quarantine_settings &settings);
+
+    /// Records that @p instance ended an attempt of the request without a complete answer, though it may have run it. Returns the
+    /// report for the other entries if the instance is known to have crashed; otherwise the interruption stays pending.
+    std::optional<crash_report> noteInterrupted(instant now, const upstream_instance &instance, std::uint64_t fingerprint);
+    /// Records that @p instance has crashed. Returns a report for each pending interruption that this explains.
+    std::vector<crash_report> noteCrashed(instant now, const upstream_instance &instance);
+    /// Records that a new instance of an upstream has started, so an earlier one of the same id has crashed. Returns as above.
+    std::vector<crash_report> noteRestarted(instant now, const upstream_instance &started);
+    /// Records that @p instance was alive at @p aliveAt, so it hasn't caused its interruptions before that by crashing.
+    void noteAlive(instant aliveAt, const upstream_instance &instance);
+    /// Records that an upstream answered the request completely. Returns a report for the other entries if it was a suspect.
+    std::optional<crash_report> noteCompleted(instant now, std::uint64_t fingerprint);
+    /// Processes a report of another entry.
+    void onReport(instant now, const crash_report &report);
+
+    /// Returns for how much longer the request must not be sent to an upstream; zero if it may be.
+    duration quarantinedFor(instant now, std::uint64_t fingerprint);
+    /// Returns the number of known crashes with the request in flight.
+    std::uint32_t crashesOf(std::uint64_t fingerprint) const;
+    /// Returns the reports on all requests that are suspects of more than one crash, for an entry that has missed them.
+    std::vector<crash_report> suspectReports(instant now) const;
+    /// Returns the number of quarantined requests.
+    std::size_t size() const noexcept
+    {
+        return m_quarantined.size();
+    }
+
+private:
+    struct pending_interruption
+    {
+        instant at{};
+        upstream_instance instance;
+        std::uint64_t fingerprint = 0;
+    };
+    struct known_crash
+    {
+        instant at{};
+        upstream_instance instance;
+        std::set<std::uint64_t> suspects;
+    };
+
+    explicit request_quarantine(const quarantine_settings &settings);
+    void expire(instant now);
+    known_crash *findCrash(instant at, const upstream_instance &instance);
+    crash_report addSuspect(instant now, instant at, const upstream_instance &instance, std::uint64_t fingerprint);
+    template<typename Matches>
+    std::vector<crash_report> explainPending(instant now, Matches matches);
+    void forgetCrash(std::deque<known_crash>::iterator crash);
+    void removeSuspect(known_crash &crash, std::uint64_t fingerprint);
+    void clear(instant at, std::uint64_t fingerprint);
+    using crash_lists = std::map<std::uint64_t, std::vector<const known_crash *>>;
+    void updateQuarantine();
+    bool isCandidate(std::uint64_t fingerprint) const;
+    void judge(const std::vector<std::uint64_t> &fingerprints, const crash_lists &crashesOfRequest, std::set<const known_crash *> &explained);
+
+    quarantine_settings m_settings;
+    std::deque<pending_interruption> m_pending; ///< In order of time.
+    std::deque<known_crash> m_crashes;
+    std::map<std::uint64_t, std::uint32_t> m_crashCounts; ///< Number of crashes by suspect.
+    std::map<upstream_instance, instant> m_crashedInstances; ///< Crashes of the last moments, also those without a suspect.
+    std::map<std::uint64_t, instant> m_clearedAt; ///< Crashes up to this time don't count against the request.
+    std::map<std::uint64_t, instant> m_quarantined; ///< The time at which the quarantine lapses, by request.
+};
+
+} // namespace heatherroute
--- /dev/null
+++ b/src/core/request_quarantine.cpp
@@ -0,0 +1,269 @@
+#include "heatherroute/request_quarantine.h"
+
+#include <algorithm>
+
+namespace heatherroute
+{
+
+namespace
+{
+
+std::uint32_t millisecondsBetween(instant from, instant to)
+{
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(to - from).count(), 0));
+}
+
+} // namespace
+
+request_quarantine request_quarantine::make(const quarantine_settings &settings)
+{
+    return request_quarantine(settings);
+}
+
+request_quarantine::request_quarantine(const quarantine_settings &settings)
+    : m_settings(settings)
+{ }
+
+std::optional<crash_report> request_quarantine::noteInterrupted(instant now, const upstream_instance &instance, std::uint64_t fingerprint)
+{
+    expire(now);
+    const auto crashed = m_crashedInstances.find(instance);
+    // If its start isn't known, an interruption long after the crash belongs to the next instance.
+    if (crashed != m_crashedInstances.end() && (instance.startedAt != 0 || now - crashed->second < m_settings.sameCrashWindow)) {
+        crash_report report = addSuspect(now, now, instance, fingerprint);
+        updateQuarantine();
+        return report;
+    }
+    if (m_pending.size() >= m_settings.maxPending) {
+        m_pending.pop_front();
+    }
+    m_pending.push_back({now, instance, fingerprint});
+    return std::nullopt;
+}
+
+std::vector<crash_report> request_quarantine::noteCrashed(instant now, const upstream_instance &instance)
+{
+    expire(now);
+    m_crashedInstances[instance] = now;
+    return explainPending(now, [&instance](const upstream_instance &other) { return other == instance; });
+}
+
+std::vector<crash_report> request_quarantine::noteRestarted(instant now, const upstream_instance &started)
+{
+    expire(now);
+    return explainPending(now, [&started](const upstream_instance &other) { return other.id == started.id && other.startedAt < started.startedAt; });
+}
+
+template<typename Matches>
+std::vector<crash_report> request_quarantine::explainPending(instant now, Matches matches)
+{
+    std::vector<crash_report> reports;
+    for (const pending_interruption &interruption : m_pending) {
+        if (matches(interruption.instance)) {
+            reports.push_back(addSuspect(now, interruption.at, interruption.instance, interruption.fingerprint));
+        }
+    }
+    std::erase_if(m_pending, [&matches](const pending_interruption &interruption) { return matches(interruption.instance); });
+    if (!reports.empty()) {
+        updateQuarantine();
+    }
+    return reports;
+}
+
+void request_quarantine::noteAlive(instant aliveAt, const upstream_instance &instance)
+{
+    std::erase_if(m_pending, [&](const pending_interruption &interruption) { return interruption.instance == instance && interruption.at <= aliveAt; });
+}
+
+std::optional<crash_report> request_quarantine::noteCompleted(instant now, std::uint64_t fingerprint)
+{
+    std::erase_if(m_pending, [fingerprint](const pending_interruption &interruption) { return interruption.fingerprint == fingerprint; });
+    if (crashesOf(fingerprint) == 0) {
+        return std::nullopt;
+    }
+    clear(now, fingerprint);
+    return crash_report{fingerprint, {}, 0, true};
+}
+
+void request_quarantine::onReport(instant now, const crash_report &report)
+{
+    expire(now);
+    const instant at = now - std::chrono::milliseconds(report.ageMs);
+    if (report.cleared) {
+        clear(at, report.fingerprint);
+    } else if (now - at <= m_settings.retention) {
+        addSuspect(now, at, report.instance, report.fingerprint);
+        updateQuarantine();
+    }
+}
+
+duration request_quarantine::quarantinedFor(instant now, std::uint64_t fingerprint)
+{
+    if (m_quarantined.empty()) {
+        return duration::zero();
+    }
+    expire(now);
+    const auto found = m_quarantined.find(fingerprint);
+    return found == m_quarantined.end() ? duration::zero() : std::max(found->second - now, duration::zero());
+}
+
+std::uint32_t request_quarantine::crashesOf(std::uint64_t fingerprint) const
+{
+    const auto found = m_crashCounts.find(fingerprint);
+    return found == m_crashCounts.end() ? 0 : found->second;
+}
+
+std::vector<crash_report> request_quarantine::suspectReports(instant now) const
+{
+    std::vector<crash_report> reports;
+    for (const known_crash &crash : m_crashes) {
+        for (const std::uint64_t fingerprint : crash.suspects) {
+            if (crashesOf(fingerprint) > 1) {
+                reports.push_back({fingerprint, crash.instance, millisecondsBetween(crash.at, now), false});
+            }
+        }
+    }
+    return reports;
+}
+
+request_quarantine::known_crash *request_quarantine::findCrash(instant at, const upstream_instance &instance)
+{
+    const auto found = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const known_crash &crash) {
+        const duration apart = crash.at < at ? at - crash.at : crash.at - at;
+        return crash.instance == instance && (instance.startedAt != 0 || apart < m_settings.sameCrashWindow);
+    });
+    return found == m_crashes.end() ? nullptr : &*found;
+}
+
+crash_report request_quarantine::addSuspect(instant now, instant at, const upstream_instance &instance, std::uint64_t fingerprint)
+{
+    const crash_report report{fingerprint, instance, millisecondsBetween(at, now), false};
+    const auto cleared = m_clearedAt.find(fingerprint);
+    if (cleared != m_clearedAt.end() && at <= cleared->second) {
+        return report;
+    }
+    known_crash *crash = findCrash(at, instance);
+    if (crash == nullptr) {
+        if (m_crashes.size() >= m_settings.maxCrashesKept) {
+            forgetCrash(std::min_element(m_crashes.begin(), m_crashes.end(), [](const known_crash &a, const known_crash &b) { return a.at < b.at; }));
+        }
+        crash = &m_crashes.emplace_back(known_crash{at, instance, {}});
+    }
+    if (crash->suspects.size() < m_settings.maxSuspectsPerCrash && crash->suspects.insert(fingerprint).second) {
+        ++m_crashCounts[fingerprint];
+    }
+    return report;
+}
+
+void request_quarantine::removeSuspect(known_crash &crash, std::uint64_t fingerprint)
+{
+    crash.suspects.erase(fingerprint);
+    const auto count = m_crashCounts.find(fingerprint);
+    if (--count->second == 0) {
+        m_crashCounts.erase(count);
+    }
+}
+
+void request_quarantine::forgetCrash(std::deque<known_crash>::iterator crash)
+{
+    while (!crash->suspects.empty()) {
+        removeSuspect(*crash, *crash->suspects.begin());
+    }
+    m_crashes.erase(crash);
+}
+
+void request_quarantine::clear(instant at, std::uint64_t fingerprint)
+{
+    instant &clearedAt = m_clearedAt.try_emplace(fingerprint, at).first->second;
+    clearedAt = std::max(clearedAt, at);
+    for (known_crash &crash : m_crashes) {
+        if (crash.at <= at && crash.suspects.contains(fingerprint)) {
+            removeSuspect(crash, fingerprint);
+        }
+    }
+    updateQuarantine();
+}
+
+void request_quarantine::expire(instant now)
+{
+    while (!m_pending.empty() && now - m_pending.front().at > m_settings.pendingTime) {
+        m_pending.pop_front();
+    }
+    std::erase_if(m_crashedInstances, [&](const auto &entry) { return now - entry.second > m_settings.pendingTime; });
+    std::erase_if(m_clearedAt, [&](const auto &entry) { return now - entry.second > m_settings.retention; });
+    bool forgot = false;
+    for (auto crash = m_crashes.begin(); crash != m_crashes.end();) {
+        const auto index = crash - m_crashes.begin();
+        if (now - crash->at > m_settings.retention) {
+            forgetCrash(crash);
+            forgot = true;
+            crash = m_crashes.begin() + index;
+        } else {
+            ++crash;
+        }
+    }
+    if (forgot) {
+        updateQuarantine();
+    }
+}
+
+/// Goes through the crashes in the order of time, so that each request is judged by what was known then: a crash counts against a request
+/// unless one that is quarantined already explains it. Of several suspects of one crash, the one with the most crashes is judged first;
+/// those with equally many can't be told apart.
+void request_quarantine::updateQuarantine()
+{
+    m_quarantined.clear();
+    const bool hasCandidates = std::any_of(m_crashCounts.begin(), m_crashCounts.end(), [this](const auto &entry) { return isCandidate(entry.first); });
+    if (!hasCandidates) {
+        return;
+    }
+    std::vector<const known_crash *> ordered;
+    for (const known_crash &crash : m_crashes) {
+        ordered.push_back(&crash);
+    }
+    std::stable_sort(ordered.begin(), ordered.end(), [](const known_crash *a, const known_crash *b) { return a->at < b->at; });
+    crash_lists crashesOfRequest;
+    std::set<const known_crash *> explained;
+    for (const known_crash *crash : ordered) {
+        std::map<std::size_t, std::vector<std::uint64_t>, std::greater<>> byCount;
+        for (const std::uint64_t fingerprint : crash->suspects) {
+            if (isCandidate(fingerprint)) {
+                std::vector<const known_crash *> &crashes = crashesOfRequest[fingerprint];
+                crashes.push_back(crash);
+                byCount[crashes.size()].push_back(fingerprint);
+            }
+            if (m_quarantined.contains(fingerprint)) {
+                explained.insert(crash);
+            }
+        }
+        for (const auto &[count, fingerprints] : byCount) {
+            judge(fingerprints, crashesOfRequest, explained);
+        }
+    }
+    for (auto &[fingerprint, lapsesAt] : m_quarantined) {
+        const std::vector<const known_crash *> &crashes = crashesOfRequest[fingerprint];
+        lapsesAt = crashes[crashes.size() - m_settings.maxCrashes]->at + m_settings.retention;
+    }
+}
+
+bool request_quarantine::isCandidate(std::uint64_t fingerprint) const
+{
+    return crashesOf(fingerprint) >= m_settings.maxCrashes;
+}
+
+/// Quarantines those of @p fingerprints that have too many unexplained crashes, and marks their crashes as explained.
+void request_quarantine::judge(const std::vector<std::uint64_t> &fingerprints, const crash_lists &crashesOfRequest, std::set<const known_crash *> &explained)
+{
+    std::set<const known_crash *> newlyExplained;
+    for (const std::uint64_t fingerprint : fingerprints) {
+        const std::vector<const known_crash *> &crashes = crashesOfRequest.at(fingerprint);
+        const auto unexplained = std::count_if(crashes.begin(), crashes.end(), [&explained](const known_crash *crash) { return !explained.contains(crash); });
+        if (unexplained >= static_cast<std::ptrdiff_t>(m_settings.maxCrashes)) {
+            m_quarantined.emplace(fingerprint, instant{});
+            newlyExplained.insert(crashes.begin(), crashes.end());
+        }
+    }
+    explained.insert(newlyExplained.begin(), newlyExplained.end());
+}
+
+} // namespace heatherroute
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -190,7 +190,7 @@
         } else {
             reason += m_timedOut ? std::string("timeout") : error.message();
         }
-        return {std::nullopt, {outcome, std::move(reason)}, m_timedOut};
+        return {std::nullopt, {outcome, std::move(reason)}, m_timedOut, error == asio::error::connection_refused};
     }
 
     beast::tcp_stream m_stream;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -47,6 +47,7 @@
     std::optional<http_answer> answer;
     http_failure failure;
     bool timedOut = false; ///< The call failed because of a timeout.
+    bool refused = false; ///< No process listens at the endpoint.
     bool operator==(const http_result &) const = default;
 };
 
--- a/src/node/member_duty.cpp
+++ b/src/node/member_duty.cpp
@@ -30,7 +30,11 @@
         net::peer_transport_hooks hooks;
         hooks.received = [this](const std::string &from, peer_message message) {
             if (auto *update = std::get_if<store_update>(&message.body)) {
-                forwardToRelay(std::move(*update));
+                forwardToRelay(store_update_received{std::move(*update)});
+                return;
+            }
+            if (auto *reports = std::get_if<crash_reports>(&message.body)) {
+                forwardToRelay(crash_reports_received{std::move(*reports)});
                 return;
             }
             processEvent(membership_received{from, std::move(message.header.sender), std::move(message.body)});
@@ -64,6 +68,8 @@
             processEvent(membership_summary{summary->summary});
         } else if (auto *broadcastEvent = std::get_if<store_update_broadcast>(&event)) {
             broadcast(broadcastEvent->update);
+        } else if (auto *crashEvent = std::get_if<crash_reports_broadcast>(&event)) {
+            broadcast(crashEvent->reports);
         } else {
             processEvent(membership_leave{});
         }
@@ -75,16 +81,14 @@
     }
 
 private:
-    /// Forwards an update to the relay. An update is dropped when the ring is full, because its sender repeats it.
-    void forwardToRelay(store_update update)
+    /// Forwards another entry's message to the relay. It is dropped when the ring is full, because its sender repeats it.
+    void forwardToRelay(relay_event event)
     {
-        relay_event event = store_update_received{std::move(update)};
         static_cast<void>(m_toRelay.tryPush(event));
     }
 
-    void broadcast(const store_update &update)
+    void broadcast(const peer_body &body)
     {
-        const peer_body body = update;
         for (const member &other : m_membership->members()) {
             m_transport->sendDatagram(other.peerAddress, body);
         }
--- a/src/node/plain_relay.cpp
+++ b/src/node/plain_relay.cpp
@@ -61,6 +61,9 @@
     {
         const plain_retry_policy policy;
         while (true) {
+            if (m_state.crashes.quarantinedFor(m_call.fingerprint()) > duration::zero()) {
+                co_return kQuarantinedReason;
+            }
             const registration *run = chooseUpstream();
             if (run == nullptr) {
                 co_return m_triedIds.empty() ? "no_upstream" : "no_other_upstream";
@@ -70,7 +73,8 @@
             }
             m_triedIds.insert(run->id);
             m_upstream = run->id;
-            attempt_result result = co_await runAttempt(*run, attemptTimeout(policy, m_call.matchedRoute(), progress()));
+            const registration tried = *run;
+            attempt_result result = co_await runAttempt(tried, attemptTimeout(policy, m_call.matchedRoute(), progress()));
             m_lastReason = result.reason;
             (result.execution == verdict::NotRun ? m_notRunCount : m_mayHaveRunCount) += 1;
             if (result.answer) {
@@ -83,6 +87,9 @@
             if (m_call.isEnded() || !mayRetry(policy, m_call.matchedRoute(), progress(), result.execution)) {
                 co_return m_lastReason;
             }
+            if (result.execution == verdict::MayHaveRun) {
+                co_await m_state.crashes.checkBeforeRetry(tried, m_call.fingerprint());
+            }
         }
     }
 
@@ -115,9 +122,10 @@
     attempt_result evaluate(const registration &run, http_result result, duration took)
     {
         const instant now = coreNow();
+        m_call.noteAttempt(run, result);
         if (!result.answer) {
             if (!m_call.isEnded()) {
-                m_state.noteFailedAttempt(run.id, result.failure.outcome);
+                m_state.noteFailedCall(run, result);
                 m_call.noteFailedAttempt(run, "plain", result.failure.reason, result.failure.outcome);
             }
             return {result.failure.outcome, std::nullopt, result.failure.reason};
@@ -139,6 +147,7 @@
             m_call.noteFailedAttempt(run, "plain", fault, verdict::MayHaveRun);
             return {verdict::MayHaveRun, std::nullopt, fault};
         }
+        m_state.crashes.noteCompleted(m_call.fingerprint());
         if (result.answer->status >= net::status::kFirstServerError) {
             m_state.health.noteFailure(now, run.id);
             m_call.noteFailedAttempt(run, "plain", "status_" + std::to_string(result.answer->status), verdict::Ran);
@@ -153,7 +162,8 @@
     {
         const verdict execution = overallExecution();
         if (execution == verdict::NotRun && !m_call.isTimedOut()) {
-            const duration wait = m_triedIds.empty() ? kNoUpstreamRetryAfter : duration::zero();
+            const duration noUpstreamWait = m_triedIds.empty() ? kNoUpstreamRetryAfter : duration::zero();
+            const duration wait = std::max(noUpstreamWait, m_state.crashes.quarantinedFor(m_call.fingerprint()));
             co_await m_call.sendError(
                 net::status::kUnavailable, reason, retryAfterDelay(m_state.retryAfterSettings, wait, m_call.timeLeft(), m_state.sampleUniform()));
             m_call.finish({"refused", net::status::kUnavailable, reason, execution, m_upstream});
--- a/src/node/relay_call.cpp
+++ b/src/node/relay_call.cpp
@@ -171,6 +171,14 @@
     return {};
 }
 
+void relay_call::noteAttempt(const registration &run, const http_result &result) const
+{
+    // A caller that leaves, or a stop of this entry, says nothing about the upstream.
+    if (!isCallerGone() && !m_shared->aborted) {
+        m_state.crashes.noteAttempt(run, m_fingerprint, result);
+    }
+}
+
 void relay_call::noteFailedAttempt(const registration &run, const std::string &stage, const std::string &reason, verdict execution) const
 {
     m_state.log(log_level::Warning,
--- a/src/node/relay_call.h
+++ b/src/node/relay_call.h
@@ -14,6 +14,9 @@
 namespace heatherroute::node
 {
 
+/// The reason for refusing a request that crashes upstreams.
+inline constexpr const char *kQuarantinedReason = "quarantined";
+
 /// The final result of a caller's request, as it is logged and counted.
 struct relay_result
 {
@@ -105,6 +108,8 @@
     boost::asio::awaitable<void> forwardAnswer(net::http_answer answer);
     /// Returns why @p answer can't be the upstream's own answer to this request; empty when it is valid.
     std::string validateAnswer(const answer_facts &facts, const net::http_answer &answer) const;
+    /// Records how an attempt that passed the request on to @p run ended, as far as the upstream ended it.
+    void noteAttempt(const registration &run, const net::http_result &result) const;
     /// Logs a failed attempt at the upstream @p run in the given @p stage of the request.
     void noteFailedAttempt(const registration &run, const std::string &stage, const std::string &reason, verdict execution) const;
     /// Adds fields to the log line that finish() writes.
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -55,6 +55,8 @@
 /// Callers rely on the configured idle timeout. Idle connections are kept open longer by this margin, so that a connection isn't closed
 /// while its next request is on the way.
 constexpr std::chrono::milliseconds kIdleMargin{2'000};
+/// Number of entries that tell a new one what it has missed; more than are expected to fail at once.
+constexpr std::size_t kInformingEntries = 3;
 /// Timeout of health checks and of the state queries to refusing engines.
 constexpr std::chrono::milliseconds kProbeTimeout{500};
 
@@ -274,6 +276,7 @@
         m_state.retryBudget.setFleetSize(coreNow(), m_otherEntries.size() + 1);
         updateRank();
         updateLeaseCandidacy();
+        informNewEntries();
     }
 
     void on(store_update_received &event)
@@ -302,6 +305,26 @@
         }
     }
 
+    void on(crash_reports_received &event)
+    {
+        m_state.crashes.onReports(event.reports);
+    }
+
+    /// Tells entries that have just started about suspects of crashes. Only the first entries by name do so, and they all receive it.
+    void informNewEntries()
+    {
+        bool anyNew = false;
+        for (const member &other : m_otherEntries) {
+            anyNew = m_knownEntries.insert(other.id).second || anyNew;
+        }
+        std::erase_if(m_knownEntries, [this](const member_id &id) {
+            return std::none_of(m_otherEntries.begin(), m_otherEntries.end(), [&id](const member &other) { return other.id == id; });
+        });
+        if (anyNew && m_rank < kInformingEntries) {
+            m_state.crashes.resendSuspects();
+        }
+    }
+
     /// Decides whether this entry reads the store frequently or relies on updates from other entries, and sends the updates that are due.
     void exchangeGossip(instant now)
     {
@@ -313,6 +336,9 @@
         for (store_update &message : m_state.gossip.dueMessages(now, m_state.routes ? m_state.routes->version() : 0)) {
             post(m_toMembers, member_event(store_update_broadcast{std::move(message)}));
         }
+        for (crash_reports &message : m_state.crashes.dueMessages()) {
+            post(m_toMembers, member_event(crash_reports_broadcast{std::move(message)}));
+        }
     }
 
     void announceLease(bool holds)
@@ -330,6 +356,7 @@
         for (const member &other : m_otherEntries) {
             rank += other.state == member_state::Alive && other.id.name < m_settings.entryName ? 1 : 0;
         }
+        m_rank = rank;
         m_state.gossip.setRank(m_stoppingSince ? m_otherEntries.size() : rank);
         m_leaseCandidate.setRank(rank);
     }
@@ -413,7 +440,7 @@
         const net::http_result result = co_await net::performCall(std::move(call));
         const auto report = result.answer ? m_state.dialect.readReport(*result.answer) : std::nullopt;
         if (!report) {
-            m_state.noteFailedAttempt(run.id, verdict::NotRun);
+            m_state.noteFailedCall(run, result);
         } else if (report->leaving) {
             m_state.registry.onLeaving(run.id);
         }
@@ -493,6 +520,8 @@
     std::unique_ptr<http_server> m_readiness;
     std::unique_ptr<http_server> m_directory;
     std::vector<member> m_otherEntries;
+    std::set<member_id> m_knownEntries; ///< The runs of other entries that were seen.
+    std::size_t m_rank = 0; ///< Number of live entries that precede this one by name.
     std::set<relay_call *> m_callsInFlight;
     std::size_t m_aborted = 0;
     std::optional<instant> m_stoppingSince;
--- a/src/node/relay_event.h
+++ b/src/node/relay_event.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "heatherroute/crash_report.h"
 #include "heatherroute/member.h"
 #include "heatherroute/registration.h"
 #include "heatherroute/route_table.h"
@@ -48,8 +49,15 @@
     store_update update;
 };
 
+/// Reports of crashes were received from another entry.
+struct crash_reports_received
+{
+    crash_reports reports;
+};
+
 /// An event for the relay's thread from the other duties.
-using relay_event = std::variant<routes_read, upstreams_reported, store_reachability, lease_term, members_changed, store_update_received>;
+using relay_event =
+    std::variant<routes_read, upstreams_reported, store_reachability, lease_term, members_changed, store_update_received, crash_reports_received>;
 
 /// The peer addresses of entries that are recorded in the store.
 struct entry_addresses
@@ -73,8 +81,14 @@
     store_update update;
 };
 
+/// Reports of crashes to send to all other entries.
+struct crash_reports_broadcast
+{
+    crash_reports reports;
+};
+
 /// An event for the membership's thread from the other duties.
-using member_event = std::variant<entry_addresses, own_summary, leave_membership, store_update_broadcast>;
+using member_event = std::variant<entry_addresses, own_summary, leave_membership, store_update_broadcast, crash_reports_broadcast>;
 
 /// Whether this entry should acquire or keep the lease, which grants the right to send orders to engines.
 struct lease_wanted
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -22,10 +22,12 @@
     , registry(upstream_registry::make({}, [this](const registration &run, upstream_change change) { onUpstreamChange(run, change); }))
     , retryBudget(fleet_retry_budget::make(limit))
     , scheduler(engine_scheduler::make({}))
+    , crashes(executor, {[this](log_level level, std::string event, std::vector<log_field> fields) { log(level, std::move(event), std::move(fields)); }})
 { }
 
 void relay_state::onUpstreamChange(const registration &run, upstream_change change)
 {
+    crashes.onUpstreamChange(run, change);
     if (change == upstream_change::Removed) {
         health.remove(run.id);
     } else if (change == upstream_change::Added || change == upstream_change::Restarted || change == upstream_change::Phase) {
@@ -83,12 +85,15 @@
     return result;
 }
 
-void relay_state::noteFailedAttempt(const std::string &id, verdict execution)
+void relay_state::noteFailedCall(const registration &run, const net::http_result &result)
 {
-    if (execution == verdict::NotRun) {
-        health.noteUnreachable(coreNow(), id);
+    if (result.refused) {
+        crashes.noteRefused(run);
+    }
+    if (result.failure.outcome == verdict::NotRun) {
+        health.noteUnreachable(coreNow(), run.id);
     } else {
-        health.noteFailure(coreNow(), id);
+        health.noteFailure(coreNow(), run.id);
     }
 }
 
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -13,6 +13,7 @@
 #include "heatherroute/log_line.h"
 #include "heatherroute/route_table.h"
 #include "node/core_time.h"
+#include "node/crash_monitor.h"
 #include "relay/engine_scheduler.h"
 #include "relay/fleet_retry_budget.h"
 #include "relay/phase_planner.h"
@@ -48,9 +49,9 @@
 
     /// Returns the upstreams of @p runs that aren't in backoff after a failed connection, with their weights and loads.
     std::vector<upstream_candidate> candidates(const std::vector<const registration *> &runs) const;
-    /// Records a failed attempt at upstream @p id. It counts as a failed connection if @p execution is NotRun, otherwise as a
-    /// failed request.
-    void noteFailedAttempt(const std::string &id, verdict execution);
+    /// Records a call to @p run that ended without an answer. It counts as a failed connection if nothing was sent, otherwise as
+    /// a failed request.
+    void noteFailedCall(const registration &run, const net::http_result &result);
     /// Consumes one retry of the fleet's budget for @p service and counts it. Returns false when none is left.
     bool tryRetry(const std::string &service);
     /// Returns the phase planner of @p service; it is created on first use.
@@ -86,6 +87,7 @@
     std::map<std::string, moving_average> plainLatencies; ///< Average latency in seconds, by service.
     std::map<std::string, std::size_t> inFlight; ///< Number of this entry's plain requests in flight, by upstream id.
     metrics_registry metrics;
+    crash_monitor crashes;
     std::string entryName;
 };
 
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -86,7 +86,7 @@
         m_state.retryBudget.noteRequest(coreNow(), m_service);
         std::uint32_t decodes = 0;
         bool retryGranted = true; // The first attempt needs no retry budget.
-        while (decodes < kMaxDecodes) {
+        while (decodes < kMaxDecodes && !endIfQuarantined()) {
             // Checked before another prefill, which would be wasted without the budget for the decode.
             if (!retryGranted && !m_state.tryRetry(m_service)) {
                 m_reason = "retry_budget_used_up";
@@ -98,7 +98,7 @@
                 break;
             }
             const bool computed = co_await computePrefill();
-            if (!computed) {
+            if (!computed || endIfQuarantined()) {
                 break;
             }
             if (!holdsUsableReservation()) {
@@ -116,6 +116,16 @@
     }
 
 private:
+    /// Whether the request must not be sent to an engine, since it crashes them.
+    bool endIfQuarantined()
+    {
+        if (m_state.crashes.quarantinedFor(m_call.fingerprint()) <= duration::zero()) {
+            return false;
+        }
+        m_reason = kQuarantinedReason;
+        return true;
+    }
+
     std::vector<upstream_candidate> enginesIn(engine_phase phase) const
     {
         return m_state.candidates(m_state.registry.usable(m_service, phase));
@@ -199,7 +209,7 @@
         const http_result result = co_await m_call.perform(std::move(call));
         if (!result.answer) {
             if (!m_call.isEnded()) {
-                m_state.noteFailedAttempt(run.id, result.failure.outcome);
+                m_state.noteFailedCall(run, result);
                 m_state.scheduler.noteFull(coreNow(), run.id);
                 m_call.noteFailedAttempt(run, "reserve", result.failure.reason, verdict::NotRun);
             }
@@ -238,6 +248,9 @@
         std::set<std::string> tried;
         bool retryGranted = m_prefillCount == 0;
         while (tried.size() < kMaxPrefills && !m_call.isEnded()) {
+            if (endIfQuarantined()) {
+                co_return false;
+            }
             std::vector<upstream_candidate> engines = enginesIn(engine_phase::Prefill);
             if (engines.empty()) {
                 co_return true;
@@ -270,6 +283,7 @@
             if (computed) {
                 co_return true;
             }
+            co_await m_state.crashes.checkBeforeRetry(run, m_call.fingerprint());
         }
         m_reason = "prefill_failed";
         co_return false;
@@ -289,9 +303,10 @@
         http_result result = co_await m_call.perform(std::move(call));
         m_state.scheduler.removePrefill(run.id, m_prompt.promptTokens);
         const duration took = coreNow() - sentAt;
+        m_call.noteAttempt(run, result);
         if (!result.answer) {
             if (!m_call.isEnded()) {
-                m_state.noteFailedAttempt(run.id, result.failure.outcome);
+                m_state.noteFailedCall(run, result);
                 m_state.scheduler.notePrefill(coreNow(), run.id, m_prompt.promptTokens, took);
                 m_call.noteFailedAttempt(run, "prefill", result.failure.reason, verdict::NotRun);
             }
@@ -371,6 +386,7 @@
     asio::awaitable<decode_outcome> finishDecode(registration run, http_result result)
     {
         m_decodeTook = coreNow() - m_sentAt;
+        m_call.noteAttempt(run, result);
         if (m_streaming) {
             const double memory = memoryTokensOf(run.service);
             if (memory > 0) {
@@ -378,6 +394,7 @@
             }
             m_streamComplete = result.answer.has_value();
             if (m_streamComplete) {
+                m_state.crashes.noteCompleted(m_call.fingerprint());
                 co_await m_call.responder().endStream();
             } else if (!m_call.isEnded()) {
                 m_state.health.noteFailure(coreNow(), run.id);
@@ -400,7 +417,7 @@
             m_execution = result.failure.outcome;
             return decode_outcome::Ended;
         }
-        m_state.noteFailedAttempt(run.id, result.failure.outcome);
+        m_state.noteFailedCall(run, result);
         m_call.noteFailedAttempt(run, "decode", result.failure.reason, result.failure.outcome);
         if (result.failure.outcome == verdict::NotRun) {
             releaseReservation();
@@ -428,6 +445,7 @@
             m_reason = "decode_refused";
             co_return decode_outcome::NotRun;
         }
+        m_state.crashes.noteCompleted(m_call.fingerprint());
         m_state.health.noteFailure(coreNow(), run.id);
         m_execution = verdict::MayHaveRun;
         m_reason = "decode_answer_unusable";
@@ -482,7 +500,8 @@
 
     asio::awaitable<void> sendUnavailable()
     {
-        const duration wait = m_reason == "no_engine" ? kNoEngineRetryAfter : kFullRetryAfter;
+        const duration engineWait = m_reason == "no_engine" ? kNoEngineRetryAfter : kFullRetryAfter;
+        const duration wait = std::max<duration>(engineWait, m_state.crashes.quarantinedFor(m_call.fingerprint()));
         const auto retryAfter = retryAfterDelay(m_state.retryAfterSettings, wait, m_call.timeLeft(), m_state.sampleUniform());
         co_await m_call.sendError(net::status::kUnavailable, m_reason, retryAfter);
         m_call.finish({"refused", net::status::kUnavailable, m_reason, verdict::NotRun, m_upstream});
--- /dev/null
+++ b/tests/request_quarantine_test.cpp
@@ -0,0 +1,198 @@
+#include <gtest/gtest.h>
+
+#include "heatherroute/request_quarantine.h"
+
+using namespace heatherroute;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr std::uint64_t kPoison = 1;
+constexpr std::uint64_t kSound = 2;
+
+instant at(duration time)
+{
+    return instant(seconds(100)) + time;
+}
+
+upstream_instance instanceOf(int number)
+{
+    return {"i-" + std::to_string(number), 1'000};
+}
+
+/// Lets the upstream @p number crash at @p time with @p requests in flight.
+void crash(request_quarantine &quarantine, int number, duration time, const std::vector<std::uint64_t> &requests)
+{
+    for (const std::uint64_t request : requests) {
+        quarantine.noteInterrupted(at(time), instanceOf(number), request);
+    }
+    quarantine.noteCrashed(at(time), instanceOf(number));
+}
+
+bool isQuarantined(request_quarantine &quarantine, duration time, std::uint64_t request)
+{
+    return quarantine.quarantinedFor(at(time), request) > duration::zero();
+}
+
+} // namespace
+
+TEST(RequestQuarantine, RequestIsQuarantinedAfterThreeUpstreamsCrashedUnderIt)
+{
+    auto quarantine = request_quarantine::make({});
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_FALSE(isQuarantined(quarantine, seconds(i), kPoison));
+        crash(quarantine, i, seconds(i), {kPoison});
+    }
+    EXPECT_TRUE(isQuarantined(quarantine, seconds(3), kPoison));
+    EXPECT_FALSE(isQuarantined(quarantine, seconds(3), kSound));
+}
+
+TEST(RequestQuarantine, OneCrashCountsOnceHoweverOftenTheRequestWasInFlight)
+{
+    auto quarantine = request_quarantine::make({});
+    crash(quarantine, 1, seconds(0), {kPoison, kPoison, kPoison});
+    crash(quarantine, 2, seconds(1), {kPoison, kPoison});
+    EXPECT_EQ(quarantine.crashesOf(kPoison), 2U);
+    EXPECT_FALSE(isQuarantined(quarantine, seconds(2), kPoison));
+}
+
+TEST(RequestQuarantine, LostAnswersOfLivingUpstreamsDoNotCount)
+{
+    auto quarantine = request_quarantine::make({});
+    for (int i = 0; i < 20; ++i) {
+        quarantine.noteInterrupted(at(seconds(i)), instanceOf(i), kSound);
+        quarantine.noteAlive(at(seconds(i)), instanceOf(i));
+        EXPECT_TRUE(quarantine.noteCrashed(at(seconds(i)), instanceOf(i)).empty());
+    }
+    EXPECT_FALSE(isQuarantined(quarantine, seconds(20), kSound));
+}
+
+TEST(RequestQuarantine, CrashThatIsNoticedLongAfterTheInterruptionDoesNotExplainIt)
+{
+    auto quarantine = request_quarantine::make({});
+    quarantine.noteInterrupted(at(seconds(0)), instanceOf(1), kSound);
+    EXPECT_TRUE(quarantine.noteCrashed(at(seconds(11)), instanceOf(1)).empty());
+}
+
+TEST(RequestQuarantine, InterruptionAfterTheCrashIsKnownCounts)
+{
+    auto quarantine = request_quarantine::make({});
+    quarantine.noteCrashed(at(seconds(0)), instanceOf(1));
+    EXPECT_TRUE(quarantine.noteInterrupted(at(milliseconds(5)), instanceOf(1), kPoison));
+}
+
+TEST(RequestQuarantine, RestartUnderTheSameIdIsACrashOfTheInstanceBefore)
+{
+    auto quarantine = request_quarantine::make({});
+    quarantine.noteInterrupted(at(seconds(0)), {"i-1", 1'000}, kPoison);
+    EXPECT_TRUE(quarantine.noteRestarted(at(seconds(1)), {"i-1", 1'000}).empty());
+    EXPECT_EQ(quarantine.noteRestarted(at(seconds(2)), {"i-1", 2'000}).size(), 1U);
+}
+
+TEST(RequestQuarantine, RequestsBesideAPoisonRequestAreServed)
+{
+    auto quarantine = request_quarantine::make({});
+    crash(quarantine, 0, seconds(0), {kPoison});
+    for (int i = 1; i < 4; ++i) {
+        crash(quarantine, i, seconds(i), {kSound, kPoison});
+    }
+    EXPECT_TRUE(isQuarantined(quarantine, seconds(5), kPoison));
+    EXPECT_FALSE(isQuarantined(quarantine, seconds(5), kSound));
+}
+
+TEST(RequestQuarantine, CrashesBesideAPoisonRequestDoNotHideFurtherCrashes)
+{
+    auto quarantine = request_quarantine::make({});
+    crash(quarantine, 0, seconds(0), {kPoison});
+    for (int i = 1; i < 4; ++i) {
+        crash(quarantine, i, seconds(i), {kSound, kPoison});
+    }
+    for (int i = 4; i < 7; ++i) {
+        crash(quarantine, i, seconds(i), {kSound});
+    }
+    EXPECT_TRUE(isQuarantined(quarantine, seconds(7), kSound));
+}
+
+TEST(RequestQuarantine, CompletedRequestIsClearedOfEarlierCrashes)
+{
+    auto quarantine = request_quarantine::make({});
+    crash(quarantine, 1, seconds(0), {kSound});
+    crash(quarantine, 2, seconds(1), {kSound});
+    const auto report = quarantine.noteCompleted(at(seconds(2)), kSound);
+    ASSERT_TRUE(report);
+    EXPECT_TRUE(report->cleared);
+    crash(quarantine, 3, seconds(3), {kSound});
+    EXPECT_FALSE(isQuarantined(quarantine, seconds(4), kSound));
+    EXPECT_EQ(quarantine.crashesOf(kSound), 1U);
+}
+
+TEST(RequestQuarantine, LateReportOfACrashBeforeTheRequestWasClearedDoesNotCount)
+{
+    auto quarantine = request_quarantine::make({});
+    crash(quarantine, 1, seconds(0), {kSound});
+    quarantine.noteCompleted(at(seconds(2)), kSound);
+    quarantine.onReport(at(seconds(3)), {kSound, instanceOf(1), 3'000, false});
+    quarantine.onReport(at(seconds(3)), {kSound, instanceOf(2), 2'000, false});
+    EXPECT_EQ(quarantine.crashesOf(kSound), 0U);
+}
+
+TEST(RequestQuarantine, EntriesJudgeByWhatAllOfThemSaw)
+{
+    auto one = request_quarantine::make({});
+    auto other = request_quarantine::make({});
+    for (int i = 0; i < 3; ++i) {
+        request_quarantine &seer = i % 2 == 0 ? one : other;
+        request_quarantine &told = i % 2 == 0 ? other : one;
+        seer.noteInterrupted(at(seconds(i)), instanceOf(i), kPoison);
+        for (const crash_report &report : seer.noteCrashed(at(seconds(i)), instanceOf(i))) {
+            told.onReport(at(seconds(i)), report);
+        }
+    }
+    EXPECT_TRUE(isQuarantined(one, seconds(3), kPoison));
+    EXPECT_TRUE(isQuarantined(other, seconds(3), kPoison));
+    auto restarted = request_quarantine::make({});
+    for (const crash_report &report : one.suspectReports(at(seconds(4)))) {
+        restarted.onReport(at(seconds(4)), report);
+    }
+    EXPECT_TRUE(isQuarantined(restarted, seconds(4), kPoison));
+    EXPECT_EQ(restarted.quarantinedFor(at(seconds(4)), kPoison), one.quarantinedFor(at(seconds(4)), kPoison));
+}
+
+TEST(RequestQuarantine, QuarantineLapsesWithTheEvidence)
+{
+    auto quarantine = request_quarantine::make({});
+    for (int i = 0; i < 3; ++i) {
+        crash(quarantine, i, seconds(i), {kPoison});
+    }
+    EXPECT_EQ(quarantine.quarantinedFor(at(seconds(10)), kPoison), std::chrono::minutes(10) - seconds(10));
+    EXPECT_TRUE(isQuarantined(quarantine, std::chrono::minutes(10) - seconds(1), kPoison));
+    EXPECT_FALSE(isQuarantined(quarantine, std::chrono::minutes(10) + seconds(1), kPoison));
+    EXPECT_EQ(quarantine.size(), 0U);
+}
+
+TEST(RequestQuarantine, UpstreamOfUnknownStartMayCrashAgainAfterAWhile)
+{
+    auto quarantine = request_quarantine::make({});
+    const upstream_instance upstream{"engine-1", 0};
+    for (const int time : {0, 1, 10, 20}) {
+        quarantine.noteInterrupted(at(seconds(time)), upstream, kPoison);
+        quarantine.noteCrashed(at(seconds(time)), upstream);
+    }
+    EXPECT_EQ(quarantine.crashesOf(kPoison), 3U);
+}
+
+TEST(RequestQuarantine, MemoryIsBounded)
+{
+    quarantine_settings settings;
+    settings.maxCrashesKept = 10;
+    settings.maxPending = 10;
+    auto quarantine = request_quarantine::make(settings);
+    for (int i = 0; i < 100; ++i) {
+        crash(quarantine, i, milliseconds(i), {kPoison, static_cast<std::uint64_t>(i + 10)});
+    }
+    EXPECT_EQ(quarantine.crashesOf(kPoison), 10U);
+    EXPECT_EQ(quarantine.crashesOf(10), 0U);
+    EXPECT_TRUE(isQuarantined(quarantine, seconds(1), kPoison));
+}
