Quarantines outlast restarts of entries

An entry that restarts has lost what it knew; with all entries restarted, a quarantined request crashed three more upstreams, again after each restart. Cause: the quarantine was kept in memory and in gossip of two seconds only. Change: the first three entries by name introduce an entry that starts, or comes back into reach, to the known suspects. Each entry that had a quarantined request in flight in one of its crashes records it in the store, in the stream of the entries' addresses, which an entry reads at its start anyway. The state test showed that the entry that observes the last crash is not enough: the verdict may follow from a report that arrives later.

--- a/include/heatherroute/crash_gossip.h
+++ b/include/heatherroute/crash_gossip.h
@@ -21,6 +21,9 @@
     auto operator<=>(const crash_gossip_settings &) const = default;
 };
 
+/// Returns messages with @p reports, as few as possible. Thread safe.
+std::vector<crash_reports> makeMessages(const std::vector<crash_report> &reports);
+
 /**
  * Decides which crash reports to send to the other entries, and when.
  *
--- a/include/heatherroute/request_quarantine.h
+++ b/include/heatherroute/request_quarantine.h
@@ -29,6 +29,15 @@
     auto operator<=>(const quarantine_settings &) const = default;
 };
 
+/// The beginning of a request's quarantine.
+struct started_quarantine
+{
+    std::uint64_t fingerprint = 0;
+    bool observedHere = false; ///< Whether this entry had the request in flight in one of the crashes, or knows of them from others only.
+
+    auto operator<=>(const started_quarantine &) const = default;
+};
+
 /**
  * Finds requests that crash the upstreams that run them, and keeps them from further upstreams.
  *
@@ -63,12 +72,16 @@
     /// Processes a report of another entry.
     void onReport(instant now, const crash_report &report);
 
+    /// Returns the requests whose quarantine has begun since the last call.
+    std::vector<started_quarantine> takeStarted();
     /// Returns for how much longer the request must not be sent to an upstream; zero if it may be.
     duration quarantinedFor(instant now, std::uint64_t fingerprint);
     /// Returns the number of known crashes with the request in flight.
     std::uint32_t crashesOf(std::uint64_t fingerprint) const;
-    /// Returns the reports on all requests that are suspects of more than one crash, for an entry that has missed them.
-    std::vector<crash_report> suspectReports(instant now) const;
+    /// Returns the reports on all suspects of the newest crashes, at most @p limit, for an entry that has missed them.
+    std::vector<crash_report> suspectReports(instant now, std::size_t limit) const;
+    /// Returns the reports on one request.
+    std::vector<crash_report> reportsOn(instant now, std::uint64_t fingerprint) const;
     /// Returns the number of quarantined requests.
     std::size_t size() const noexcept
     {
@@ -95,10 +108,12 @@
     crash_report addSuspect(instant now, instant at, const upstream_instance &instance, std::uint64_t fingerprint);
     template<typename Matches>
     std::vector<crash_report> explainPending(instant now, Matches matches);
+    crash_report addObserved(instant now, const pending_interruption &interruption);
     void forgetCrash(std::deque<known_crash>::iterator crash);
     void removeSuspect(known_crash &crash, std::uint64_t fingerprint);
     void clear(instant at, std::uint64_t fingerprint);
     using crash_lists = std::map<std::uint64_t, std::vector<const known_crash *>>;
+    std::vector<const known_crash *> crashesByTime() const;
     void updateQuarantine();
     bool isCandidate(std::uint64_t fingerprint) const;
     void judge(const std::vector<std::uint64_t> &fingerprints, const crash_lists &crashesOfRequest, std::set<const known_crash *> &explained);
@@ -110,6 +125,8 @@
     std::map<upstream_instance, instant> m_crashedInstances; ///< Crashes of the last moments, also those without a suspect.
     std::map<std::uint64_t, instant> m_clearedAt; ///< Crashes up to this time don't count against the request.
     std::map<std::uint64_t, instant> m_quarantined; ///< The time at which the quarantine lapses, by request.
+    std::map<std::uint64_t, instant> m_observedHere; ///< Requests that this entry had in flight in a crash, with the time of the last one.
+    std::set<std::uint64_t> m_taken; ///< Requests whose quarantine takeStarted() has returned.
 };
 
 } // namespace heatherroute
--- a/src/core/crash_gossip.cpp
+++ b/src/core/crash_gossip.cpp
@@ -3,6 +3,18 @@
 namespace heatherroute
 {
 
+std::vector<crash_reports> makeMessages(const std::vector<crash_report> &reports)
+{
+    std::vector<crash_reports> messages;
+    for (const crash_report &report : reports) {
+        if (messages.empty() || messages.back().reports.size() == kMaxCrashReportsPerMessage) {
+            messages.emplace_back();
+        }
+        messages.back().reports.push_back(report);
+    }
+    return messages;
+}
+
 crash_gossip crash_gossip::make(const crash_gossip_settings &settings)
 {
     return crash_gossip(settings);
@@ -28,20 +40,17 @@
     while (!m_queue.empty() && now - m_queue.front().addedAt > m_settings.resendFor) {
         m_queue.pop_front();
     }
-    std::vector<crash_reports> messages;
+    std::vector<crash_report> due;
     for (queued_report &queued : m_queue) {
         if (now < queued.nextAt) {
             continue;
         }
         queued.nextAt = now + m_settings.interval;
-        if (messages.empty() || messages.back().reports.size() == kMaxCrashReportsPerMessage) {
-            messages.emplace_back();
-        }
         crash_report report = queued.report;
         report.ageMs += static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - queued.addedAt).count());
-        messages.back().reports.push_back(std::move(report));
+        due.push_back(std::move(report));
     }
-    return messages;
+    return makeMessages(due);
 }
 
 } // namespace heatherroute
--- a/src/core/request_quarantine.cpp
+++ b/src/core/request_quarantine.cpp
@@ -30,7 +30,7 @@
     const auto crashed = m_crashedInstances.find(instance);
     // If its start isn't known, an interruption long after the crash belongs to the next instance.
     if (crashed != m_crashedInstances.end() && (instance.startedAt != 0 || now - crashed->second < m_settings.sameCrashWindow)) {
-        crash_report report = addSuspect(now, now, instance, fingerprint);
+        crash_report report = addObserved(now, {now, instance, fingerprint});
         updateQuarantine();
         return report;
     }
@@ -60,7 +60,7 @@
     std::vector<crash_report> reports;
     for (const pending_interruption &interruption : m_pending) {
         if (matches(interruption.instance)) {
-            reports.push_back(addSuspect(now, interruption.at, interruption.instance, interruption.fingerprint));
+            reports.push_back(addObserved(now, interruption));
         }
     }
     std::erase_if(m_pending, [&matches](const pending_interruption &interruption) { return matches(interruption.instance); });
@@ -70,6 +70,12 @@
     return reports;
 }
 
+crash_report request_quarantine::addObserved(instant now, const pending_interruption &interruption)
+{
+    m_observedHere[interruption.fingerprint] = now;
+    return addSuspect(now, interruption.at, interruption.instance, interruption.fingerprint);
+}
+
 void request_quarantine::noteAlive(instant aliveAt, const upstream_instance &instance)
 {
     std::erase_if(m_pending, [&](const pending_interruption &interruption) { return interruption.instance == instance && interruption.at <= aliveAt; });
@@ -97,6 +103,18 @@
     }
 }
 
+std::vector<started_quarantine> request_quarantine::takeStarted()
+{
+    std::erase_if(m_taken, [this](std::uint64_t fingerprint) { return !m_quarantined.contains(fingerprint); });
+    std::vector<started_quarantine> started;
+    for (const auto &[fingerprint, lapsesAt] : m_quarantined) {
+        if (m_taken.insert(fingerprint).second) {
+            started.push_back({fingerprint, m_observedHere.contains(fingerprint)});
+        }
+    }
+    return started;
+}
+
 duration request_quarantine::quarantinedFor(instant now, std::uint64_t fingerprint)
 {
     if (m_quarantined.empty()) {
@@ -113,19 +131,43 @@
     return found == m_crashCounts.end() ? 0 : found->second;
 }
 
-std::vector<crash_report> request_quarantine::suspectReports(instant now) const
+std::vector<crash_report> request_quarantine::suspectReports(instant now, std::size_t limit) const
 {
+    std::vector<const known_crash *> newestFirst = crashesByTime();
+    std::reverse(newestFirst.begin(), newestFirst.end());
     std::vector<crash_report> reports;
-    for (const known_crash &crash : m_crashes) {
-        for (const std::uint64_t fingerprint : crash.suspects) {
-            if (crashesOf(fingerprint) > 1) {
-                reports.push_back({fingerprint, crash.instance, millisecondsBetween(crash.at, now), false});
+    for (const known_crash *crash : newestFirst) {
+        for (const std::uint64_t fingerprint : crash->suspects) {
+            if (reports.size() == limit) {
+                return reports;
             }
+            reports.push_back({fingerprint, crash->instance, millisecondsBetween(crash->at, now), false});
         }
     }
     return reports;
 }
 
+std::vector<crash_report> request_quarantine::reportsOn(instant now, std::uint64_t fingerprint) const
+{
+    std::vector<crash_report> reports;
+    for (const known_crash &crash : m_crashes) {
+        if (crash.suspects.contains(fingerprint)) {
+            reports.push_back({fingerprint, crash.instance, millisecondsBetween(crash.at, now), false});
+        }
+    }
+    return reports;
+}
+
+std::vector<const request_quarantine::known_crash *> request_quarantine::crashesByTime() const
+{
+    std::vector<const known_crash *> ordered;
+    for (const known_crash &crash : m_crashes) {
+        ordered.push_back(&crash);
+    }
+    std::stable_sort(ordered.begin(), ordered.end(), [](const known_crash *a, const known_crash *b) { return a->at < b->at; });
+    return ordered;
+}
+
 request_quarantine::known_crash *request_quarantine::findCrash(instant at, const upstream_instance &instance)
 {
     const auto found = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const known_crash &crash) {
@@ -190,6 +232,7 @@
         m_pending.pop_front();
     }
     std::erase_if(m_crashedInstances, [&](const auto &entry) { return now - entry.second > m_settings.pendingTime; });
+    std::erase_if(m_observedHere, [&](const auto &entry) { return now - entry.second > m_settings.retention; });
     std::erase_if(m_clearedAt, [&](const auto &entry) { return now - entry.second > m_settings.retention; });
     bool forgot = false;
     for (auto crash = m_crashes.begin(); crash != m_crashes.end();) {
@@ -217,14 +260,9 @@
     if (!hasCandidates) {
         return;
     }
-    std::vector<const known_crash *> ordered;
-    for (const known_crash &crash : m_crashes) {
-        ordered.push_back(&crash);
-    }
-    std::stable_sort(ordered.begin(), ordered.end(), [](const known_crash *a, const known_crash *b) { return a->at < b->at; });
     crash_lists crashesOfRequest;
     std::set<const known_crash *> explained;
-    for (const known_crash *crash : ordered) {
+    for (const known_crash *crash : crashesByTime()) {
         std::map<std::size_t, std::vector<std::uint64_t>, std::greater<>> byCount;
         for (const std::uint64_t fingerprint : crash->suspects) {
             if (isCandidate(fingerprint)) {
--- a/src/node/crash_monitor.cpp
+++ b/src/node/crash_monitor.cpp
@@ -15,6 +15,7 @@
 namespace
 {
 
+constexpr std::size_t kMaxIntroducedReports = 256;
 /// Allows for several round trips between availability zones.
 constexpr std::chrono::milliseconds kCheckTimeout{150};
 
@@ -74,20 +75,18 @@
 {
     for (const crash_report &report : message.reports) {
         m_quarantine.onReport(coreNow(), report);
-        logQuarantine(report.fingerprint);
     }
+    announceStarted();
 }
 
-void crash_monitor::resendSuspects()
+std::vector<crash_reports> crash_monitor::dueMessages()
 {
-    for (const crash_report &report : m_quarantine.suspectReports(coreNow())) {
-        m_gossip.add(coreNow(), report);
-    }
+    return m_gossip.dueMessages(coreNow());
 }
 
-std::vector<crash_reports> crash_monitor::dueMessages()
+std::vector<crash_reports> crash_monitor::introduction() const
 {
-    return m_gossip.dueMessages(coreNow());
+    return makeMessages(m_quarantine.suspectReports(coreNow(), kMaxIntroducedReports));
 }
 
 duration crash_monitor::quarantinedFor(std::uint64_t fingerprint)
@@ -138,21 +137,23 @@
                      upstreamField(report.instance.id),
                      {"instance_started_at", std::to_string(report.instance.startedAt)},
                      {"crashes", std::to_string(m_quarantine.crashesOf(report.fingerprint))}});
-        logQuarantine(report.fingerprint);
     }
+    announceStarted();
 }
 
-void crash_monitor::logQuarantine(std::uint64_t fingerprint)
+void crash_monitor::announceStarted()
 {
-    const duration left = quarantinedFor(fingerprint);
-    if (left <= duration::zero()) {
-        m_logged.erase(fingerprint);
-    } else if (m_logged.insert(fingerprint).second) {
+    for (const started_quarantine &started : m_quarantine.takeStarted()) {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(quarantinedFor(started.fingerprint));
         m_hooks.log(log_level::Warning,
                     "request_quarantined",
-                    {{"fingerprint", fingerprintText(fingerprint)},
-                     {"crashes", std::to_string(m_quarantine.crashesOf(fingerprint))},
-                     {"for_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(left).count())}});
+                    {{"fingerprint", fingerprintText(started.fingerprint)},
+                     {"crashes", std::to_string(m_quarantine.crashesOf(started.fingerprint))},
+                     {"observed_here", started.observedHere ? "true" : "false"},
+                     {"for_ms", std::to_string(left.count())}});
+        if (started.observedHere) {
+            m_hooks.quarantined(m_quarantine.reportsOn(coreNow(), started.fingerprint));
+        }
     }
 }
 
--- a/src/node/crash_monitor.h
+++ b/src/node/crash_monitor.h
@@ -22,6 +22,8 @@
 struct crash_monitor_hooks
 {
     std::function<void(log_level, std::string event, std::vector<log_field>)> log;
+    /// Called when a request is quarantined that this entry had in flight in a crash, with all reports on the request.
+    std::function<void(std::vector<crash_report>)> quarantined;
 };
 
 /**
@@ -45,10 +47,10 @@
     void onUpstreamChange(const registration &run, upstream_change change);
     /// Processes the reports of another entry.
     void onReports(const crash_reports &message);
-    /// Sends what is known of suspects again, for entries that have missed it.
-    void resendSuspects();
     /// Returns the messages to send to all other entries now.
     std::vector<crash_reports> dueMessages();
+    /// Returns the messages that tell an entry about the suspects that it doesn't know.
+    std::vector<crash_reports> introduction() const;
 
     /// Returns for how much longer the request must not be sent to an upstream; zero if it may be.
     duration quarantinedFor(std::uint64_t fingerprint);
@@ -59,7 +61,8 @@
     boost::asio::awaitable<void> check(registration run);
     boost::asio::awaitable<void> checkDetached(registration run);
     void publish(const std::vector<crash_report> &reports);
-    void logQuarantine(std::uint64_t fingerprint);
+    /// Logs the quarantines that have begun.
+    void announceStarted();
 
     boost::asio::any_io_executor m_executor;
     crash_monitor_hooks m_hooks;
@@ -67,7 +70,6 @@
     crash_gossip m_gossip;
     std::set<upstream_instance> m_checking;
     std::set<upstream_instance> m_interruptedMeanwhile; ///< Interrupted a request since the check in progress began.
-    std::set<std::uint64_t> m_logged; ///< Requests whose quarantine was logged.
 };
 
 } // namespace heatherroute::node
--- a/src/node/member_duty.cpp
+++ b/src/node/member_duty.cpp
@@ -68,8 +68,12 @@
             processEvent(membership_summary{summary->summary});
         } else if (auto *broadcastEvent = std::get_if<store_update_broadcast>(&event)) {
             broadcast(broadcastEvent->update);
-        } else if (auto *crashEvent = std::get_if<crash_reports_broadcast>(&event)) {
-            broadcast(crashEvent->reports);
+        } else if (auto *crashEvent = std::get_if<crash_reports_to_send>(&event)) {
+            if (crashEvent->peerAddress) {
+                m_transport->sendDatagram(*crashEvent->peerAddress, crashEvent->reports);
+            } else {
+                broadcast(crashEvent->reports);
+            }
         } else {
             processEvent(membership_leave{});
         }
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -56,7 +56,7 @@
 /// while its next request is on the way.
 constexpr std::chrono::milliseconds kIdleMargin{2'000};
 /// Number of entries that tell a new one what it has missed; more than are expected to fail at once.
-constexpr std::size_t kInformingEntries = 3;
+constexpr std::size_t kIntroducingEntries = 3;
 /// Timeout of health checks and of the state queries to refusing engines.
 constexpr std::chrono::milliseconds kProbeTimeout{500};
 
@@ -82,6 +82,7 @@
         , m_stopTimer(context)
     {
         m_state.writeLog = std::move(log);
+        m_state.recordQuarantine = [this](std::vector<crash_report> reports) { post(m_toStore, store_event(quarantine_to_record{std::move(reports)})); };
         m_state.entryName = m_settings.entryName;
     }
 
@@ -276,7 +277,7 @@
         m_state.retryBudget.setFleetSize(coreNow(), m_otherEntries.size() + 1);
         updateRank();
         updateLeaseCandidacy();
-        informNewEntries();
+        introduceSuspects();
     }
 
     void on(store_update_received &event)
@@ -310,19 +311,22 @@
         m_state.crashes.onReports(event.reports);
     }
 
-    /// Tells entries that have just started about suspects of crashes. Only the first entries by name do so, and they all receive it.
-    void informNewEntries()
+    /// Tells entries that have started, or were out of reach, about suspects of crashes. The first entries by name do so, and an entry
+    /// that was itself out of reach of all others.
+    void introduceSuspects()
     {
-        bool anyNew = false;
+        const bool wasAlone = m_knownEntries.empty();
+        std::set<member_id> present;
         for (const member &other : m_otherEntries) {
-            anyNew = m_knownEntries.insert(other.id).second || anyNew;
-        }
-        std::erase_if(m_knownEntries, [this](const member_id &id) {
-            return std::none_of(m_otherEntries.begin(), m_otherEntries.end(), [&id](const member &other) { return other.id == id; });
-        });
-        if (anyNew && m_rank < kInformingEntries) {
-            m_state.crashes.resendSuspects();
+            present.insert(other.id);
+            if (m_knownEntries.contains(other.id) || (m_rank >= kIntroducingEntries && !wasAlone)) {
+                continue;
+            }
+            for (crash_reports &message : m_state.crashes.introduction()) {
+                post(m_toMembers, member_event(crash_reports_to_send{std::move(message), other.peerAddress}));
+            }
         }
+        m_knownEntries = std::move(present);
     }
 
     /// Decides whether this entry reads the store frequently or relies on updates from other entries, and sends the updates that are due.
@@ -337,7 +341,7 @@
             post(m_toMembers, member_event(store_update_broadcast{std::move(message)}));
         }
         for (crash_reports &message : m_state.crashes.dueMessages()) {
-            post(m_toMembers, member_event(crash_reports_broadcast{std::move(message)}));
+            post(m_toMembers, member_event(crash_reports_to_send{std::move(message), std::nullopt}));
         }
     }
 
--- a/src/node/relay_event.h
+++ b/src/node/relay_event.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -81,14 +82,15 @@
     store_update update;
 };
 
-/// Reports of crashes to send to all other entries.
-struct crash_reports_broadcast
+/// Reports of crashes to send to other entries.
+struct crash_reports_to_send
 {
     crash_reports reports;
+    std::optional<std::string> peerAddress; ///< The only receiver; all other entries if empty.
 };
 
 /// An event for the membership's thread from the other duties.
-using member_event = std::variant<entry_addresses, own_summary, leave_membership, store_update_broadcast, crash_reports_broadcast>;
+using member_event = std::variant<entry_addresses, own_summary, leave_membership, store_update_broadcast, crash_reports_to_send>;
 
 /// Whether this entry should acquire or keep the lease, which grants the right to send orders to engines.
 struct lease_wanted
@@ -106,11 +108,17 @@
 struct config_outdated
 { };
 
+/// This entry has quarantined a request, which other entries must know even if all of them restart.
+struct quarantine_to_record
+{
+    std::vector<crash_report> reports; ///< All on one request; not empty.
+};
+
 /// The process is stopping. The store duty stops reading and releases the lease.
 struct store_stop
 { };
 
 /// An event for the store's thread from the other duties.
-using store_event = std::variant<lease_wanted, store_polling_changed, config_outdated, store_stop>;
+using store_event = std::variant<lease_wanted, store_polling_changed, config_outdated, quarantine_to_record, store_stop>;
 
 } // namespace heatherroute::node
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -22,9 +22,21 @@
     , registry(upstream_registry::make({}, [this](const registration &run, upstream_change change) { onUpstreamChange(run, change); }))
     , retryBudget(fleet_retry_budget::make(limit))
     , scheduler(engine_scheduler::make({}))
-    , crashes(executor, {[this](log_level level, std::string event, std::vector<log_field> fields) { log(level, std::move(event), std::move(fields)); }})
+    , crashes(executor, crashHooks())
 { }
 
+crash_monitor_hooks relay_state::crashHooks()
+{
+    crash_monitor_hooks hooks;
+    hooks.log = [this](log_level level, std::string event, std::vector<log_field> fields) { log(level, std::move(event), std::move(fields)); };
+    hooks.quarantined = [this](std::vector<crash_report> reports) {
+        if (recordQuarantine) {
+            recordQuarantine(std::move(reports));
+        }
+    };
+    return hooks;
+}
+
 void relay_state::onUpstreamChange(const registration &run, upstream_change change)
 {
     crashes.onUpstreamChange(run, change);
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -76,6 +76,7 @@
     relay_timing timing;
     retry_after_settings retryAfterSettings;
     std::function<void(log_line)> writeLog;
+    std::function<void(std::vector<crash_report>)> recordQuarantine; ///< Records the quarantine of a request in the platform's store.
     std::shared_ptr<const route_table> routes; ///< Null before the first configuration.
     std::mt19937_64 random;
     store_gossip gossip;
@@ -89,6 +90,9 @@
     metrics_registry metrics;
     crash_monitor crashes;
     std::string entryName;
+
+private:
+    crash_monitor_hooks crashHooks();
 };
 
 } // namespace heatherroute::node
--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -11,14 +11,29 @@
 #include <random>
 #include <set>
 
+#include "heatherroute/request_quarantine.h"
 #include "node/boot_clock.h"
 #include "node/core_time.h"
+#include "relay/quarantine_record.h"
 
 namespace heatherroute::node
 {
 
 namespace asio = boost::asio;
 
+namespace
+{
+
+/// After this many failures, the others still know by gossip, and the next restart of all entries at once forgets the quarantine.
+constexpr std::uint32_t kMaxAppends = 60;
+
+std::int64_t unixMilliseconds()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+} // namespace
+
 class store_duty::impl : public std::enable_shared_from_this<store_duty::impl>
 {
 public:
@@ -59,6 +74,8 @@
             }
         } else if (std::holds_alternative<config_outdated>(event)) {
             scheduleConfigRead();
+        } else if (const auto *quarantine = std::get_if<quarantine_to_record>(&event)) {
+            asio::co_spawn(m_context, appendEntriesRecord(shared_from_this(), makeQuarantineRecord(quarantine->reports, unixMilliseconds())), asio::detached);
         } else {
             m_leaseWanted = false;
             m_stopping = true;
@@ -312,6 +329,7 @@
             const keyed_page page = co_await self->readNext(cursor, std::chrono::milliseconds(0), isSnapshot);
             if (page.outcome == store_outcome::Done) {
                 co_await self->sendEntryAddresses(page);
+                co_await self->sendQuarantines(page, isSnapshot);
             }
             if (page.outcome == store_outcome::Unavailable) {
                 co_await self->pause(self->backoffDelay(cursor));
@@ -324,7 +342,7 @@
     asio::awaitable<void> sendEntryAddresses(const keyed_page &page)
     {
         for (const keyed_record &record : page.records) {
-            if (record.value) {
+            if (record.value && !isQuarantineKey(record.key)) {
                 m_entryAddresses[record.key] = *record.value;
             }
         }
@@ -336,6 +354,42 @@
         co_await m_toMembers.push(std::move(event));
     }
 
+    /// Appends a record to the entries' stream; tries again while the store is unavailable.
+    static asio::awaitable<void> appendEntriesRecord(std::shared_ptr<impl> self, keyed_record record)
+    {
+        stream_cursor cursor;
+        cursor.stream = store_stream::Entries;
+        while (!self->m_stopping && cursor.failures < kMaxAppends) {
+            const store_outcome outcome = co_await self->m_store.append(store_stream::Entries, record);
+            if (outcome == store_outcome::Done) {
+                co_return;
+            }
+            cursor.failures += 1;
+            co_await self->pause(self->backoffDelay(cursor));
+        }
+        self->log(log_level::Warning, "quarantine_not_recorded", {{"key", record.key}, {"failures", std::to_string(cursor.failures)}});
+    }
+
+    /// Passes the recorded quarantines on to the relay. Expired records are deleted by entries that start.
+    asio::awaitable<void> sendQuarantines(const keyed_page &page, bool isSnapshot)
+    {
+        for (const keyed_record &record : page.records) {
+            if (!record.value || !isQuarantineKey(record.key)) {
+                continue;
+            }
+            last_reason reason;
+            const auto reports = readQuarantineRecord(record, unixMilliseconds(), &reason);
+            if (!reports) {
+                log(log_level::Warning, "quarantine_unreadable", {{"key", record.key}, {"reason", reason.text()}});
+            } else if (!isExpired(*reports, quarantine_settings{}.retention)) {
+                relay_event event = crash_reports_received{{*reports}};
+                co_await m_toRelay.push(std::move(event));
+            } else if (isSnapshot) {
+                asio::co_spawn(m_context, appendEntriesRecord(shared_from_this(), keyed_record{record.key, std::nullopt}), asio::detached);
+            }
+        }
+    }
+
     static asio::awaitable<void> keepLease(std::shared_ptr<impl> self)
     {
         while (true) {
--- a/src/relay/platform_store.h
+++ b/src/relay/platform_store.h
@@ -22,7 +22,7 @@
 enum class store_stream : std::uint8_t {
     Configuration, ///< Published by operators.
     Registrations, ///< Written by the upstreams.
-    Entries, ///< Addresses of the entries, written by the entries.
+    Entries, ///< Written by the entries: their addresses, and the requests that they have quarantined.
 };
 
 /// A change of one key; without a value, the key was deleted.
--- a/tests/process_poison_test.cpp
+++ b/tests/process_poison_test.cpp
@@ -1,11 +1,13 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <csignal>
+#include <numeric>
 
 #include "support/relay_site.h"
 #include "support/site_run.h"
@@ -62,6 +64,32 @@
     EXPECT_LE(arrivalsAfter(site, since), kMaxFurtherArrivals) << site.poisonCrashes().size() << " crashes, " << site.poisonArrivals().size() << " arrivals";
 }
 
+/// Expects that entry @p index refuses a request of each kind that crashes upstreams, and that none reaches an upstream.
+asio::awaitable<void> expectRefused(relay_site &site, std::size_t index, std::string path)
+{
+    const std::size_t arrivals = site.poisonArrivals().size();
+    for (int i = 0; i < 5; ++i) {
+        const caller_result result = co_await site.call(index, path, kRequestDeadline);
+        EXPECT_EQ(result.status, 503U) << "entry " << index;
+    }
+    EXPECT_EQ(site.poisonArrivals().size(), arrivals) << "entry " << index;
+}
+
+/// Kills the entries with @p indexes at the same time, restarts them, and waits until they are ready.
+asio::awaitable<void> killAndRestart(relay_site &site, std::vector<std::size_t> indexes)
+{
+    for (const std::size_t index : indexes) {
+        site.entry(index).signal(SIGKILL);
+    }
+    last_reason reason;
+    for (const std::size_t index : indexes) {
+        site.entry(index).waitForEnd(seconds(5));
+        EXPECT_TRUE(site.restart(index, &reason)) << reason.text();
+    }
+    const bool ready = co_await site.waitUntilReady(seconds(10));
+    EXPECT_TRUE(ready) << site.unreadyReason();
+}
+
 class ProcessPoison : public testing::TestWithParam<const char *>
 { };
 
@@ -82,3 +110,88 @@
 INSTANTIATE_TEST_SUITE_P(Kinds, ProcessPoison, testing::ValuesIn(kPoisonPaths), [](const auto &info) {
     return std::string(info.param).substr(1, std::string(info.param).find('/', 1) - 1);
 });
+
+TEST(ProcessPoisonRestart, RestartedEntryLearnsOfQuarantinedRequestsFromTheOthers)
+{
+    runOnSite(poisonSite(), [](relay_site &site) -> asio::awaitable<void> {
+        co_await repeatPoison(site, kPoisonPaths[1], seconds(2));
+        EXPECT_GE(site.poisonCrashes().size(), kMaxCrashes);
+        // Without the store, the others are all that a restarted entry can learn from.
+        site.store().removeKeys("keyed.heatherroute-entries", "quarantine.");
+        std::vector<std::size_t> killed(1, 1);
+        co_await killAndRestart(site, std::move(killed));
+        co_await pauseFor(seconds(2));
+        co_await expectRefused(site, 1, kPoisonPaths[1]);
+    });
+}
+
+TEST(ProcessPoisonRestart, QuarantineOutlastsARestartOfAllEntries)
+{
+    runOnSite(poisonSite(), [](relay_site &site) -> asio::awaitable<void> {
+        co_await repeatPoison(site, kPoisonPaths[0], seconds(2));
+        EXPECT_GE(site.poisonCrashes().size(), kMaxCrashes);
+        std::vector<std::size_t> killed(site.entryCount());
+        std::iota(killed.begin(), killed.end(), 0U);
+        co_await killAndRestart(site, std::move(killed));
+        for (std::size_t entry = 0; entry < site.entryCount(); ++entry) {
+            co_await expectRefused(site, entry, kPoisonPaths[0]);
+        }
+    });
+}
+
+// Load pattern: callers send sound requests all the while, so some are in flight on each upstream that crashes.
+TEST(ProcessPoisonBystanders, RequestsBesideAPoisonRequestAreServed)
+{
+    runOnSite(poisonSite(), [](relay_site &site) -> asio::awaitable<void> {
+        bool stopping = false;
+        int callers = 0;
+        for (int i = 0; i < 12; ++i) {
+            const auto caller = [&, i]() -> asio::awaitable<void> {
+                ++callers;
+                while (!stopping) {
+                    const char *paths[] = {kLookupPath, kBookingPath, kStreamPath};
+                    static_cast<void>(co_await site.call(static_cast<std::size_t>(i) % site.entryCount(), paths[i % 3], kRequestDeadline));
+                }
+                --callers;
+            };
+            asio::co_spawn(co_await asio::this_coro::executor, caller, asio::detached);
+        }
+        for (const char *path : kPoisonPaths) {
+            co_await repeatPoison(site, path, seconds(3));
+        }
+        stopping = true;
+        while (callers > 0) {
+            co_await pauseFor(milliseconds(20));
+        }
+        co_await pauseFor(seconds(4));
+        for (std::size_t i = 0; i < 12; ++i) {
+            const char *paths[] = {kLookupPath, kBookingPath, kStreamPath};
+            const caller_result result = co_await site.call(i % site.entryCount(), paths[i % 3], kRequestDeadline);
+            EXPECT_EQ(result.status, 200U) << result.path;
+        }
+    });
+}
+
+TEST(ProcessPoisonBystanders, RequestWhoseAnswersAreLostIsNotQuarantined)
+{
+    runOnSite(poisonSite(), [](relay_site &site) -> asio::awaitable<void> {
+        standins::upstream_faults faults;
+        faults.loseAnswers = true;
+        for (const auto &upstream : site.upstreams()) {
+            upstream->setFaults(faults);
+        }
+        for (std::size_t i = 0; i < 12; ++i) {
+            const caller_result result = co_await site.call(i % site.entryCount(), kBookingPath, kRequestDeadline);
+            EXPECT_EQ(result.status, 502U);
+            co_await pauseFor(milliseconds(50));
+        }
+        for (const auto &upstream : site.upstreams()) {
+            upstream->setFaults({});
+        }
+        co_await pauseFor(seconds(3));
+        for (std::size_t i = 0; i < site.entryCount(); ++i) {
+            const caller_result result = co_await site.call(i, kBookingPath, kRequestDeadline);
+            EXPECT_EQ(result.status, 200U);
+        }
+    });
+}
--- /dev/null
+++ b/tests/quarantine_state_test.cpp
@@ -0,0 +1,264 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+#include "heatherroute/crash_gossip.h"
+#include "heatherroute/request_quarantine.h"
+
+using namespace heatherroute;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr int kStepMs = 100;
+constexpr int kRunSteps = 400;
+constexpr std::uint64_t kPoison = 1;
+constexpr std::uint64_t kFirstSound = 100;
+constexpr std::uint32_t kMaxCrashes = 3;
+constexpr int kMaxFurtherArrivals = 3;
+constexpr int kLearningSteps = 30; ///< The platform's stability window.
+
+/// Entries that exchange reports over a lossy network, restart and lose answers, before upstreams that a poison request crashes.
+class poisoned_fleet
+{
+public:
+    poisoned_fleet(std::size_t entries, std::size_t upstreams, std::uint64_t seed)
+        : m_random(seed)
+        , m_entries(entries)
+        , m_downUntil(upstreams, 0)
+        , m_starts(upstreams, 1)
+    { }
+
+    int lostPerCent = 0; ///< Datagrams between entries that are lost.
+    int restartsPerThousand = 0; ///< Restarts of some entry, per thousand steps.
+    int restartsOfAllPerThousand = 0; ///< Restarts of all entries at the same moment, per thousand steps.
+    int lostAnswersPerCent = 0; ///< Answers to sound requests that are lost.
+    int poisonPerCent = 50; ///< Steps in which the poison request comes.
+    std::size_t besides = 3; ///< Sound requests that run on an upstream.
+
+    void run()
+    {
+        for (m_step = 0; m_step < kRunSteps; ++m_step) {
+            if (below(1'000) < restartsPerThousand) {
+                restart(below(m_entries.size()));
+            }
+            if (below(1'000) < restartsOfAllPerThousand) {
+                restartAll();
+            }
+            sendSound();
+            if (below(100) < poisonPerCent) {
+                sendPoison(m_entries[static_cast<std::size_t>(below(m_entries.size()))]);
+            }
+            exchange();
+        }
+    }
+
+    int lateArrivals() const
+    {
+        return m_lateArrivals;
+    }
+    std::uint32_t crashes() const
+    {
+        return m_crashes;
+    }
+    bool isQuarantined(std::uint64_t fingerprint)
+    {
+        return std::any_of(
+            m_entries.begin(), m_entries.end(), [&](entry &one) { return one.quarantine.quarantinedFor(now(), fingerprint) > duration::zero(); });
+    }
+    /// The number of sound requests that were interrupted by a crash; their fingerprints follow each other.
+    std::uint64_t soundRequests() const
+    {
+        return m_nextSound;
+    }
+
+private:
+    struct entry
+    {
+        request_quarantine quarantine = request_quarantine::make({});
+        crash_gossip gossip = crash_gossip::make({});
+    };
+
+    template<typename Number>
+    int below(Number limit)
+    {
+        return std::uniform_int_distribution<int>(0, static_cast<int>(limit) - 1)(m_random);
+    }
+
+    instant now() const
+    {
+        return instant(seconds(1'000)) + milliseconds(m_step * kStepMs);
+    }
+
+    upstream_instance instanceOf(std::size_t upstream) const
+    {
+        return {"u" + std::to_string(upstream), m_starts[upstream]};
+    }
+
+    int pickUpstream()
+    {
+        std::vector<int> up;
+        for (std::size_t i = 0; i < m_downUntil.size(); ++i) {
+            if (m_downUntil[i] <= m_step) {
+                up.push_back(static_cast<int>(i));
+            }
+        }
+        return up.empty() ? -1 : up[static_cast<std::size_t>(below(up.size()))];
+    }
+
+    /// Some sound requests complete; the answers of others are lost by an upstream that lives.
+    void sendSound()
+    {
+        const int upstream = pickUpstream();
+        if (upstream < 0) {
+            return;
+        }
+        entry &one = m_entries[static_cast<std::size_t>(below(m_entries.size()))];
+        const std::uint64_t fingerprint = kFirstSound + static_cast<std::uint64_t>(below(20));
+        if (below(100) < lostAnswersPerCent) {
+            one.quarantine.noteInterrupted(now(), instanceOf(static_cast<std::size_t>(upstream)), fingerprint);
+            one.quarantine.noteAlive(now(), instanceOf(static_cast<std::size_t>(upstream)));
+        } else if (const auto report = one.quarantine.noteCompleted(now(), fingerprint)) {
+            one.gossip.add(now(), *report);
+        }
+    }
+
+    void sendPoison(entry &one)
+    {
+        const int upstream = pickUpstream();
+        if (upstream < 0 || one.quarantine.quarantinedFor(now(), kPoison) > duration::zero()) {
+            return;
+        }
+        if (m_crashes >= kMaxCrashes && m_step > m_thirdCrash + kLearningSteps) {
+            ++m_lateArrivals;
+        }
+        const auto index = static_cast<std::size_t>(upstream);
+        interrupt(one, index, kPoison);
+        for (std::size_t i = 0; i < besides; ++i) {
+            interrupt(m_entries[static_cast<std::size_t>(below(m_entries.size()))], index, ++m_nextSound + kFirstSound * 10);
+        }
+        if (++m_crashes == kMaxCrashes) {
+            m_thirdCrash = m_step;
+        }
+        m_starts[index] += 1;
+        m_downUntil[index] = m_step + 1 + below(30);
+    }
+
+    void interrupt(entry &one, std::size_t upstream, std::uint64_t fingerprint)
+    {
+        if (const auto known = one.quarantine.noteInterrupted(now(), instanceOf(upstream), fingerprint)) {
+            one.gossip.add(now(), *known);
+        }
+        for (const crash_report &report : one.quarantine.noteCrashed(now(), instanceOf(upstream))) {
+            one.gossip.add(now(), report);
+        }
+        writeStore(one);
+    }
+
+    void restart(int index)
+    {
+        entry &restarted = m_entries[static_cast<std::size_t>(index)] = entry();
+        for (std::size_t i = 0; i < m_entries.size() && i < 3; ++i) {
+            for (const crash_report &report : m_entries[i].quarantine.suspectReports(now(), 256)) {
+                if (below(100) >= lostPerCent) {
+                    restarted.quarantine.onReport(now(), report);
+                }
+            }
+        }
+        readStore(restarted);
+    }
+
+    void writeStore(entry &one)
+    {
+        for (const started_quarantine &started : one.quarantine.takeStarted()) {
+            if (!started.observedHere) {
+                continue;
+            }
+            for (const crash_report &report : one.quarantine.reportsOn(now(), started.fingerprint)) {
+                m_store.emplace_back(now(), report);
+            }
+        }
+    }
+
+    void readStore(entry &one)
+    {
+        for (const auto &[writtenAt, report] : m_store) {
+            crash_report aged = report;
+            aged.ageMs += static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(now() - writtenAt).count());
+            one.quarantine.onReport(now(), aged);
+        }
+    }
+
+    void restartAll()
+    {
+        for (entry &one : m_entries) {
+            one = entry();
+            readStore(one);
+        }
+    }
+
+    void exchange()
+    {
+        for (std::size_t from = 0; from < m_entries.size(); ++from) {
+            for (const crash_reports &message : m_entries[from].gossip.dueMessages(now())) {
+                for (std::size_t to = 0; to < m_entries.size(); ++to) {
+                    if (to == from || below(100) < lostPerCent) {
+                        continue;
+                    }
+                    for (const crash_report &report : message.reports) {
+                        m_entries[to].quarantine.onReport(now(), report);
+                    }
+                    writeStore(m_entries[to]);
+                }
+            }
+        }
+    }
+
+    std::mt19937_64 m_random;
+    std::vector<entry> m_entries;
+    std::vector<std::pair<instant, crash_report>> m_store; ///< Reports on quarantined requests, with the time of writing.
+    std::vector<int> m_downUntil; ///< The step from which an upstream serves again.
+    std::vector<std::uint64_t> m_starts;
+    int m_step = 0;
+    std::uint32_t m_crashes = 0;
+    int m_thirdCrash = 0;
+    int m_lateArrivals = 0;
+    std::uint64_t m_nextSound = 0;
+};
+
+} // namespace
+
+// Load pattern: one request crashes each upstream that runs it and comes again at any entry, while datagrams between entries are lost,
+// answers are lost, and entries restart.
+RC_GTEST_PROP(QuarantineState, RequestThatCrashesUpstreamsReachesFewOfThemAfterTheThird, ())
+{
+    poisoned_fleet fleet(*rc::gen::inRange<std::size_t>(2, 13), *rc::gen::inRange<std::size_t>(3, 12), *rc::gen::arbitrary<std::uint64_t>());
+    fleet.lostPerCent = *rc::gen::inRange(0, 20);
+    fleet.restartsPerThousand = *rc::gen::inRange(0, 20);
+    fleet.restartsOfAllPerThousand = *rc::gen::inRange(0, 5);
+    fleet.lostAnswersPerCent = *rc::gen::inRange(0, 60);
+    fleet.poisonPerCent = *rc::gen::inRange(1, 101);
+    fleet.run();
+    RC_LOG() << fleet.crashes() << " crashes";
+    RC_ASSERT(fleet.lateArrivals() <= kMaxFurtherArrivals);
+}
+
+// Load pattern: as above; each sound request is interrupted by one crash at most, or by lost answers.
+RC_GTEST_PROP(QuarantineState, SoundRequestsAreNeverQuarantined, ())
+{
+    poisoned_fleet fleet(*rc::gen::inRange<std::size_t>(2, 13), *rc::gen::inRange<std::size_t>(3, 12), *rc::gen::arbitrary<std::uint64_t>());
+    fleet.lostAnswersPerCent = *rc::gen::inRange(0, 100);
+    fleet.besides = *rc::gen::inRange<std::size_t>(0, 30);
+    fleet.run();
+    for (std::uint64_t i = 0; i < 20; ++i) {
+        RC_ASSERT(!fleet.isQuarantined(kFirstSound + i));
+    }
+    for (std::uint64_t i = 1; i <= fleet.soundRequests(); ++i) {
+        RC_ASSERT(!fleet.isQuarantined(kFirstSound * 10 + i));
+    }
+}
--- a/tests/request_quarantine_test.cpp
+++ b/tests/request_quarantine_test.cpp
@@ -153,7 +153,7 @@
     EXPECT_TRUE(isQuarantined(one, seconds(3), kPoison));
     EXPECT_TRUE(isQuarantined(other, seconds(3), kPoison));
     auto restarted = request_quarantine::make({});
-    for (const crash_report &report : one.suspectReports(at(seconds(4)))) {
+    for (const crash_report &report : one.suspectReports(at(seconds(4)), 100)) {
         restarted.onReport(at(seconds(4)), report);
     }
     EXPECT_TRUE(isQuarantined(restarted, seconds(4), kPoison));
--- a/tests/standins/site_store.cpp
+++ b/tests/standins/site_store.cpp
@@ -78,6 +78,19 @@
     log.records.clear();
 }
 
+void site_store::removeKeys(const std::string &topic, const std::string &prefix)
+{
+    std::vector<std::string> keys;
+    for (const auto &[key, entry] : m_topics[topic].newest) {
+        if (key.starts_with(prefix)) {
+            keys.push_back(key);
+        }
+    }
+    for (const std::string &key : keys) {
+        put(topic, key, "");
+    }
+}
+
 void site_store::setFaults(const store_faults &faults)
 {
     m_faults = faults;
--- a/tests/standins/site_store.h
+++ b/tests/standins/site_store.h
@@ -39,6 +39,8 @@
     void put(const std::string &topic, const std::string &key, const std::string &value);
     /// Removes all records of @p topic from its history; the newest value of each key stays.
     void removeHistory(const std::string &topic);
+    /// Removes all keys of @p topic that begin with @p prefix, as their writer could.
+    void removeKeys(const std::string &topic, const std::string &prefix);
     void setFaults(const store_faults &faults);
     /// Answers one call.
     boost::asio::awaitable<void> serve(net::http_request request, net::http_responder &responder);
