Own interface: requests that crash upstreams are quarantined too

A generation whose engines crash goes on to new pairs of engines, five attempts for each arrival, and a call to a service to three; each arrival at each entry begins anew. Cause: as for the relay, no memory of a request beyond one arrival. Evidence: with the quarantine taken out, twelve arrivals of one idempotent call run 36 times in crash_handler_test, all on upstreams that crash. Change: crash_handler applies request_quarantine to generations and service calls. An upstream that ends an attempt without an answer is checked (check_upstream, upstream_checked); reports go to the other entries, which introduce a new one, as on the relay. A quarantined request is refused with 503, not run, and the remaining time as Retry-After. Result: three runs for generations, idempotent and other calls, then refusals; another request is still sent. 219 unit tests and 57 process tests pass.

--- a/include/heatherroute/core_action.h
+++ b/include/heatherroute/core_action.h
@@ -163,6 +163,13 @@
     std::string address;
 };
 
+/// Finds out whether the process of an upstream is alive. The result is reported as exactly one upstream_checked.
+struct check_upstream
+{
+    std::string upstreamName;
+    std::string address;
+};
+
 using core_action = std::variant<start_prefill,
                                  start_decode,
                                  resume_decode,
@@ -179,6 +186,7 @@
                                  read_log,
                                  append_log,
                                  stop_process,
-                                 send_to_peer>;
+                                 send_to_peer,
+                                 check_upstream>;
 
 } // namespace heatherroute
--- a/include/heatherroute/core_event.h
+++ b/include/heatherroute/core_event.h
@@ -227,6 +227,20 @@
     std::optional<engine_load> load;
 };
 
+/// What a connection to an upstream's address shows about its process.
+enum class process_state {
+    Alive, ///< It accepts connections.
+    Ended, ///< The host refuses connections to its port.
+    Unknown, ///< No answer came.
+};
+
+/// The result of check_upstream.
+struct upstream_checked
+{
+    std::string upstreamName;
+    process_state state = process_state::Unknown;
+};
+
 using core_event = std::variant<tick,
                                 generation_requested,
                                 service_requested,
@@ -246,6 +260,7 @@
                                 log_unavailable,
                                 peer_received,
                                 vms_listed,
-                                load_reported>;
+                                load_reported,
+                                upstream_checked>;
 
 } // namespace heatherroute
--- a/src/core/generation_handler.cpp
+++ b/src/core/generation_handler.cpp
@@ -4,6 +4,7 @@
 #include <sstream>
 
 #include "heatherroute/assert.h"
+#include "heatherroute/request_fingerprint.h"
 
 namespace heatherroute
 {
@@ -38,11 +39,13 @@
 
 } // namespace
 
-generation_handler::generation_handler(core_context &context, const upstream_table &upstreams, engine_selector &engines, cancel_queue &cancels)
+generation_handler::generation_handler(
+    core_context &context, const upstream_table &upstreams, engine_selector &engines, cancel_queue &cancels, crash_handler &crashes)
     : m_context(context)
     , m_upstreams(upstreams)
     , m_engines(engines)
     , m_cancels(cancels)
+    , m_crashes(crashes)
 { }
 
 void generation_handler::onRequest(generation_requested request)
@@ -57,7 +60,14 @@
         reject(caller, 404, "unknown_model", "no upstream serves this model", std::nullopt);
         return;
     }
+    const std::string maxTokens = std::to_string(request.maxTokens);
+    const std::uint64_t fingerprint = fingerprintOf({request.traits.team, "generate", request.model, maxTokens, request.prompt});
+    if (const duration left = m_crashes.quarantinedFor(fingerprint); left > duration::zero()) {
+        reject(caller, 503, "quarantined", "upstreams have crashed under this request", left);
+        return;
+    }
     generation work;
+    work.fingerprint = fingerprint;
     work.deadline = m_context.now() + request.traits.deadline.value_or(m_context.options().defaultDeadline);
     work.request = std::move(request);
     if (!reserveEngines(work)) {
@@ -201,6 +211,7 @@
         }
         return;
     }
+    m_crashes.onCompleted(work->fingerprint);
     m_engines.finished(work->decodeName, work->progress, event.tokens);
     m_context.log(log_level::Info,
                   "generation_finished",
@@ -224,7 +235,9 @@
     }
     work->outcome = combine(work->outcome, event.outcome);
     m_attempts.erase(event.attempt);
-    const std::string &engine = work->phase == generation_phase::Decoding ? work->decodeName : work->prefillName;
+    const bool isDecoding = work->phase == generation_phase::Decoding;
+    const std::string &engine = isDecoding ? work->decodeName : work->prefillName;
+    m_crashes.onAttemptFailed(engine, isDecoding ? work->decodeAddress : work->prefillAddress, work->fingerprint, event);
     m_context.log(log_level::Warning,
                   "attempt_failed",
                   {requestIdField(work->request.traits.requestName), upstreamField(engine), {"reason", event.reason}, verdictField(event.outcome)});
@@ -238,14 +251,13 @@
         fail(*work, 400, "rejected_by_engine", event.reason);
         return true;
     }
-    const bool decoding = work->phase == generation_phase::Decoding;
-    if (decoding && event.failure == attempt_failure::ConnectionLost && !work->resumed) {
+    if (isDecoding && event.failure == attempt_failure::ConnectionLost && !work->resumed) {
         resumeDecode(*work);
         return true;
     }
     const bool kvUsable = event.failure == attempt_failure::NoCapacity || event.failure == attempt_failure::Unreachable
                           || event.failure == attempt_failure::Refused || event.failure == attempt_failure::TransferStalled;
-    if (decoding && work->delivered == 0 && kvUsable && moveDecode(*work)) {
+    if (isDecoding && work->delivered == 0 && kvUsable && moveDecode(*work)) {
         return true;
     }
     retry(*work, event.reason, event.failure != attempt_failure::KvGone);
@@ -254,7 +266,7 @@
 
 bool generation_handler::moveDecode(generation &work)
 {
-    if (m_context.now() >= work.kvExpires || work.attempts >= kAttemptLimit || work.prefillName.empty()) {
+    if (isQuarantined(work) || m_context.now() >= work.kvExpires || work.attempts >= kAttemptLimit || work.prefillName.empty()) {
         return false;
     }
     work.excludedEngines.push_back(work.decodeName);
@@ -272,6 +284,11 @@
     return true;
 }
 
+bool generation_handler::isQuarantined(const generation &work)
+{
+    return m_crashes.quarantinedFor(work.fingerprint) > duration::zero();
+}
+
 void generation_handler::resumeDecode(generation &work)
 {
     setAttempt(work);
@@ -289,6 +306,10 @@
     if (engineAtFault && !contains(work.excludedEngines, failed)) {
         work.excludedEngines.push_back(failed);
     }
+    if (isQuarantined(work)) {
+        fail(work, 502, "quarantined", "upstreams have crashed under this request: " + reason);
+        return;
+    }
     if (work.attempts >= kAttemptLimit) {
         fail(work, 502, "upstreams_failed", reason);
         return;
@@ -412,7 +433,8 @@
     markInFlightMayHaveRun(work);
     m_context.log(log_level::Warning, "generation_failed", {requestIdField(work.request.traits.requestName), {"code", code}, verdictField(work.outcome)});
     const bool isRetryable = status >= kFirstServerError;
-    const auto retryAfter = isRetryable ? std::optional<duration>(m_engines.retryAfter()) : std::nullopt;
+    const duration wait = std::max(m_engines.retryAfter(), m_crashes.quarantinedFor(work.fingerprint));
+    const auto retryAfter = isRetryable ? std::optional<duration>(wait) : std::nullopt;
     m_context.emit(fail_caller{work.request.caller, status, code, message, work.outcome, retryAfter});
     finish(work);
 }
--- a/src/core/generation_handler.h
+++ b/src/core/generation_handler.h
@@ -7,6 +7,7 @@
 
 #include "core/cancel_queue.h"
 #include "core/core_context.h"
+#include "core/crash_handler.h"
 #include "core/deadline_queue.h"
 #include "core/engine_selector.h"
 #include "core/upstream_table.h"
@@ -32,7 +33,7 @@
 class generation_handler
 {
 public:
-    generation_handler(core_context &context, const upstream_table &upstreams, engine_selector &engines, cancel_queue &cancels);
+    generation_handler(core_context &context, const upstream_table &upstreams, engine_selector &engines, cancel_queue &cancels, crash_handler &crashes);
 
     void onRequest(generation_requested request);
     void onCallerGone(caller_id caller);
@@ -51,6 +52,7 @@
     struct generation
     {
         generation_requested request;
+        std::uint64_t fingerprint = 0;
         instant deadline;
         generation_phase phase = generation_phase::Prefilling;
         attempt_id attempt;
@@ -80,6 +82,7 @@
     /// Imports the same KV cache on another decode engine; returns false when the cache may be gone, no engine has room, or no attempt is left.
     bool moveDecode(generation &work);
     void resumeDecode(generation &work);
+    bool isQuarantined(const generation &work);
     /// Restarts the generation on a new pair of engines, excluding the engine of the lost attempt when @p engineAtFault is set.
     void retry(generation &work, const std::string &reason, bool engineAtFault = true);
     /// Fails the generation if its deadline has passed; returns whether it did.
@@ -102,6 +105,7 @@
     const upstream_table &m_upstreams;
     engine_selector &m_engines;
     cancel_queue &m_cancels;
+    crash_handler &m_crashes;
     std::map<caller_id, generation> m_generations;
     std::map<attempt_id, caller_id> m_attempts;
     deadline_queue<caller_id> m_timers;
--- a/src/core/router_core.cpp
+++ b/src/core/router_core.cpp
@@ -7,6 +7,7 @@
 #include "core/config_exchange.h"
 #include "core/config_handler.h"
 #include "core/core_context.h"
+#include "core/crash_handler.h"
 #include "core/engine_selector.h"
 #include "core/entry_directory.h"
 #include "core/generation_handler.h"
@@ -41,8 +42,9 @@
         , m_cancels(m_context)
         , m_engines(m_context, m_upstreams)
         , m_loads(m_context, m_upstreams, m_engines)
-        , m_generations(m_context, m_upstreams, m_engines, m_cancels)
-        , m_services(m_context, m_upstreams, [this](const service_requested &request) { return isIdempotent(request); })
+        , m_crashes(m_context)
+        , m_generations(m_context, m_upstreams, m_engines, m_cancels, m_crashes)
+        , m_services(m_context, m_upstreams, m_crashes, [this](const service_requested &request) { return isIdempotent(request); })
     {
         m_upstreams.setAdmissionCheck([this] { return !isCutOff(); });
         m_configuration.setPullHandler([this](const request_from_peer &request) { m_exchange.pull(request); });
@@ -71,6 +73,7 @@
         m_generations.onTick();
         m_services.onTick();
         m_cancels.onTick();
+        m_crashes.onTick();
     }
 
     void on(generation_requested &event)
@@ -183,6 +186,7 @@
     {
         m_members.onMessage(event);
         m_exchange.onMessage(event);
+        m_crashes.onMessage(event);
     }
 
     void on(vms_listed &event)
@@ -194,6 +198,7 @@
     {
         m_owners.setMember(change.now);
         m_exchange.onMember(change);
+        m_crashes.onMember(change);
     }
 
     bool isCutOff() const
@@ -263,6 +268,11 @@
         m_loads.onReported(event);
     }
 
+    void on(upstream_checked &event)
+    {
+        m_crashes.onChecked(event);
+    }
+
     bool admitOrReject(caller_id caller)
     {
         if (isCutOff()) {
@@ -335,6 +345,7 @@
     cancel_queue m_cancels;
     engine_selector m_engines;
     load_poller m_loads;
+    crash_handler m_crashes;
     generation_handler m_generations;
     service_handler m_services;
     bool m_stopping = false;
--- a/src/core/service_handler.cpp
+++ b/src/core/service_handler.cpp
@@ -15,9 +15,10 @@
 
 } // namespace
 
-service_handler::service_handler(core_context &context, upstream_table &upstreams, idempotency_hook isIdempotent)
+service_handler::service_handler(core_context &context, upstream_table &upstreams, crash_handler &crashes, idempotency_hook isIdempotent)
     : m_context(context)
     , m_upstreams(upstreams)
+    , m_crashes(crashes)
     , m_isIdempotent(std::move(isIdempotent))
     , m_keys(idempotency_limits{})
 { }
@@ -29,7 +30,13 @@
         m_context.emit(fail_caller{caller, 404, "unknown_service", "no upstream serves this service", verdict::NotRun, std::nullopt});
         return;
     }
+    const std::uint64_t fingerprint = fingerprintOf({request.traits.team, request.method, request.service, request.path, request.body});
+    if (const duration left = m_crashes.quarantinedFor(fingerprint); left > duration::zero()) {
+        m_context.emit(fail_caller{caller, 503, "quarantined", "upstreams have crashed under this request", verdict::NotRun, left});
+        return;
+    }
     call work;
+    work.fingerprint = fingerprint;
     work.deadline = m_context.now() + request.traits.deadline.value_or(m_context.options().defaultDeadline);
     work.idempotent = m_isIdempotent(request);
     work.request = std::move(request);
@@ -142,6 +149,7 @@
                    upstreamField(work->upstreamName),
                    {"status", std::to_string(event.status)},
                    verdictField(verdict::Ran)});
+    m_crashes.onCompleted(work->fingerprint);
     if (work->key) {
         m_keys.recordAnswer(m_context.now(), *work->key, {event.status, event.contentType, event.body});
         work->key.reset();
@@ -158,8 +166,11 @@
     }
     work->outcome = combine(work->outcome, event.outcome);
     work->excludedUpstreams.push_back(work->upstreamName);
+    const upstream_table::entry *failed = m_upstreams.find(work->upstreamName);
+    m_crashes.onAttemptFailed(work->upstreamName, failed != nullptr ? failed->config.address : std::string(), work->fingerprint, event);
     const bool inTime = m_context.now() < work->deadline;
-    const bool mayRetry = work->outcome == verdict::NotRun || work->idempotent;
+    const bool isQuarantined = m_crashes.quarantinedFor(work->fingerprint) > duration::zero();
+    const bool mayRetry = (work->outcome == verdict::NotRun || work->idempotent) && !isQuarantined;
     const upstream_table::entry *target = mayRetry && inTime && work->attempts < kAttemptLimit ? chooseUpstream(*work) : nullptr;
     if (target == nullptr) {
         fail(*work, 502, "upstream_failed", event.reason);
@@ -197,7 +208,8 @@
                   {requestIdField(work.request.traits.requestName), upstreamField(work.upstreamName), {"code", code}, verdictField(work.outcome)});
     // A call that is not idempotent and may have run gets no Retry-After, which would invite the caller to repeat it.
     const bool mayRetry = work.outcome == verdict::NotRun || work.idempotent;
-    const auto retryAfter = mayRetry ? std::optional<duration>(kRetryAfter) : std::nullopt;
+    const duration wait = std::max(kRetryAfter, m_crashes.quarantinedFor(work.fingerprint));
+    const auto retryAfter = mayRetry ? std::optional<duration>(wait) : std::nullopt;
     m_context.emit(fail_caller{work.request.caller, status, code, message, work.outcome, retryAfter});
     finish(work);
 }
--- a/src/core/service_handler.h
+++ b/src/core/service_handler.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/core_context.h"
+#include "core/crash_handler.h"
 #include "core/deadline_queue.h"
 #include "core/idempotency_table.h"
 #include "core/upstream_table.h"
@@ -27,7 +28,7 @@
 class service_handler
 {
 public:
-    service_handler(core_context &context, upstream_table &upstreams, idempotency_hook isIdempotent);
+    service_handler(core_context &context, upstream_table &upstreams, crash_handler &crashes, idempotency_hook isIdempotent);
 
     void onRequest(service_requested request);
     void onCallerGone(caller_id caller);
@@ -46,6 +47,7 @@
         service_requested request;
         instant deadline;
         attempt_id attempt;
+        std::uint64_t fingerprint = 0;
         std::string upstreamName;
         std::vector<std::string> excludedUpstreams;
         unsigned attempts = 0;
@@ -67,6 +69,7 @@
 
     core_context &m_context;
     upstream_table &m_upstreams;
+    crash_handler &m_crashes;
     idempotency_hook m_isIdempotent;
     idempotency_table m_keys;
     std::map<caller_id, call> m_calls;
--- a/src/node/upstream_duty.cpp
+++ b/src/node/upstream_duty.cpp
@@ -9,6 +9,7 @@
 #include "net/event_stream.h"
 #include "net/http_client.h"
 #include "net/http_status.h"
+#include "net/port_check.h"
 #include "node/engine_messages.h"
 
 namespace heatherroute::node
@@ -23,6 +24,7 @@
 constexpr std::chrono::milliseconds kSilenceTimeout{60'000};
 constexpr std::chrono::milliseconds kCancelTimeout{2'000};
 constexpr std::chrono::milliseconds kPollTimeout{1'000};
+constexpr std::chrono::milliseconds kCheckTimeout{500};
 
 /// Parses the chunks of a decode stream into events for the core.
 class decode_reader
@@ -170,6 +172,11 @@
         asio::co_spawn(m_context, runPoll(action), asio::detached);
     }
 
+    void perform(const check_upstream &action)
+    {
+        asio::co_spawn(m_context, runCheck(action), asio::detached);
+    }
+
     template<typename Other>
     void perform(const Other &)
     { }
@@ -259,6 +266,18 @@
         co_await m_toCore.push(std::move(report));
     }
 
+    asio::awaitable<void> runCheck(check_upstream action)
+    {
+        upstream_checked result{action.upstreamName, process_state::Unknown};
+        if (const auto endpoint = net::parseEndpoint(action.address)) {
+            const net::port_state state = co_await net::checkPort(*endpoint, kCheckTimeout);
+            if (state != net::port_state::Silent) {
+                result.state = state == net::port_state::Open ? process_state::Alive : process_state::Ended;
+            }
+        }
+        co_await m_toCore.push(std::move(result));
+    }
+
     asio::io_context &m_context;
     channel<core_event> &m_toCore;
     std::map<attempt_id, exchange_ptr> m_openExchanges;
@@ -274,7 +293,7 @@
 {
     return std::holds_alternative<start_prefill>(action) || std::holds_alternative<start_decode>(action) || std::holds_alternative<resume_decode>(action)
            || std::holds_alternative<start_service_call>(action) || std::holds_alternative<abandon_attempt>(action)
-           || std::holds_alternative<cancel_request>(action) || std::holds_alternative<poll_load>(action);
+           || std::holds_alternative<cancel_request>(action) || std::holds_alternative<poll_load>(action) || std::holds_alternative<check_upstream>(action);
 }
 
 void upstream_duty::perform(core_action action)
