--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -111,7 +111,7 @@
     return true;
 }
 
-bool fleet::addEntry(const std::string &name, last_reason *reason)
+bool fleet::addEntry(const std::string &name, last_reason *reason, const std::string &peer)
 {
     const std::string file = m_folder + "/" + name + ".yaml";
     const std::string &platform = member("platform").address;
@@ -119,6 +119,9 @@
     settings << "name: " << name << "\nhalf: " << m_half << "\nzone: " << kZone << "\nregion: region-1\n";
     settings << "listen: {callers: \"127.0.0.1:0\", operators: \"127.0.0.1:0\", peers: \"127.0.0.1:0\"}\n";
     settings << "platform: {log: \"" << platform << "\", vms: \"" << platform << "\"}\n";
+    if (!peer.empty()) {
+        settings << "seeds: [\"" << member(peer).peers << "\"]\n";
+    }
     settings.close();
     if (!start(name, "heatherrouted", {"--settings", file}, reason)) {
         return false;
@@ -217,6 +220,7 @@
     }
     started.address = words.front();
     started.operators = words.size() > 2 ? words[2] : std::string();
+    started.peers = words.size() > 4 ? words[4] : std::string();
     m_members[name] = std::move(started);
     return true;
 }
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -20,6 +20,7 @@
     std::unique_ptr<child_process> process;
     std::string address;
     std::string operators; ///< Operators' address; only set for an entry.
+    std::string peers; ///< Peers' address; only set for an entry.
 };
 
 /**
@@ -50,8 +51,8 @@
     bool addEngine(const std::string &name, upstream_kind kind, const engine_traits &traits, last_reason *reason);
     /// Starts a replica named @p name of the plain service @p service. Returns false with @p reason on failure.
     bool addService(const std::string &name, const std::string &service, const std::vector<std::string> &arguments, last_reason *reason);
-    /// Starts an entry named @p name. Returns false with @p reason on failure.
-    bool addEntry(const std::string &name, last_reason *reason);
+    /// Starts an entry named @p name, which finds the entry @p peer unless it is empty. Returns false with @p reason on failure.
+    bool addEntry(const std::string &name, last_reason *reason, const std::string &peer = {});
     /// Adds @p value to the rules that publish() publishes.
     void addRule(const rule &value);
     /// Publishes all engines, services and rules, and waits until they are active on every entry. Returns false with @p reason on failure.
