Soak: a request that crashes upstreams, and audits of it and of the retry budget

Change: the stand-in upstreams log arrivals and crashes. Each soak run has a caller whose request crashes each upstream that runs it; the audit allows three more arrivals from 3 s after the third crash on, and checks in each window of 10 s that the arrivals beyond the first of each request stay within the fleet's retry budget. soak_audit_test plants both violations. Found while it was written: a stand-in that was drained while it was down crashed the soak; it now reports after it is back.

--- a/bench/heatherbench_soak.cpp
+++ b/bench/heatherbench_soak.cpp
@@ -28,6 +28,8 @@
 
 constexpr milliseconds kRequestTimeout{2'000};
 constexpr milliseconds kRequestPause{15}; ///< Between two requests of one caller.
+constexpr milliseconds kPoisonPause{50}; ///< Between two attempts of the caller whose request crashes upstreams.
+constexpr milliseconds kMaxPoisonDelay{2'000}; ///< From the start of the callers until its first attempt.
 constexpr milliseconds kMaxFaultInterval{350};
 constexpr milliseconds kMaxFaultDuration{2'500};
 constexpr milliseconds kMaxProcessPause{1'500}; ///< Between SIGSTOP and SIGCONT.
@@ -75,6 +77,7 @@
         for (std::size_t caller = 0; caller < m_options.callers; ++caller) {
             asio::co_spawn(m_context, runCaller(m_options.seed + caller), asio::detached);
         }
+        asio::co_spawn(m_context, runPoisonCaller(), asio::detached);
         const auto start = std::chrono::steady_clock::now();
         const auto until = start + m_options.duration;
         bool drained = false;
@@ -92,6 +95,7 @@
         }
         co_await checkRecovery();
         m_audit.checkExecutions([this](const std::string &id) { return m_site.runCountOf(id); });
+        m_audit.checkArrivals(m_site.upstreamLog());
         for (const auto &upstream : m_site.upstreams()) {
             m_audit.recordRunsAfterDrain(upstream->id(), upstream->runsAfterDrain(kDrainSlack));
         }
@@ -136,6 +140,21 @@
         --m_activeTasks;
     }
 
+    /// Sends one request again and again that crashes each upstream that runs it. The seed determines its kind and when it begins.
+    asio::awaitable<void> runPoisonCaller()
+    {
+        ++m_activeTasks;
+        const std::string path = kPoisonPaths[static_cast<std::size_t>(randomBelow(std::size(kPoisonPaths)))];
+        co_await pause(milliseconds(randomBelow(kMaxPoisonDelay.count())));
+        std::mt19937_64 random(m_options.seed);
+        while (!m_stopping) {
+            const caller_result result = co_await m_site.call(random() % m_site.entryCount(), path, kRequestTimeout);
+            m_audit.recordResult(result, true);
+            co_await pause(kPoisonPause);
+        }
+        --m_activeTasks;
+    }
+
     asio::awaitable<void> injectFault()
     {
         ++m_activeTasks;
--- a/tests/process_poison_test.cpp
+++ b/tests/process_poison_test.cpp
@@ -21,8 +21,6 @@
 namespace
 {
 
-using time_points = std::vector<std::chrono::steady_clock::time_point>;
-
 constexpr milliseconds kRequestDeadline{2'000};
 /// After a request has crashed this many upstreams, it may reach upstreams again only as often as allowed below.
 constexpr std::size_t kMaxCrashes = 3;
@@ -38,10 +36,10 @@
     return settings;
 }
 
-int arrivalsAfter(const relay_site &site, std::chrono::steady_clock::time_point from)
+std::ptrdiff_t arrivalsAfter(const relay_site &site, std::chrono::steady_clock::time_point from)
 {
-    const time_points arrivals = site.poisonArrivals();
-    return static_cast<int>(std::distance(std::upper_bound(arrivals.begin(), arrivals.end(), from), arrivals.end()));
+    const auto &arrivals = site.upstreamLog().arrivals;
+    return std::count_if(arrivals.begin(), arrivals.end(), [from](const standins::upstream_arrival &arrival) { return arrival.at > from; });
 }
 
 /// Sends a poison request to each entry in turn for @p time, one at a time.
@@ -58,21 +56,15 @@
     }
 }
 
-/// Expects that the request that crashed upstreams reached few more of them after @p since.
-void expectFewArrivals(const relay_site &site, std::chrono::steady_clock::time_point since)
-{
-    EXPECT_LE(arrivalsAfter(site, since), kMaxFurtherArrivals) << site.poisonCrashes().size() << " crashes, " << site.poisonArrivals().size() << " arrivals";
-}
-
 /// Expects that entry @p index refuses a request of each kind that crashes upstreams, and that none reaches an upstream.
 asio::awaitable<void> expectRefused(relay_site &site, std::size_t index, std::string path)
 {
-    const std::size_t arrivals = site.poisonArrivals().size();
+    const std::size_t arrivals = site.upstreamLog().arrivals.size();
     for (int i = 0; i < 5; ++i) {
         const caller_result result = co_await site.call(index, path, kRequestDeadline);
         EXPECT_EQ(result.status, 503U) << "entry " << index;
     }
-    EXPECT_EQ(site.poisonArrivals().size(), arrivals) << "entry " << index;
+    EXPECT_EQ(site.upstreamLog().arrivals.size(), arrivals) << "entry " << index;
 }
 
 /// Kills the entries with @p indexes at the same time, restarts them, and waits until they are ready.
@@ -99,10 +91,10 @@
 {
     runOnSite(poisonSite(), [path = GetParam()](relay_site &site) -> asio::awaitable<void> {
         co_await repeatPoison(site, path, seconds(10));
-        const time_points crashes = site.poisonCrashes();
+        const auto &crashes = site.upstreamLog().crashes;
         EXPECT_GE(crashes.size(), kMaxCrashes);
         if (crashes.size() >= kMaxCrashes) {
-            expectFewArrivals(site, crashes[kMaxCrashes - 1] + kLearningTime);
+            EXPECT_LE(arrivalsAfter(site, crashes[kMaxCrashes - 1].at + kLearningTime), kMaxFurtherArrivals) << crashes.size() << " crashes";
         }
     });
 }
@@ -115,7 +107,7 @@
 {
     runOnSite(poisonSite(), [](relay_site &site) -> asio::awaitable<void> {
         co_await repeatPoison(site, kPoisonPaths[1], seconds(2));
-        EXPECT_GE(site.poisonCrashes().size(), kMaxCrashes);
+        EXPECT_GE(site.upstreamLog().crashes.size(), kMaxCrashes);
         // Without the store, the others are all that a restarted entry can learn from.
         site.store().removeKeys("keyed.heatherroute-entries", "quarantine.");
         std::vector<std::size_t> killed(1, 1);
@@ -129,7 +121,7 @@
 {
     runOnSite(poisonSite(), [](relay_site &site) -> asio::awaitable<void> {
         co_await repeatPoison(site, kPoisonPaths[0], seconds(2));
-        EXPECT_GE(site.poisonCrashes().size(), kMaxCrashes);
+        EXPECT_GE(site.upstreamLog().crashes.size(), kMaxCrashes);
         std::vector<std::size_t> killed(site.entryCount());
         std::iota(killed.begin(), killed.end(), 0U);
         co_await killAndRestart(site, std::move(killed));
--- a/tests/soak_audit_test.cpp
+++ b/tests/soak_audit_test.cpp
@@ -2,6 +2,7 @@
 
 #include "support/soak_audit.h"
 
+using namespace heatherroute;
 using namespace heatherroute::support;
 
 namespace
@@ -69,6 +70,53 @@
     EXPECT_EQ(audit.violations().size(), 2U);
 }
 
+TEST(SoakAudit, FindsRequestsThatGoOnCrashingUpstreams)
+{
+    const auto at = [](int ms) { return std::chrono::steady_clock::time_point(std::chrono::milliseconds(ms)); };
+    standins::upstream_log log;
+    for (int i = 0; i < 3; ++i) {
+        log.crashes.push_back({at(100 * i), "/book/poison"});
+    }
+    for (int i = 0; i < 6; ++i) {
+        log.arrivals.push_back({at(1'000 + 500 * i), "portal", "r" + std::to_string(i), "/book/poison", false});
+    }
+    for (int i = 0; i < 3; ++i) {
+        log.arrivals.push_back({at(4'000 + i), "portal", "q" + std::to_string(i), "/book/poison", false});
+    }
+    for (int i = 0; i < 3; ++i) {
+        log.arrivals.push_back({at(4'100 + i), "portal", "s" + std::to_string(i), "/book/1", false});
+    }
+    soak_audit allowed;
+    allowed.checkArrivals(log);
+    // The last of the six arrives later than 3 s after the third crash.
+    EXPECT_EQ(allowed.violations().size(), 1U);
+    log.arrivals.erase(log.arrivals.begin() + 5);
+    soak_audit fewer;
+    fewer.checkArrivals(log);
+    EXPECT_TRUE(fewer.violations().empty());
+}
+
+TEST(SoakAudit, FindsRetriesOverTheBudgetInAnyWindow)
+{
+    const auto at = [](int ms) { return std::chrono::steady_clock::time_point(std::chrono::milliseconds(ms)); };
+    standins::upstream_log log;
+    for (int i = 0; i < 100; ++i) {
+        log.arrivals.push_back({at(20'000 + i), "portal", "r" + std::to_string(i), "/book/1", false});
+        log.arrivals.push_back({at(20'000 + i), "llm", "r" + std::to_string(i), "/gen/1", true});
+    }
+    // The first computation of a prompt is no retry, and its decode is the first arrival of the run.
+    for (int i = 0; i < 120; ++i) {
+        log.arrivals.push_back({at(20'100 + 80 * i), "portal", "r" + std::to_string(i % 100), "/book/1", false});
+    }
+    soak_audit allowed;
+    allowed.checkArrivals(log);
+    EXPECT_TRUE(allowed.violations().empty());
+    log.arrivals.push_back({at(29'700), "portal", "r1", "/book/1", false});
+    soak_audit over;
+    over.checkArrivals(log);
+    EXPECT_EQ(over.violations().size(), 1U);
+}
+
 TEST(SoakAudit, FindsConfigurationRollbacks)
 {
     using clock = std::chrono::steady_clock;
--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -27,11 +27,11 @@
 
 } // namespace
 
-site_upstream::site_upstream(asio::io_context &context, site_upstream_settings settings, site_store &store, run_counts &runs)
+site_upstream::site_upstream(asio::io_context &context, site_upstream_settings settings, site_store &store, upstream_log &log)
     : m_context(context)
     , m_settings(std::move(settings))
     , m_store(store)
-    , m_runs(runs)
+    , m_log(log)
     , m_reportTimer(context)
     , m_restartTimer(context)
     , m_startedAt(unixMilliseconds())
@@ -39,9 +39,9 @@
 { }
 
 std::unique_ptr<site_upstream>
-site_upstream::make(asio::io_context &context, site_upstream_settings settings, site_store &store, run_counts &runs, last_reason *reason)
+site_upstream::make(asio::io_context &context, site_upstream_settings settings, site_store &store, upstream_log &log, last_reason *reason)
 {
-    std::unique_ptr<site_upstream> made(new site_upstream(context, std::move(settings), store, runs));
+    std::unique_ptr<site_upstream> made(new site_upstream(context, std::move(settings), store, log));
     if (!made->listen(asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0), reason)) {
         return nullptr;
     }
@@ -107,7 +107,7 @@
     if (request.target.find(kPoisonMarker) == std::string::npos) {
         return false;
     }
-    m_poisonCrashes.push_back(std::chrono::steady_clock::now());
+    m_log.crashes.push_back({std::chrono::steady_clock::now(), request.target});
     crash();
     return true;
 }
@@ -130,6 +130,10 @@
 
 void site_upstream::report()
 {
+    // A drain during the down time is reported by the next instance.
+    if (!m_server) {
+        return;
+    }
     json::object entry{{"Service", m_settings.service},
                        {"Address", "127.0.0.1:" + std::to_string(m_server->endpoint().port())},
                        {"Zone", "z"},
@@ -166,9 +170,18 @@
     return answer;
 }
 
+void site_upstream::recordArrival(const http_request &request)
+{
+    const std::string_view id = request.header("X-Attempt-Id");
+    if (!id.empty()) {
+        const bool isPrefill = request.header("X-Stage") == "prefill";
+        m_log.arrivals.push_back({std::chrono::steady_clock::now(), m_settings.service, std::string(id), request.target, isPrefill});
+    }
+}
+
 void site_upstream::recordRun(const http_request &request)
 {
-    m_runs[std::string(request.header("X-Attempt-Id"))] += 1;
+    m_log.runs[std::string(request.header("X-Attempt-Id"))] += 1;
     if (m_drainedAt) {
         m_runsAfterDrain.insert(std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - *m_drainedAt));
     }
@@ -180,9 +193,7 @@
         responder.abort();
         co_return;
     }
-    if (request.target.find(kPoisonMarker) != std::string::npos) {
-        m_poisonArrivals.push_back(std::chrono::steady_clock::now());
-    }
+    recordArrival(request);
     m_open.insert(&responder);
     co_await dispatch(request, responder);
     m_open.erase(&responder);
--- a/tests/standins/site_upstream.h
+++ b/tests/standins/site_upstream.h
@@ -46,8 +46,30 @@
     bool breakStreams = false; ///< Aborts the connection in the middle of a stream.
 };
 
-/// The number of executions on all upstreams of a site, by request id.
-using run_counts = std::map<std::string, int>;
+/// A request that arrived at an upstream, whether it was executed or rejected. Reservations, reports and orders don't count.
+struct upstream_arrival
+{
+    std::chrono::steady_clock::time_point at;
+    std::string service;
+    std::string id; ///< Of the request.
+    std::string target;
+    bool isPrefill = false; ///< Only the prompt was to be computed.
+};
+
+/// An upstream's crash under a request.
+struct upstream_crash
+{
+    std::chrono::steady_clock::time_point at;
+    std::string target; ///< Of the request.
+};
+
+/// What all upstreams of a site have seen.
+struct upstream_log
+{
+    std::map<std::string, int> runs; ///< The number of executions by request id.
+    std::vector<upstream_arrival> arrivals; ///< In order.
+    std::vector<upstream_crash> crashes; ///< In order.
+};
 
 /**
  * A stand-in for one upstream of the platform, a plain service or an engine, that registers itself in the stand-in store.
@@ -59,7 +81,7 @@
 public:
     /// Listens on loopback and starts to register itself periodically. Null with @p reason set on failure.
     static std::unique_ptr<site_upstream>
-    make(boost::asio::io_context &context, site_upstream_settings settings, site_store &store, run_counts &runs, last_reason *reason);
+    make(boost::asio::io_context &context, site_upstream_settings settings, site_store &store, upstream_log &log, last_reason *reason);
 
     void setFaults(const upstream_faults &faults);
     /// Registers itself as draining, but continues to serve requests.
@@ -77,19 +99,9 @@
     }
     /// Closes all connections and the port. A new instance follows after the down time.
     void crash();
-    /// The times at which requests with the poison marker arrived, computed prompts and rejected requests included.
-    const std::vector<std::chrono::steady_clock::time_point> &poisonArrivals() const noexcept
-    {
-        return m_poisonArrivals;
-    }
-    /// The times at which requests with the poison marker crashed this upstream.
-    const std::vector<std::chrono::steady_clock::time_point> &poisonCrashes() const noexcept
-    {
-        return m_poisonCrashes;
-    }
 
 private:
-    site_upstream(boost::asio::io_context &context, site_upstream_settings settings, site_store &store, run_counts &runs);
+    site_upstream(boost::asio::io_context &context, site_upstream_settings settings, site_store &store, upstream_log &log);
     bool listen(const boost::asio::ip::tcp::endpoint &endpoint, last_reason *reason);
     void restart();
     void report();
@@ -103,13 +115,14 @@
     net::http_answer prefill(const net::http_request &request);
     net::http_answer order(const net::http_request &request);
     net::http_answer makeAnswer(const net::http_request &request, unsigned status) const;
+    void recordArrival(const net::http_request &request);
     void recordRun(const net::http_request &request);
     boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds time);
 
     boost::asio::io_context &m_context;
     site_upstream_settings m_settings;
     site_store &m_store;
-    run_counts &m_runs;
+    upstream_log &m_log;
     upstream_faults m_faults;
     boost::asio::steady_timer m_reportTimer;
     boost::asio::steady_timer m_restartTimer;
@@ -123,8 +136,6 @@
     std::string m_name; ///< The id of the first instance.
     boost::asio::ip::tcp::endpoint m_endpoint;
     std::set<net::http_responder *> m_open; ///< The requests in progress.
-    std::vector<std::chrono::steady_clock::time_point> m_poisonArrivals;
-    std::vector<std::chrono::steady_clock::time_point> m_poisonCrashes;
     std::map<std::string, std::uint64_t> m_reservations;
     std::set<std::string> m_handles;
     std::optional<std::chrono::steady_clock::time_point> m_drainedAt;
--- a/tests/support/relay_site.cpp
+++ b/tests/support/relay_site.cpp
@@ -4,7 +4,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <random>
@@ -133,7 +132,7 @@
     settings.id = "i-" + service + phase + std::to_string(m_upstreams.size());
     settings.service = service;
     settings.phase = phase;
-    auto upstream = standins::site_upstream::make(m_context, std::move(settings), *m_store, m_runs, reason);
+    auto upstream = standins::site_upstream::make(m_context, std::move(settings), *m_store, m_log, reason);
     if (!upstream) {
         return false;
     }
@@ -272,28 +271,8 @@
 
 int relay_site::runCountOf(const std::string &id) const
 {
-    const auto found = m_runs.find(id);
-    return found == m_runs.end() ? 0 : found->second;
-}
-
-std::vector<std::chrono::steady_clock::time_point> relay_site::poisonArrivals() const
-{
-    std::vector<std::chrono::steady_clock::time_point> times;
-    for (const auto &upstream : m_upstreams) {
-        times.insert(times.end(), upstream->poisonArrivals().begin(), upstream->poisonArrivals().end());
-    }
-    std::sort(times.begin(), times.end());
-    return times;
-}
-
-std::vector<std::chrono::steady_clock::time_point> relay_site::poisonCrashes() const
-{
-    std::vector<std::chrono::steady_clock::time_point> times;
-    for (const auto &upstream : m_upstreams) {
-        times.insert(times.end(), upstream->poisonCrashes().begin(), upstream->poisonCrashes().end());
-    }
-    std::sort(times.begin(), times.end());
-    return times;
+    const auto found = m_log.runs.find(id);
+    return found == m_log.runs.end() ? 0 : found->second;
 }
 
 } // namespace heatherroute::support
--- a/tests/support/relay_site.h
+++ b/tests/support/relay_site.h
@@ -104,10 +104,11 @@
     }
     /// The number of times that upstreams executed request @p id.
     int runCountOf(const std::string &id) const;
-    /// The times at which requests with the poison marker arrived at upstreams, in order.
-    std::vector<std::chrono::steady_clock::time_point> poisonArrivals() const;
-    /// The times at which they crashed upstreams, in order.
-    std::vector<std::chrono::steady_clock::time_point> poisonCrashes() const;
+    /// What all upstreams have seen.
+    const standins::upstream_log &upstreamLog() const noexcept
+    {
+        return m_log;
+    }
 
 private:
     struct running_entry
@@ -127,7 +128,7 @@
 
     boost::asio::io_context &m_context;
     relay_site_settings m_settings;
-    standins::run_counts m_runs;
+    standins::upstream_log m_log;
     std::unique_ptr<standins::site_store> m_store;
     std::unique_ptr<net::http_server> m_storeServer;
     std::vector<std::unique_ptr<standins::site_upstream>> m_upstreams;
--- a/tests/support/soak_audit.cpp
+++ b/tests/support/soak_audit.cpp
@@ -1,6 +1,7 @@
 #include "support/soak_audit.h"
 
 #include <algorithm>
+#include <set>
 
 namespace heatherroute::support
 {
@@ -8,6 +9,11 @@
 namespace
 {
 
+bool isIdempotent(const caller_result &result)
+{
+    return result.path.starts_with("/look/");
+}
+
 /// Whether @p status guarantees that the request was not executed and never will be.
 bool guaranteesNotExecuted(unsigned status)
 {
@@ -36,11 +42,11 @@
 {
     for (const caller_result &result : m_results) {
         const int runs = runsOf(result.id);
-        // Lookups are idempotent, so a retry may execute them again.
-        if (result.path != kLookupPath && runs > 1) {
+        // An idempotent request may be executed again by a retry.
+        if (!isIdempotent(result) && runs > 1) {
             addViolation("at most one execution", result, "was executed " + std::to_string(runs) + " times");
         }
-        if (result.path != kLookupPath && result.isComplete && guaranteesNotExecuted(result.status) && runs > 0) {
+        if (!isIdempotent(result) && result.isComplete && guaranteesNotExecuted(result.status) && runs > 0) {
             addViolation("no execution after a not-executed status", result, "was executed " + std::to_string(runs) + " times");
         }
         if (result.isComplete && result.status == 200 && runs == 0) {
@@ -81,6 +87,61 @@
     }
 }
 
+void soak_audit::checkArrivals(const standins::upstream_log &log)
+{
+    checkPoisonArrivals(log);
+    checkRetries(log);
+}
+
+void soak_audit::checkPoisonArrivals(const standins::upstream_log &log)
+{
+    std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> crashes;
+    for (const standins::upstream_crash &crash : log.crashes) {
+        crashes[crash.target].push_back(crash.at);
+    }
+    for (const auto &[target, times] : crashes) {
+        if (times.size() < kMaxPoisonCrashes) {
+            continue;
+        }
+        const auto from = times[kMaxPoisonCrashes - 1] + kPoisonLearningTime;
+        const auto late = std::count_if(log.arrivals.begin(), log.arrivals.end(), [&target = target, from](const standins::upstream_arrival &arrival) {
+            return arrival.target == target && arrival.at > from;
+        });
+        if (late > static_cast<std::ptrdiff_t>(kMaxArrivalsOfPoison)) {
+            m_violations.push_back("few requests that crash upstreams: " + target + " arrived " + std::to_string(late) + " times after its third crash, with "
+                                   + std::to_string(times.size()) + " crashes in all");
+        }
+    }
+}
+
+void soak_audit::checkRetries(const standins::upstream_log &log)
+{
+    std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> firsts;
+    std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> retries;
+    std::set<std::pair<std::string, bool>> seen;
+    for (const standins::upstream_arrival &arrival : log.arrivals) {
+        if (!seen.insert({arrival.id, arrival.isPrefill}).second) {
+            retries[arrival.service].push_back(arrival.at);
+        } else if (!arrival.isPrefill) {
+            firsts[arrival.service].push_back(arrival.at);
+        }
+    }
+    for (const auto &[service, times] : retries) {
+        const auto countBetween = [](const std::vector<std::chrono::steady_clock::time_point> &sorted, auto from, auto to) {
+            return static_cast<double>(std::distance(std::lower_bound(sorted.begin(), sorted.end(), from), std::upper_bound(sorted.begin(), sorted.end(), to)));
+        };
+        for (const auto end : times) {
+            const double count = countBetween(times, end - kRetryWindow, end);
+            const double requests = countBetween(firsts[service], end - kRetryWindow, end);
+            if (count > kRetryShare * requests + kRetrySlack) {
+                m_violations.push_back("retry budget: " + service + " got " + std::to_string(static_cast<int>(count)) + " retries with "
+                                       + std::to_string(static_cast<int>(requests)) + " requests in a window");
+                break;
+            }
+        }
+    }
+}
+
 void soak_audit::recordNotRecovered(std::size_t entry)
 {
     m_violations.push_back("recovery: entry " + std::to_string(entry) + " did not serve again");
--- a/tests/support/soak_audit.h
+++ b/tests/support/soak_audit.h
@@ -10,6 +10,14 @@
 namespace heatherroute::support
 {
 
+/// Limits that a soak_audit checks, as the platform sets them.
+inline constexpr std::size_t kMaxPoisonCrashes = 3;
+inline constexpr std::size_t kMaxArrivalsOfPoison = 3; ///< Counted from the learning time after the last allowed crash on.
+inline constexpr std::chrono::seconds kPoisonLearningTime{3};
+inline constexpr std::chrono::seconds kRetryWindow{10};
+inline constexpr double kRetryShare = 0.2; ///< As relay_site sets it for its entries.
+inline constexpr double kRetrySlack = 100;
+
 /**
  * Checks what callers and upstreams observed in a soak run against the guarantees of the router.
  *
@@ -30,6 +38,9 @@
     void recordLookup(const std::string &process, std::chrono::steady_clock::time_point sent, std::chrono::steady_clock::time_point ended, bool routed);
     /// Records that a draining upstream started @p runs requests after its grace time. Zero is no violation.
     void recordRunsAfterDrain(const std::string &upstream, int runs);
+    /// Checks that requests that crash upstreams reached few of them after the third crash, and that retries stayed within the fleet's retry
+    /// budget.
+    void checkArrivals(const standins::upstream_log &log);
     /// Records that entry @p entry did not serve again after all faults had ended.
     void recordNotRecovered(std::size_t entry);
 
@@ -61,6 +72,8 @@
         std::size_t index = 0;
     };
 
+    void checkPoisonArrivals(const standins::upstream_log &log);
+    void checkRetries(const standins::upstream_log &log);
     void addViolation(const std::string &rule, const caller_result &result, const std::string &what);
 
     std::vector<caller_result> m_results;
