Bytes that never end, in the head or the body of an answer or a request, are bounded

What callers would see: an upstream in trouble that answers with bytes that are no answer, without end, makes an entry exceed its VM's memory and end, and with it all of its callers' requests; a call that isn't tied to a request (report, order, probe, lease) hangs for as long as a byte comes now and then, so a phase order could block all further ones. Cause: bodies were bounded for each call (16 MB) but not together; unparsed bytes weren't bounded, so an endless chunk extension was kept; the timeout began anew with each piece; a 1xx head counted as the answer. Change: body_memory limits the collected bodies of an entry to 24 MB together; 128 KB of unparsed bytes at most, on both sides; calls other than the passing on of a request, whose deadline ends it, have a total timeout; up to eight interim responses are skipped, more are a failure. All end as 'may have run'.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -29,6 +29,9 @@
 namespace
 {
 
+/// Limit of received bytes that aren't parsed yet. Without it, an endless line in a chunked body would be kept until the timeout.
+constexpr std::size_t kMaxBufferBytes = std::size_t{128} * 1024;
+constexpr unsigned kMaxInterimResponses = 8; ///< Responses with a 1xx status before the final one.
 constexpr std::size_t kBodyChunkBytes = std::size_t{16} * 1024;
 /// TCP keep-alive options. They detect a broken path within seconds, even when the peer may take much longer to respond.
 constexpr int kKeepAliveIdleS = 1;
@@ -44,8 +47,19 @@
         : m_stream(executor)
         , m_timer(executor)
         , m_call(std::move(call))
+        , m_startedAt(std::chrono::steady_clock::now())
     { }
 
+    ~exchange() override
+    {
+        if (m_reservedBytes > 0) {
+            m_call.bodyMemory->release(m_reservedBytes);
+        }
+    }
+
+    exchange(const exchange &) = delete;
+    exchange &operator=(const exchange &) = delete;
+
     asio::awaitable<http_result> run(body_hook onBody) override
     {
         head_hook onHead = [streams = static_cast<bool>(onBody)](const http_answer &head) -> asio::awaitable<bool> {
@@ -80,7 +94,11 @@
 private:
     void arm(std::chrono::milliseconds timeout)
     {
-        m_timer.expires_after(timeout);
+        auto until = std::chrono::steady_clock::now() + timeout;
+        if (m_call.totalTimeout.count() > 0) {
+            until = std::min(until, m_startedAt + m_call.totalTimeout);
+        }
+        m_timer.expires_at(until);
         m_timer.async_wait([weak = weak_from_this(), this](const beast::error_code &error) {
             const auto self = weak.lock();
             if (!error && self) {
@@ -132,13 +150,20 @@
 
     asio::awaitable<http_result> readAnswer(const head_hook &onHead, const body_hook &onBody)
     {
-        http::response_parser<http::buffer_body> parser;
-        parser.body_limit(m_call.maxAnswerBytes);
+        std::optional<http::response_parser<http::buffer_body>> parsed;
         beast::error_code error;
-        co_await http::async_read_header(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        if (error) {
-            co_return makeFailure(m_wroteAny ? verdict::MayHaveRun : verdict::NotRun, "read head", error);
+        for (unsigned heads = 0; !parsed || parsed->get().result_int() < status::kOk; ++heads) {
+            parsed.emplace();
+            parsed->body_limit(m_call.maxAnswerBytes);
+            co_await http::async_read_header(m_stream, m_buffer, *parsed, asio::redirect_error(asio::use_awaitable, error));
+            if (!error && heads > kMaxInterimResponses) {
+                error = http::error::header_limit;
+            }
+            if (error) {
+                co_return makeFailure(m_wroteAny ? verdict::MayHaveRun : verdict::NotRun, "read head", error);
+            }
         }
+        http::response_parser<http::buffer_body> &parser = *parsed;
         http_answer answer = headOf(parser.get());
         arm(m_call.progressTimeout);
         const bool streamed = co_await onHead(answer);
@@ -157,6 +182,9 @@
             if (streamed && !m_cancelled && !piece.empty()) {
                 co_await onBody(piece);
             } else if (!streamed) {
+                if (!reserve(piece.size())) {
+                    error = http::error::body_limit;
+                }
                 answer.body.append(piece);
             }
             if (error || m_cancelled) {
@@ -168,6 +196,18 @@
         co_return http_result{std::move(answer), {}};
     }
 
+    bool reserve(std::size_t bytes)
+    {
+        if (!m_call.bodyMemory) {
+            return true;
+        }
+        if (!m_call.bodyMemory->tryReserve(bytes)) {
+            return false;
+        }
+        m_reservedBytes += bytes;
+        return true;
+    }
+
     static http_answer headOf(const http::response<http::buffer_body> &message)
     {
         http_answer answer;
@@ -195,8 +235,10 @@
 
     beast::tcp_stream m_stream;
     asio::steady_timer m_timer;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{kMaxBufferBytes};
     http_call m_call;
+    std::chrono::steady_clock::time_point m_startedAt;
+    std::size_t m_reservedBytes = 0;
     bool m_wroteAny = false;
     bool m_cancelled = false;
     bool m_timedOut = false;
@@ -205,6 +247,25 @@
 
 } // namespace
 
+std::shared_ptr<body_memory> body_memory::make(std::size_t limitBytes)
+{
+    return std::shared_ptr<body_memory>(new body_memory(limitBytes));
+}
+
+bool body_memory::tryReserve(std::size_t bytes) noexcept
+{
+    if (bytes > m_limit - m_used) {
+        return false;
+    }
+    m_used += bytes;
+    return true;
+}
+
+void body_memory::release(std::size_t bytes) noexcept
+{
+    m_used -= bytes;
+}
+
 std::shared_ptr<http_exchange> http_exchange::make(const asio::any_io_executor &executor, http_call call)
 {
     return std::make_shared<exchange>(executor, std::move(call));
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -79,6 +79,8 @@
 constexpr std::size_t kFirstReadBytes = 4096;
 constexpr unsigned kTooManyConnectionsStatus = 503;
 constexpr std::size_t kMaxConcurrentRefusals = 64; ///< Connections over the limit that get a 503 response concurrently; further ones are closed without one.
+/// Limit of received bytes that aren't parsed yet, beyond a header. Without it, an endless line in a chunked body would be kept until the timeout.
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{128} * 1024;
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{256} * 1024;
 constexpr std::chrono::milliseconds kLingerTimeout{500};
 
@@ -441,7 +443,7 @@
         const tcp::endpoint remote = socket.remote_endpoint(error);
         const std::string remoteAddress = error ? std::string{} : remote.address().to_string();
         beast::tcp_stream stream(std::move(socket));
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(self->m_limits.maxHeaderBytes + kMaxUnparsedBytes);
         std::size_t requestsLeft = self->m_limits.maxRequestsPerConnection;
         bool keepOpen = requestsLeft > 0;
         while (keepOpen && self->m_acceptor.is_open()) {
--- a/src/node/relay_call.cpp
+++ b/src/node/relay_call.cpp
@@ -121,6 +121,7 @@
 http_call relay_call::makeUpstreamCall(const registration &run, const upstream_directions &directions) const
 {
     http_call call = prepareCall(m_state, run, {}, std::max(toMilliseconds(timeLeft()), m_state.timing.minProgressTimeout));
+    call.totalTimeout = std::chrono::milliseconds(0); // The request's deadline cancels the exchange.
     call.method = m_request.method;
     call.target = m_request.target;
     call.body = m_request.body;
@@ -230,6 +231,8 @@
     }
     call.connectTimeout = std::min(state.timing.connectTimeout, timeout);
     call.progressTimeout = timeout;
+    call.totalTimeout = timeout;
+    call.bodyMemory = state.bodyMemory;
     return call;
 }
 
--- a/src/node/relay_call.h
+++ b/src/node/relay_call.h
@@ -142,7 +142,7 @@
     boost::asio::steady_timer m_timer;
 };
 
-/// Sets the endpoint of @p call to the address of @p run. @p timeout is the progress timeout and also bounds the connect timeout.
+/// Sets the endpoint of @p call to the address of @p run. @p timeout bounds the whole call, and progress and connecting as well.
 net::http_call prepareCall(const relay_state &state, const registration &run, net::http_call call, std::chrono::milliseconds timeout);
 
 } // namespace heatherroute::node
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -9,6 +9,8 @@
 {
 
 constexpr double kPlainLatencyGain = 0.1; ///< Weight of the latest sample in the moving average of plain request latency.
+/// Memory for answers of upstreams that are collected before they are passed on. A VM has 96 MB.
+constexpr std::size_t kBodyMemoryBytes = std::size_t{24} * 1024 * 1024;
 constexpr double kDefaultPlainSeconds = 0.02; ///< Assumed latency of plain requests before the first sample.
 
 } // namespace
@@ -22,6 +24,7 @@
     , registry(upstream_registry::make({}, [this](const registration &run, upstream_change change) { onUpstreamChange(run, change); }))
     , retryBudget(fleet_retry_budget::make(limit))
     , scheduler(engine_scheduler::make({}))
+    , bodyMemory(net::body_memory::make(kBodyMemoryBytes))
     , crashes(executor, crashHooks())
 { }
 
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -298,6 +298,7 @@
         directions.prefillOnly = true;
         http_call call = m_call.makeUpstreamCall(run, directions);
         call.progressTimeout = std::min(call.progressTimeout, kPrefillTimeout);
+        call.totalTimeout = call.progressTimeout;
         const instant sentAt = coreNow();
         m_state.scheduler.addPrefill(run.id, m_prompt.promptTokens);
         http_result result = co_await m_call.perform(std::move(call));
--- a/src/node/upstream_duty.cpp
+++ b/src/node/upstream_duty.cpp
@@ -164,6 +164,7 @@
         }
         net::http_call call = makeCall(*endpoint, "/v1/cancel", cancelBody(action));
         call.progressTimeout = kCancelTimeout;
+        call.totalTimeout = kCancelTimeout;
         asio::co_spawn(m_context, runCancel(action.attempt, std::move(call)), asio::detached);
     }
 
@@ -259,6 +260,7 @@
             net::http_call call = makeCall(*endpoint, "/v1/load", {});
             call.method = "GET";
             call.progressTimeout = kPollTimeout;
+            call.totalTimeout = kPollTimeout;
             const net::http_result result = co_await net::performCall(std::move(call));
             const bool ok = result.answer && result.answer->status < net::status::kFirstRedirect;
             report.load = ok ? parseLoad(result.answer->body) : std::nullopt;
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -30,6 +30,8 @@
     std::string answer;
     bool reset = false; ///< Reset the connection instead of closing it.
     bool hang = false; ///< Keep the connection open without sending anything more.
+    std::string repeated; ///< Sent again and again after the answer, until the client closes the connection.
+    milliseconds interval{0}; ///< Between two of them.
 };
 
 asio::awaitable<void> serveOnce(tcp::acceptor &acceptor, upstream_script script)
@@ -40,6 +42,11 @@
     if (!script.answer.empty()) {
         co_await asio::async_write(socket, asio::buffer(script.answer), asio::use_awaitable);
     }
+    while (!script.repeated.empty()) {
+        co_await asio::async_write(socket, asio::buffer(script.repeated), asio::use_awaitable);
+        asio::steady_timer timer(acceptor.get_executor(), script.interval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
     if (script.hang) {
         asio::steady_timer timer(acceptor.get_executor(), std::chrono::hours(1));
         co_await timer.async_wait(asio::use_awaitable);
@@ -61,8 +68,19 @@
         result = std::move(got);
         context.stop();
     });
-    context.run();
-    return std::move(*result);
+    context.run_for(std::chrono::seconds(20));
+    EXPECT_TRUE(result) << "the call has not ended";
+    return result.value_or(http_result{});
+}
+
+/// An upstream that sends @p repeated without end after @p answer.
+upstream_script endless(std::string answer, std::string repeated, milliseconds interval = milliseconds(0))
+{
+    upstream_script script;
+    script.answer = std::move(answer);
+    script.repeated = std::move(repeated);
+    script.interval = interval;
+    return script;
 }
 
 } // namespace
@@ -128,6 +146,68 @@
     EXPECT_EQ(result->failure.outcome, verdict::NotRun);
 }
 
+TEST(HttpClient, InterimResponsesPrecedeTheFinalOne)
+{
+    const http_result result =
+        callUpstream({"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"});
+    ASSERT_TRUE(result.answer);
+    EXPECT_EQ(result.answer->status, 200U);
+    EXPECT_EQ(result.answer->body, "ok");
+}
+
+TEST(HttpClient, EndlessBytesThatAreNoResponseEndTheCall)
+{
+    const std::string block(1'000, 'x');
+    for (const auto &script : {endless(block, block),
+                               endless("HTTP/1.1 200 OK\r\nX-Field: ", block),
+                               endless("HTTP/1.1 200 OK\r\n", "X-Field: a\r\n"),
+                               endless("", "HTTP/1.1 100 Continue\r\n\r\n"),
+                               endless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", block)}) {
+        http_call call;
+        call.progressTimeout = std::chrono::seconds(15);
+        const http_result result = callUpstream(script, std::move(call));
+        EXPECT_FALSE(result.answer) << script.answer;
+        EXPECT_FALSE(result.timedOut) << script.answer << script.repeated.substr(0, 10);
+        EXPECT_EQ(result.failure.outcome, verdict::MayHaveRun) << script.answer;
+    }
+}
+
+TEST(HttpClient, EndlessBodyEndsAtItsMaximumSize)
+{
+    http_call call;
+    call.maxAnswerBytes = 100'000;
+    const http_result result = callUpstream(endless("HTTP/1.1 200 OK\r\n\r\n", std::string(1'000, 'x')), std::move(call));
+    EXPECT_FALSE(result.answer);
+    EXPECT_EQ(result.failure.outcome, verdict::MayHaveRun);
+}
+
+TEST(HttpClient, SlowEndlessBodyEndsAtTheTotalTimeout)
+{
+    for (const char *head : {"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nX-Field: "}) {
+        http_call call;
+        call.progressTimeout = milliseconds(300);
+        call.totalTimeout = milliseconds(600);
+        const auto start = std::chrono::steady_clock::now();
+        const http_result result = callUpstream(endless(head, "x", milliseconds(20)), std::move(call));
+        EXPECT_FALSE(result.answer);
+        EXPECT_TRUE(result.timedOut);
+        EXPECT_LT(std::chrono::steady_clock::now() - start, milliseconds(2'000));
+    }
+}
+
+TEST(HttpClient, CollectedBodiesShareAMemoryBudget)
+{
+    http_call call;
+    call.bodyMemory = net::body_memory::make(150'000);
+    const auto budget = call.bodyMemory;
+    const std::string large = "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + std::string(200'000, 'x');
+    EXPECT_FALSE(callUpstream({large, false, false}, call).answer);
+    EXPECT_EQ(budget->used(), 0U);
+    EXPECT_TRUE(callUpstream({"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false, false}, call).answer);
+    ASSERT_TRUE(budget->tryReserve(149'999));
+    EXPECT_FALSE(callUpstream({"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false, false}, call).answer);
+}
+
 // Guards against undetected dead connections: after the network path broke, a long poll of the configuration stream kept waiting, and the
 // entry used an outdated configuration for eight seconds.
 TEST(HttpClient, SocketOptionsDetectDeadPeersWithinTwoSeconds)
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -56,6 +56,31 @@
     thread.join();
 }
 
+TEST(HttpServer, EndlessLineInAChunkedBodyEndsTheConnection)
+{
+    asio::io_context context;
+    const auto handler = [](net::http_request, net::http_responder &out) -> asio::awaitable<void> { co_await out.send({}); };
+    const auto refuse = [](unsigned status, std::string_view why) { return net::http_answer{status, std::string(why), "text/plain", {}}; };
+    last_reason reason;
+    auto server = net::http_server::make(context, {asio::ip::make_address("127.0.0.1"), 0}, {}, handler, refuse, &reason);
+    ASSERT_TRUE(server) << reason.text();
+    std::thread thread([&context] { context.run(); });
+    asio::io_context own;
+    asio::ip::tcp::socket socket(own);
+    socket.connect(server->endpoint());
+    asio::write(socket, asio::buffer(std::string_view("POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;")));
+    constexpr std::size_t kMaxAcceptedBytes = std::size_t{16} * 1024 * 1024; // Generous for the kernel's buffers.
+    const std::string block(std::size_t{64} * 1024, 'x');
+    boost::system::error_code error;
+    std::size_t sent = 0;
+    while (!error && sent < 4 * kMaxAcceptedBytes) {
+        sent += asio::write(socket, asio::buffer(block), error);
+    }
+    EXPECT_LT(sent, kMaxAcceptedBytes);
+    context.stop();
+    thread.join();
+}
+
 TEST(HttpServer, TargetsAreNormalizedAndAmbiguousOnesRejected)
 {
     EXPECT_EQ(node::normalizeTarget("/svc/s/%70ay%2a/?q=%2e", nullptr), "/svc/s/pay%2A/?q=%2e");
--- a/tests/process_relay_test.cpp
+++ b/tests/process_relay_test.cpp
@@ -111,6 +111,38 @@
     });
 }
 
+// Load pattern: all upstreams answer every call with bytes that don't end, and many callers wait.
+TEST(ProcessRelay, EndlessAnswersAreEndedWithinTheMemoryOfAVm)
+{
+    runOnSite({}, [](relay_site &site) -> asio::awaitable<void> {
+        standins::upstream_faults faults;
+        faults.endlessAnswers = true;
+        setFaultsOfAll(site, faults);
+        int waiting = 0;
+        for (int i = 0; i < 60; ++i) {
+            const auto caller = [&, i]() -> asio::awaitable<void> {
+                ++waiting;
+                const char *paths[] = {kLookupPath, kBookingPath, kStreamPath};
+                const caller_result result = co_await site.call(0, paths[i % 3], milliseconds(1'500));
+                EXPECT_EQ(result.fault, "");
+                EXPECT_NE(result.status, 200U) << result.path;
+                --waiting;
+            };
+            asio::co_spawn(co_await asio::this_coro::executor, caller, asio::detached);
+        }
+        while (waiting > 0) {
+            co_await pauseFor(milliseconds(50));
+        }
+        constexpr std::size_t kVmMemoryBytes = std::size_t{96} * 1024 * 1024;
+        EXPECT_LT(site.entry(0).peakMemoryBytes(), kVmMemoryBytes);
+        setFaultsOfAll(site, {});
+        co_await pauseFor(seconds(5));
+        for (const char *path : {kLookupPath, kBookingPath, kStreamPath}) {
+            co_await expectSuccess(site, 0, path);
+        }
+    });
+}
+
 TEST(ProcessRelay, BrokenStreamDoesNotAppearComplete)
 {
     runOnSite({}, [](relay_site &site) -> asio::awaitable<void> {
--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -208,6 +208,9 @@
         answer.fields = {{"X-Replica-Id", m_settings.id}};
     } else if (request.path() == "/healthz") {
         answer.fields = {{"X-Replica-Id", m_settings.id}};
+    } else if (m_faults.endlessAnswers) {
+        co_await sendEndlessBody(request, responder);
+        co_return;
     } else if (m_faults.refuse) {
         answer.status = 503;
         answer.fields = {{"X-Not-Executed", "1"}};
@@ -236,6 +239,21 @@
     co_await responder.send(std::move(answer));
 }
 
+asio::awaitable<void> site_upstream::sendEndlessBody(const http_request &request, http_responder &responder)
+{
+    recordRun(request);
+    http_answer head = makeAnswer(request, 200);
+    co_await responder.beginStream(std::move(head));
+    while (m_faults.endlessAnswers && !responder.isClosed()) {
+        std::string block(std::size_t{16} * 1024, 'x');
+        const bool sent = co_await responder.write(std::move(block));
+        if (!sent) {
+            co_return;
+        }
+    }
+    responder.abort();
+}
+
 asio::awaitable<void> site_upstream::servePlain(const http_request &request, http_responder &responder)
 {
     recordRun(request);
--- a/tests/standins/site_upstream.h
+++ b/tests/standins/site_upstream.h
@@ -43,6 +43,7 @@
     bool refuseDecodes = false; ///< Answers decodes with 503 without executing them; reservations still succeed, as on an engine that is
                                 ///< switching its phase.
     bool mismatchedAnswers = false; ///< Answers with the id of another request.
+    bool endlessAnswers = false; ///< Answers all calls but health checks with a body that doesn't end while this is set.
     bool breakStreams = false; ///< Aborts the connection in the middle of a stream.
 };
 
@@ -109,6 +110,7 @@
     bool crashesOn(const net::http_request &request);
     boost::asio::awaitable<void> serve(net::http_request request, net::http_responder &responder);
     boost::asio::awaitable<void> dispatch(const net::http_request &request, net::http_responder &responder);
+    boost::asio::awaitable<void> sendEndlessBody(const net::http_request &request, net::http_responder &responder);
     boost::asio::awaitable<void> servePlain(const net::http_request &request, net::http_responder &responder);
     boost::asio::awaitable<void> serveStream(const net::http_request &request, net::http_responder &responder);
     net::http_answer reserve(const net::http_request &request);
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -8,6 +8,7 @@
 #include <cerrno>
 #include <csignal>
 #include <cstring>
+#include <fstream>
 #include <sstream>
 #include <thread>
 
@@ -126,6 +127,21 @@
     return text;
 }
 
+std::size_t child_process::peakMemoryBytes() const
+{
+    constexpr std::size_t kKiB = 1024;
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    std::string name;
+    for (std::string line; std::getline(status, line);) {
+        std::istringstream words(line);
+        std::size_t value = 0;
+        if (words >> name >> value && name == "VmHWM:") {
+            return value * kKiB;
+        }
+    }
+    return 0;
+}
+
 void child_process::signal(int signal)
 {
     if (!m_exitCode) {
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -40,6 +40,8 @@
     void signal(int signal);
     /// Waits for the end of the process and returns its exit code, or 128 + signal if a signal ended it; empty if it still runs after @p limit.
     std::optional<int> waitForEnd(std::chrono::milliseconds limit);
+    /// The peak of the resident memory; 0 when the process has ended.
+    std::size_t peakMemoryBytes() const;
     /// The process id, also after the end of the process.
     pid_t pid() const noexcept
     {
