--- a/tests/support/relay_site.cpp
+++ b/tests/support/relay_site.cpp
@@ -185,8 +185,12 @@
 bool relay_site::restart(std::size_t index, last_reason *reason)
 {
     running_entry &entry = m_entries.at(index);
-    entry.process = child_process::make(m_settings.program, {"--relay", "--settings", entry.settingsFile}, reason, m_settings.discardStandardError);
-    return entry.process != nullptr;
+    auto process = child_process::make(m_settings.program, {"--relay", "--settings", entry.settingsFile}, reason, m_settings.discardStandardError);
+    if (!process) {
+        return false;
+    }
+    entry.process = std::move(process);
+    return true;
 }
 
 asio::awaitable<void> relay_site::pause(milliseconds time)
