A store that comes back from an older copy: positions, gossip and the lease belong to an era

What callers would see: a configuration that the operator wrote after the restore isn't in force, for as long as the process lives, if the offsets that are given out again reach the position from which the entry reads on. The entries' addresses are gone from the store, and a generation of the lease, which is the fencing token, may be given to two holders. Cause: positions, gossip and generations were taken to belong to one history of the store; nothing read its era. Change: store_era judges the era of each answer and of peers, stream_position whether an answer fits the offset it was read from. Fencing tokens are made of the era and the generation. Gossip carries the era in a message kind of its own. A malformed era counts as no answer.

--- a/bench/heatherbench_soak.cpp
+++ b/bench/heatherbench_soak.cpp
@@ -183,6 +183,7 @@
 
     void publish(bool lookups)
     {
+        m_lookups = lookups;
         m_audit.recordPublication(std::chrono::steady_clock::now(), lookups);
         m_site.publish(lookups);
     }
@@ -202,8 +203,14 @@
             m_site.store().removeHistory("keyed.op");
             m_site.store().removeHistory("keyed.servers");
         }
+        const auto copy = randomBelow(4) == 0 ? m_site.store().makeCopy() : nullptr;
         m_site.store().setFaults(faults);
         co_await pause(duration);
+        if (copy) {
+            // The store comes back as it was before; the operator writes its configuration again.
+            m_site.store().restore(*copy);
+            publish(m_lookups);
+        }
         m_site.store().setFaults({});
     }
 
@@ -224,7 +231,10 @@
     {
         standins::site_upstream &upstream = *m_site.upstreams()[static_cast<std::size_t>(randomBelow(static_cast<std::int64_t>(m_site.upstreams().size())))];
         standins::upstream_faults faults;
-        switch (randomBelow(6)) {
+        switch (randomBelow(7)) {
+        case 6:
+            faults.endlessAnswers = true;
+            break;
         case 0:
             faults.hang = true;
             break;
@@ -302,6 +312,7 @@
     std::vector<std::uint64_t> m_disturbanceCounts; ///< Process faults by entry, each counted at its start and at its end.
     std::set<std::size_t> m_disturbedEntries; ///< Entries with a process fault in progress.
     std::size_t m_activeTasks = 0;
+    bool m_lookups = true; ///< Whether the newest configuration routes lookups.
     bool m_stopping = false;
 };
 
@@ -354,6 +365,7 @@
     soakOptions.site.decodeEngines = 4;
     soakOptions.site.prefillEngines = 2;
     soakOptions.site.services = 3;
+    soakOptions.site.storeEra = 1;
     const std::uint64_t first = parsed["seed"].as<std::uint64_t>();
     std::uint64_t failedSeeds = 0;
     for (soakOptions.seed = first; soakOptions.seed < first + parsed["seeds"].as<std::uint64_t>(); ++soakOptions.seed) {
--- a/include/heatherroute/peer_message.h
+++ b/include/heatherroute/peer_message.h
@@ -35,7 +35,8 @@
                                config_pull,
                                config_part,
                                store_update,
-                               crash_reports>;
+                               crash_reports,
+                               store_update_of_era>;
 
 /// Sender and sequence number of a message.
 struct peer_header
--- a/include/heatherroute/request_quarantine.h
+++ b/include/heatherroute/request_quarantine.h
@@ -74,6 +74,8 @@
 
     /// Returns the requests whose quarantine has begun since the last call.
     std::vector<started_quarantine> takeStarted();
+    /// Returns the requests that are quarantined now.
+    std::vector<started_quarantine> current() const;
     /// Returns for how much longer the request must not be sent to an upstream; zero if it may be.
     duration quarantinedFor(instant now, std::uint64_t fingerprint);
     /// Returns the number of known crashes with the request in flight.
--- a/include/heatherroute/store_update.h
+++ b/include/heatherroute/store_update.h
@@ -92,4 +92,20 @@
     }
 };
 
+/// An update with the era of the store that the sender has read. Sent in place of store_update by entries that know the era.
+struct store_update_of_era
+{
+    std::uint64_t era = 0;
+    store_update update;
+
+    auto operator<=>(const store_update_of_era &) const = default;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(era);
+        update.serialize(archive);
+    }
+};
+
 } // namespace heatherroute
--- a/src/core/request_quarantine.cpp
+++ b/src/core/request_quarantine.cpp
@@ -115,6 +115,15 @@
     return started;
 }
 
+std::vector<started_quarantine> request_quarantine::current() const
+{
+    std::vector<started_quarantine> result;
+    for (const auto &[fingerprint, lapsesAt] : m_quarantined) {
+        result.push_back({fingerprint, m_observedHere.contains(fingerprint)});
+    }
+    return result;
+}
+
 duration request_quarantine::quarantinedFor(instant now, std::uint64_t fingerprint)
 {
     if (m_quarantined.empty()) {
--- a/src/node/crash_monitor.cpp
+++ b/src/node/crash_monitor.cpp
@@ -79,6 +79,15 @@
     announceStarted();
 }
 
+void crash_monitor::recordAgain()
+{
+    for (const started_quarantine &quarantine : m_quarantine.current()) {
+        if (quarantine.observedHere) {
+            m_hooks.quarantined(m_quarantine.reportsOn(coreNow(), quarantine.fingerprint));
+        }
+    }
+}
+
 std::vector<crash_reports> crash_monitor::dueMessages()
 {
     return m_gossip.dueMessages(coreNow());
--- a/src/node/crash_monitor.h
+++ b/src/node/crash_monitor.h
@@ -47,6 +47,8 @@
     void onUpstreamChange(const registration &run, upstream_change change);
     /// Processes the reports of another entry.
     void onReports(const crash_reports &message);
+    /// Calls the hook for all quarantines again, since their records were lost.
+    void recordAgain();
     /// Returns the messages to send to all other entries now.
     std::vector<crash_reports> dueMessages();
     /// Returns the messages that tell an entry about the suspects that it doesn't know.
--- a/src/node/member_duty.cpp
+++ b/src/node/member_duty.cpp
@@ -30,7 +30,11 @@
         net::peer_transport_hooks hooks;
         hooks.received = [this](const std::string &from, peer_message message) {
             if (auto *update = std::get_if<store_update>(&message.body)) {
-                forwardToRelay(store_update_received{std::move(*update)});
+                forwardToRelay(store_update_received{std::move(*update), 0});
+                return;
+            }
+            if (auto *updateOfEra = std::get_if<store_update_of_era>(&message.body)) {
+                forwardToRelay(store_update_received{std::move(updateOfEra->update), updateOfEra->era});
                 return;
             }
             if (auto *reports = std::get_if<crash_reports>(&message.body)) {
@@ -67,7 +71,11 @@
         } else if (auto *summary = std::get_if<own_summary>(&event)) {
             processEvent(membership_summary{summary->summary});
         } else if (auto *broadcastEvent = std::get_if<store_update_broadcast>(&event)) {
-            broadcast(broadcastEvent->update);
+            if (broadcastEvent->era > 0) {
+                broadcast(store_update_of_era{broadcastEvent->era, std::move(broadcastEvent->update)});
+            } else {
+                broadcast(broadcastEvent->update);
+            }
         } else if (auto *crashEvent = std::get_if<crash_reports_to_send>(&event)) {
             if (crashEvent->peerAddress) {
                 m_transport->sendDatagram(*crashEvent->peerAddress, crashEvent->reports);
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -283,6 +283,13 @@
     void on(store_update_received &event)
     {
         const instant now = coreNow();
+        if (event.era > m_storeEra) {
+            post(m_toStore, store_event(newer_era_seen{event.era}));
+        }
+        if (event.era != m_storeEra) {
+            // It may speak of what the store has lost, or of what this entry can't place yet; it comes again.
+            return;
+        }
         if (event.update.readsStore) {
             m_state.gossip.noteReceived(now, std::chrono::milliseconds(event.update.readAgeMs));
         }
@@ -306,6 +313,19 @@
         }
     }
 
+    void on(store_era_changed &event)
+    {
+        m_storeEra = event.era;
+        if (event.isRestored) {
+            const instant now = coreNow();
+            m_state.gossip.onRestored();
+            // Registrations that the copy lacks are given the same time to come back as after an outage.
+            m_state.registry.onStoreLost(now);
+            m_state.registry.onStoreBack(now);
+            m_state.crashes.recordAgain();
+        }
+    }
+
     void on(crash_reports_received &event)
     {
         m_state.crashes.onReports(event.reports);
@@ -338,7 +358,7 @@
             post(m_toStore, store_event(store_polling_changed{frequent}));
         }
         for (store_update &message : m_state.gossip.dueMessages(now, m_state.routes ? m_state.routes->version() : 0)) {
-            post(m_toMembers, member_event(store_update_broadcast{std::move(message)}));
+            post(m_toMembers, member_event(store_update_broadcast{std::move(message), m_storeEra}));
         }
         for (crash_reports &message : m_state.crashes.dueMessages()) {
             post(m_toMembers, member_event(crash_reports_to_send{std::move(message), std::nullopt}));
@@ -535,6 +555,7 @@
     bool m_announcedReady = false;
     bool m_leaseWanted = false;
     bool m_holdsLease = false;
+    std::uint64_t m_storeEra = 0; ///< 0 when the store sends none, or none is known yet.
     bool m_pollsFrequently = true;
 };
 
--- a/src/node/relay_event.h
+++ b/src/node/relay_event.h
@@ -48,6 +48,14 @@
 struct store_update_received
 {
     store_update update;
+    std::uint64_t era = 0; ///< The era of the store that the sender has read; 0 when it knows none.
+};
+
+/// The store has come back from an older copy, or its era has become known.
+struct store_era_changed
+{
+    std::uint64_t era = 0;
+    bool isRestored = false; ///< What was read before is void.
 };
 
 /// Reports of crashes were received from another entry.
@@ -57,8 +65,8 @@
 };
 
 /// An event for the relay's thread from the other duties.
-using relay_event =
-    std::variant<routes_read, upstreams_reported, store_reachability, lease_term, members_changed, store_update_received, crash_reports_received>;
+using relay_event = std::
+    variant<routes_read, upstreams_reported, store_reachability, lease_term, members_changed, store_update_received, crash_reports_received, store_era_changed>;
 
 /// The peer addresses of entries that are recorded in the store.
 struct entry_addresses
@@ -80,6 +88,7 @@
 struct store_update_broadcast
 {
     store_update update;
+    std::uint64_t era = 0; ///< 0 when unknown.
 };
 
 /// Reports of crashes to send to other entries.
@@ -108,6 +117,12 @@
 struct config_outdated
 { };
 
+/// Another entry has seen a newer era of the store.
+struct newer_era_seen
+{
+    std::uint64_t era = 0;
+};
+
 /// This entry has quarantined a request, which other entries must know even if all of them restart.
 struct quarantine_to_record
 {
@@ -119,6 +134,6 @@
 { };
 
 /// An event for the store's thread from the other duties.
-using store_event = std::variant<lease_wanted, store_polling_changed, config_outdated, quarantine_to_record, store_stop>;
+using store_event = std::variant<lease_wanted, store_polling_changed, config_outdated, newer_era_seen, quarantine_to_record, store_stop>;
 
 } // namespace heatherroute::node
--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -15,6 +15,7 @@
 #include "node/boot_clock.h"
 #include "node/core_time.h"
 #include "relay/quarantine_record.h"
+#include "relay/store_era.h"
 
 namespace heatherroute::node
 {
@@ -74,6 +75,8 @@
             }
         } else if (std::holds_alternative<config_outdated>(event)) {
             scheduleConfigRead();
+        } else if (const auto *newer = std::get_if<newer_era_seen>(&event)) {
+            asio::co_spawn(m_context, onPeerEra(shared_from_this(), newer->era), asio::detached);
         } else if (const auto *quarantine = std::get_if<quarantine_to_record>(&event)) {
             asio::co_spawn(m_context, appendEntriesRecord(shared_from_this(), makeQuarantineRecord(quarantine->reports, unixMilliseconds())), asio::detached);
         } else {
@@ -83,31 +86,34 @@
     }
 
 private:
-    /// Read position in one stream of the store and the number of consecutive failures.
+    /// A reader of one stream of the store.
     struct stream_cursor
     {
         store_stream stream = store_stream::Configuration;
-        std::optional<std::uint64_t> next; ///< Offset of the next record; empty when a snapshot must be read first.
-        std::uint32_t failures = 0;
+        stream_position position;
+        std::uint32_t failures = 0; ///< Consecutive ones.
     };
 
     /// Reads the next records, or a snapshot of the newest ones when there is no offset to continue from. Sets @p isSnapshot accordingly.
     asio::awaitable<keyed_page> readNext(stream_cursor &cursor, std::chrono::milliseconds wait, bool &isSnapshot)
     {
-        isSnapshot = !cursor.next.has_value();
+        const std::optional<std::uint64_t> from = cursor.position.begin(m_era);
+        isSnapshot = !from.has_value();
         keyed_page page;
         if (isSnapshot) {
             page = co_await m_store.readNewest(cursor.stream, snapshotTimeout(cursor));
         } else {
-            page = co_await m_store.readFrom(cursor.stream, *cursor.next, wait);
+            page = co_await m_store.readFrom(cursor.stream, *from, wait);
+        }
+        if (page.outcome == store_outcome::Done) {
+            co_await placeAnswer(cursor, page);
         }
         if (page.outcome == store_outcome::Done) {
-            cursor.next = page.next;
             cursor.failures = 0;
             co_await noteReachable();
         } else if (page.outcome == store_outcome::HistoryGone) {
-            log(log_level::Info, "store_history_gone", {{"stream", nameOf(cursor.stream)}, {"from", std::to_string(cursor.next.value_or(0))}});
-            cursor.next.reset();
+            log(log_level::Info, "store_history_gone", {{"stream", nameOf(cursor.stream)}, {"from", std::to_string(from.value_or(0))}});
+            cursor.position.reset();
         } else {
             cursor.failures += 1;
             co_await noteFailed(cursor, page.reason);
@@ -115,6 +121,68 @@
         co_return page;
     }
 
+    /// Advances the position by an answer, unless its era shows that it doesn't fit.
+    asio::awaitable<void> placeAnswer(stream_cursor &cursor, keyed_page &page)
+    {
+        const era_verdict verdict = co_await judgeEra(page.era);
+        const read_verdict result = cursor.position.end(m_era, verdict, page.next);
+        if (result == read_verdict::Discard) {
+            page.outcome = store_outcome::Unavailable;
+            page.reason = "the answer is of an older era";
+        } else if (result == read_verdict::Reread) {
+            page.outcome = store_outcome::HistoryGone;
+        }
+        if (result != read_verdict::Use) {
+            page.records.clear();
+        }
+    }
+
+    /// Judges the era of an answer and acts on a newer one.
+    asio::awaitable<era_verdict> judgeEra(std::optional<std::uint64_t> era)
+    {
+        const std::uint64_t before = m_era.current();
+        const era_verdict verdict = m_era.onAnswer(era);
+        if (verdict == era_verdict::Older || verdict == era_verdict::Missing) {
+            log(log_level::Warning, "store_answer_misplaced", {{"era", era ? std::to_string(*era) : "none"}, {"known", std::to_string(before)}});
+        }
+        co_await announceEra(before, verdict == era_verdict::Newer);
+        co_return verdict;
+    }
+
+    asio::awaitable<void> announceEra(std::uint64_t before, bool isRestored)
+    {
+        if (m_era.current() == before) {
+            co_return;
+        }
+        if (isRestored) {
+            log(log_level::Warning, "store_restored", {{"era", std::to_string(m_era.current())}, {"before", std::to_string(before)}});
+            m_published = false;
+            const lease_term previous = m_lease.term();
+            m_lease.onRestored();
+            co_await sendLeaseTerm(previous);
+            for (const store_stream stream : {store_stream::Configuration, store_stream::Registrations, store_stream::Entries}) {
+                asio::co_spawn(m_context, wakeLater(shared_from_this(), stream), asio::detached);
+            }
+        }
+        relay_event event = store_era_changed{m_era.current(), isRestored};
+        co_await m_toRelay.push(std::move(event));
+    }
+
+    static asio::awaitable<void> onPeerEra(std::shared_ptr<impl> self, std::uint64_t era)
+    {
+        const std::uint64_t before = self->m_era.current();
+        const era_verdict verdict = self->m_era.onPeer(era);
+        co_await self->announceEra(before, verdict == era_verdict::Newer);
+    }
+
+    /// Ends the pause of a stream within a random time, so that the entries don't all read at once.
+    static asio::awaitable<void> wakeLater(std::shared_ptr<impl> self, store_stream stream)
+    {
+        const std::int64_t maxDelay = self->m_settings.maxRestoredReadDelay.count();
+        co_await self->pause(std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(0, maxDelay)(self->m_random)));
+        self->wake(stream);
+    }
+
     static std::string nameOf(store_stream stream)
     {
         switch (stream) {
@@ -232,6 +300,9 @@
             }
             if (page.outcome == store_outcome::Unavailable) {
                 co_await self->pause(self->backoffDelay(cursor));
+            } else if (page.outcome == store_outcome::Done && !cursor.position.isKnown()) {
+                // Without a position, the next read is a snapshot again, which doesn't wait at the store.
+                co_await self->pause(self->m_settings.configWait);
             } else if (isSnapshot && self->m_configVersion == 0) {
                 // No configuration has been published yet; the next read waits for one.
                 co_await self->pause(self->m_settings.minBackoff);
@@ -268,7 +339,7 @@
         while (!self->m_stopping) {
             bool isSnapshot = false;
             if (coreNow() - lastRead > self->m_settings.maxHistoryAge) {
-                cursor.next.reset();
+                cursor.position.reset();
             }
             const keyed_page page = co_await self->readNext(cursor, std::chrono::milliseconds(0), isSnapshot);
             if (page.outcome == store_outcome::Done) {
@@ -318,12 +389,16 @@
     {
         stream_cursor cursor;
         cursor.stream = store_stream::Entries;
-        bool published = false;
         while (!self->m_stopping) {
-            if (!published) {
+            if (!self->m_published) {
                 keyed_record record{self->m_settings.entryName, self->m_settings.peerAddress};
-                const store_outcome outcome = co_await self->m_store.append(store_stream::Entries, std::move(record));
-                published = outcome == store_outcome::Done;
+                const append_answer answer = co_await self->m_store.append(store_stream::Entries, std::move(record));
+                const bool done = answer.outcome == store_outcome::Done;
+                era_verdict verdict = era_verdict::Current;
+                if (done) {
+                    verdict = co_await self->judgeEra(answer.era);
+                }
+                self->m_published = done && verdict != era_verdict::Older;
             }
             bool isSnapshot = false;
             const keyed_page page = co_await self->readNext(cursor, std::chrono::milliseconds(0), isSnapshot);
@@ -334,7 +409,7 @@
             if (page.outcome == store_outcome::Unavailable) {
                 co_await self->pause(self->backoffDelay(cursor));
             } else if (page.outcome == store_outcome::Done) {
-                co_await self->pause(published ? self->m_settings.entriesInterval : self->backoffDelay(cursor));
+                co_await self->pauseUntilWoken(cursor.stream, self->m_published ? self->m_settings.entriesInterval : self->backoffDelay(cursor));
             }
         }
     }
@@ -360,8 +435,8 @@
         stream_cursor cursor;
         cursor.stream = store_stream::Entries;
         while (!self->m_stopping && cursor.failures < kMaxAppends) {
-            const store_outcome outcome = co_await self->m_store.append(store_stream::Entries, record);
-            if (outcome == store_outcome::Done) {
+            const append_answer answer = co_await self->m_store.append(store_stream::Entries, record);
+            if (answer.outcome == store_outcome::Done) {
                 co_return;
             }
             cursor.failures += 1;
@@ -410,7 +485,15 @@
     {
         lease_request request{m_settings.entryName, m_lease.settings().lifetime, m_lease.generation()};
         const std::int64_t sentAt = bootMilliseconds();
-        const lease_answer answer = co_await m_store.joinLease(std::move(request));
+        lease_answer answer = co_await m_store.joinLease(std::move(request));
+        era_verdict verdict = era_verdict::Current;
+        if (answer.outcome != store_outcome::Unavailable) {
+            verdict = co_await judgeEra(answer.era);
+        }
+        if (verdict == era_verdict::Older || verdict == era_verdict::Missing) {
+            answer.outcome = store_outcome::Unavailable;
+            answer.reason = std::string("the answer's era is ") + toString(verdict);
+        }
         if (answer.outcome == store_outcome::Unavailable) {
             log(log_level::Warning, "lease_not_renewed", {{"reason", answer.reason}, {"generation", std::to_string(m_lease.generation())}});
             co_return;
@@ -454,6 +537,8 @@
     bool m_configOutdated = false;
     std::map<store_stream, asio::steady_timer *> m_pausedReads; ///< Timers of the streams that wait between two reads.
     bool m_inLeaseGroup = false;
+    bool m_published = false; ///< Whether the store holds this entry's address, as far as is known.
+    store_era m_era = store_era::make();
     std::uint64_t m_configVersion = 0;
     lease_tracker m_lease = lease_tracker::make({});
     std::map<std::string, std::string> m_entryAddresses;
--- a/src/node/store_duty.h
+++ b/src/node/store_duty.h
@@ -30,6 +30,8 @@
     /// Maximum delay between learning of a newer configuration and reading it. Configuration changes often come in quick succession,
     /// and one read after the delay covers several of them.
     std::chrono::milliseconds maxOutdatedReadDelay{600};
+    /// Maximum delay of the reads and writes that follow when the store comes back from an older copy.
+    std::chrono::milliseconds maxRestoredReadDelay{600};
     std::chrono::milliseconds entriesInterval{30'000}; ///< Between two reads of the entries' addresses; the membership spreads them anyway.
     std::chrono::milliseconds minBackoff{150}; ///< Minimum delay after the first failed read; doubles with each further failure.
     std::chrono::milliseconds maxBackoff{1'000};
--- a/src/relay/lease_term.cpp
+++ b/src/relay/lease_term.cpp
@@ -1,5 +1,7 @@
 #include "relay/lease_term.h"
 
+#include "relay/store_era.h"
+
 namespace heatherroute
 {
 
@@ -23,6 +25,10 @@
         return;
     }
     const bool done = answer.outcome == store_outcome::Done;
+    if (answer.era.value_or(0) != m_era) {
+        m_era = answer.era.value_or(0);
+        onRestored();
+    }
     m_generation = done ? answer.generation : 0;
     const bool holds = done && answer.holds;
     // After the old term expired, another entry may have held the lease, unless the generation shows that nothing changed.
@@ -30,11 +36,18 @@
     const bool continues = holds && (unchanged || (m_term.holds && sentAtMs <= m_term.validUntilMs));
     m_term.heldSinceMs = continues ? m_term.heldSinceMs : nowMs;
     m_term.holds = holds;
-    m_term.fencingToken = m_generation;
+    m_term.fencingToken = fencingTokenOf(m_era, m_generation);
     m_term.validUntilMs = sentAtMs + m_settings.lifetime.count() - m_settings.margin.count();
     m_heldGeneration = holds ? m_generation : 0;
 }
 
+void lease_tracker::onRestored()
+{
+    onReleased();
+    m_generation = 0;
+    m_term.validUntilMs = 0;
+}
+
 void lease_tracker::onReleased()
 {
     m_term.holds = false;
--- a/src/relay/lease_term.h
+++ b/src/relay/lease_term.h
@@ -14,7 +14,7 @@
 struct lease_term
 {
     bool holds = false;
-    std::uint64_t fencingToken = 0;
+    std::uint64_t fencingToken = 0; ///< Of the store's era and the generation.
     std::int64_t validUntilMs = 0;
     std::int64_t heldSinceMs = 0; ///< Time since which no other entry can have held the lease.
 
@@ -62,6 +62,8 @@
     void onAnswer(const lease_answer &answer, std::int64_t sentAtMs, std::int64_t nowMs);
     /// Records that this entry releases the lease.
     void onReleased();
+    /// Records that the store came back from an older copy: the term ends, and another entry may have held the lease meanwhile.
+    void onRestored();
 
 private:
     explicit lease_tracker(const lease_settings &settings);
@@ -69,6 +71,7 @@
     lease_settings m_settings;
     lease_term m_term;
     std::uint64_t m_generation = 0;
+    std::uint64_t m_era = 0; ///< The store's era in the last answer; 0 when it sends none.
     std::uint64_t m_heldGeneration = 0; ///< Generation of the last held term; 0 when another entry may have held the lease since.
 };
 
--- a/src/relay/platform_store.h
+++ b/src/relay/platform_store.h
@@ -48,6 +48,7 @@
     std::string reason; ///< Why the outcome is not Done.
     std::vector<keyed_record> records;
     std::uint64_t next = 0; ///< Offset at which the next read continues.
+    std::optional<std::uint64_t> era; ///< The store's era, if the answer carries it.
     bool operator==(const keyed_page &) const = default;
 };
 
@@ -67,9 +68,18 @@
     std::string reason;
     std::uint64_t generation = 0; ///< Increases with each change of an assignment; serves as the fencing token.
     bool holds = false; ///< Whether this member may give orders.
+    std::optional<std::uint64_t> era; ///< As in keyed_page.
     bool operator==(const lease_answer &) const = default;
 };
 
+/// The answer to an append.
+struct append_answer
+{
+    store_outcome outcome = store_outcome::Unavailable;
+    std::optional<std::uint64_t> era; ///< As in keyed_page.
+    auto operator<=>(const append_answer &) const = default;
+};
+
 /**
  * The platform's store as the router uses it.
  *
@@ -82,7 +92,7 @@
     std::function<boost::asio::awaitable<keyed_page>(store_stream, std::chrono::milliseconds)> readNewest;
     /// Reads the records from an offset on; if there are none yet, the store may delay its answer by the given wait.
     std::function<boost::asio::awaitable<keyed_page>(store_stream, std::uint64_t from, std::chrono::milliseconds wait)> readFrom;
-    std::function<boost::asio::awaitable<store_outcome>(store_stream, keyed_record)> append;
+    std::function<boost::asio::awaitable<append_answer>(store_stream, keyed_record)> append;
     std::function<boost::asio::awaitable<lease_answer>(lease_request)> joinLease;
     std::function<boost::asio::awaitable<void>(std::string member)> leaveLease;
     /// The decoders return an empty optional and set the reason when the record is invalid. decodeRoutes also returns an empty
--- a/src/relay/store_gossip.cpp
+++ b/src/relay/store_gossip.cpp
@@ -49,6 +49,13 @@
     m_sentAt.reset();
 }
 
+void store_gossip::onRestored()
+{
+    m_changes.clear();
+    m_readAt.reset();
+    m_peerReadAt.reset();
+}
+
 bool store_gossip::shouldRead(instant now) const
 {
     const bool peerIsFresh = m_peerReadAt && now - *m_peerReadAt <= m_settings.maxPeerReadAge;
--- a/src/relay/store_gossip.h
+++ b/src/relay/store_gossip.h
@@ -54,6 +54,9 @@
     /// Like noteChange(), but the change is sent at the next opportunity.
     void noteUrgentChange(instant now, upstream_update change);
 
+    /// Records that the store came back from an older copy: what was read before is neither sent nor counted as read any more.
+    void onRestored();
+
     /// Returns whether this entry should read the store itself.
     bool shouldRead(instant now) const;
     /// Returns the messages to send to all other entries now; empty when none is due.
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -53,7 +53,8 @@
                                            sync_request{{"c", 3}},
                                            sync_page{false, {"d", 4}, {update}},
                                            sampleStoreGossip(),
-                                           crash_reports{{{7, {"i-1", 1'000}, 250, false}, {8, {}, 10, true}}}};
+                                           crash_reports{{{7, {"i-1", 1'000}, 250, false}, {8, {}, 10, true}}},
+                                           store_update_of_era{5, sampleStoreGossip()}};
     for (const peer_body &body : bodies) {
         const peer_message message{sampleMessage().header, body};
         const auto bytes = encodePeerMessage(message, kMaxDatagramBytes, nullptr);
--- a/tests/standins/site_store.cpp
+++ b/tests/standins/site_store.cpp
@@ -96,6 +96,35 @@
     m_faults = faults;
 }
 
+void site_store::setEra(std::uint64_t era)
+{
+    m_era = era;
+}
+
+std::shared_ptr<const site_store::copy> site_store::makeCopy() const
+{
+    return std::make_shared<const copy>(copy{m_topics, m_leaseHolder, m_generation});
+}
+
+void site_store::restore(const copy &from)
+{
+    m_topics = from.topics;
+    m_leaseHolder = from.leaseHolder;
+    m_generation = from.generation;
+    m_era += m_era > 0 ? 1 : 0;
+}
+
+std::vector<std::string> site_store::keysOf(const std::string &topic) const
+{
+    std::vector<std::string> keys;
+    if (const auto found = m_topics.find(topic); found != m_topics.end()) {
+        for (const auto &[key, entry] : found->second.newest) {
+            keys.push_back(key);
+        }
+    }
+    return keys;
+}
+
 asio::awaitable<void> site_store::sleepFor(std::chrono::milliseconds time)
 {
     asio::steady_timer timer(m_context, time);
@@ -126,6 +155,9 @@
     } else {
         answer.status = 404;
     }
+    if (m_era > 0) {
+        answer.fields.push_back({"Store-Era", std::to_string(m_era)});
+    }
     co_await responder.send(std::move(answer));
 }
 
@@ -148,7 +180,7 @@
         co_await sleepFor(kPollInterval);
     }
     const topic_log &log = m_topics[topic];
-    if (from < log.first) {
+    if (from < log.first || from > log.first + log.records.size()) {
         co_return jsonAnswer(json::object{{"First", log.first}}, 410);
     }
     http_answer answer;
--- a/tests/standins/site_store.h
+++ b/tests/standins/site_store.h
@@ -42,6 +42,15 @@
     /// Removes all keys of @p topic that begin with @p prefix, as their writer could.
     void removeKeys(const std::string &topic, const std::string &prefix);
     void setFaults(const store_faults &faults);
+    /// Sends the era in all answers from now on; 0 stops that.
+    void setEra(std::uint64_t era);
+    /// A copy of the store's content, from which it can come back.
+    struct copy;
+    std::shared_ptr<const copy> makeCopy() const;
+    /// Comes back from an older copy: what was written since is gone, and the era rises by one if it is sent.
+    void restore(const copy &from);
+    /// Returns the keys of @p topic that have a value.
+    std::vector<std::string> keysOf(const std::string &topic) const;
     /// Answers one call.
     boost::asio::awaitable<void> serve(net::http_request request, net::http_responder &responder);
 
@@ -62,10 +71,18 @@
 
     boost::asio::io_context &m_context;
     std::map<std::string, topic_log> m_topics;
+    std::uint64_t m_era = 0; ///< 0 when no era is sent.
     store_faults m_faults;
     std::map<std::string, std::chrono::steady_clock::time_point> m_members; ///< Time at which each membership expires unless the member joins again.
     std::string m_leaseHolder;
     std::uint64_t m_generation = 0;
 };
 
+struct site_store::copy
+{
+    std::map<std::string, topic_log> topics;
+    std::string leaseHolder;
+    std::uint64_t generation = 0;
+};
+
 } // namespace heatherroute::standins
--- a/tests/support/relay_site.cpp
+++ b/tests/support/relay_site.cpp
@@ -116,6 +116,7 @@
 bool relay_site::startStore(last_reason *reason)
 {
     m_store = std::make_unique<standins::site_store>(m_context);
+    m_store->setEra(m_settings.storeEra);
     const auto handler = [this](http_request request, http_responder &responder) { return m_store->serve(std::move(request), responder); };
     const auto makeErrorAnswer = [](unsigned status, std::string_view) {
         http_answer answer;
