--- a/src/node/plain_relay.cpp
+++ b/src/node/plain_relay.cpp
@@ -62,6 +62,7 @@
         const plain_retry_policy policy;
         while (true) {
             if (m_state.crashes.quarantinedFor(m_call.fingerprint()) > duration::zero()) {
+                m_state.countQuarantineRefusal(m_service);
                 co_return kQuarantinedReason;
             }
             const registration *run = chooseUpstream();
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -318,6 +318,7 @@
         m_storeEra = event.era;
         if (event.isRestored) {
             const instant now = coreNow();
+            m_state.metrics.counter("heatherroute_store_restores_total", "Times that the store came back from an older copy.").value += 1;
             m_state.gossip.onRestored();
             // Registrations that the copy lacks are given the same time to come back as after an outage.
             m_state.registry.onStoreLost(now);
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -120,6 +120,11 @@
     return granted;
 }
 
+void relay_state::countQuarantineRefusal(const std::string &service)
+{
+    metrics.counter("heatherroute_quarantine_refusals_total", "Requests kept from upstreams by their quarantine.", {{"service", service}}).value += 1;
+}
+
 phase_planner &relay_state::plannerOf(const std::string &service)
 {
     return planners.try_emplace(service, phase_planner::make({})).first->second;
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -54,6 +54,8 @@
     void noteFailedCall(const registration &run, const net::http_result &result);
     /// Consumes one retry of the fleet's budget for @p service and counts it. Returns false when none is left.
     bool tryRetry(const std::string &service);
+    /// Counts a request for @p service that was kept from upstreams by its quarantine.
+    void countQuarantineRefusal(const std::string &service);
     /// Returns the phase planner of @p service; it is created on first use.
     phase_planner &plannerOf(const std::string &service);
     /// Records that this entry orders the engine @p run to change to phase @p to, and announces it to the other entries. The
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -122,6 +122,7 @@
         if (m_state.crashes.quarantinedFor(m_call.fingerprint()) <= duration::zero()) {
             return false;
         }
+        m_state.countQuarantineRefusal(m_service);
         m_reason = kQuarantinedReason;
         return true;
     }
