State test of the store's era: any lost record shows

With four keys each lost record was soon overwritten, so the test passed with either half of the position check taken out.

--- a/tests/store_era_test.cpp
+++ b/tests/store_era_test.cpp
@@ -37,11 +37,6 @@
         for (m_step = 0; m_step < kSteps; ++m_step) {
             step();
         }
-        // What the writer has written is written again after the last restore, then all readers read on.
-        for (const auto &[key, value] : m_written) {
-            m_log.push_back({key, value});
-        }
-        restoresPerThousand = 0;
         for (reader &one : m_readers) {
             deliverAll(one);
             for (int i = 0; i < 3; ++i) {
@@ -85,7 +80,7 @@
     void step()
     {
         if (below(2) == 0) {
-            const int key = below(4);
+            const int key = below(200);
             m_written[key] = ++m_nextValue;
             m_log.push_back({key, m_nextValue});
         }
@@ -95,10 +90,9 @@
         if (below(1'000) < restoresPerThousand) {
             m_log = m_copy;
             m_era += m_era > 0 ? 1 : 0;
+            // The writer writes again what was lost, so the store is complete at any time.
             for (const auto &[key, value] : m_written) {
-                if (below(2) == 0) {
-                    m_log.push_back({key, value});
-                }
+                m_log.push_back({key, value});
             }
         }
         reader &one = m_readers[static_cast<std::size_t>(below(static_cast<int>(m_readers.size())))];
