Soak: an audit of the holder of orders; heatherbench soak prints its options

Change: the stand-in engine refuses a token below one that it has seen (412) and logs what it accepts; the audit allows one holder for each token, also over restores of the store. Result: soak_audit_test plants the violation.

--- a/bench/heatherbench_soak.cpp
+++ b/bench/heatherbench_soak.cpp
@@ -96,6 +96,7 @@
         co_await checkRecovery();
         m_audit.checkExecutions([this](const std::string &id) { return m_site.runCountOf(id); });
         m_audit.checkArrivals(m_site.upstreamLog());
+        m_audit.checkOrders(m_site.upstreamLog().orders);
         for (const auto &upstream : m_site.upstreams()) {
             m_audit.recordRunsAfterDrain(upstream->id(), upstream->runsAfterDrain(kDrainSlack));
         }
@@ -105,6 +106,11 @@
     {
         return m_audit;
     }
+    /// The number of orders that engines have accepted.
+    std::size_t orders() const noexcept
+    {
+        return m_site.upstreamLog().orders.size();
+    }
 
 private:
     /// Returns a random integer from 0 to @p below - 1.
@@ -337,7 +343,7 @@
     for (const auto &[status, count] : audit.byStatus()) {
         out << ' ' << status << ": " << count;
     }
-    out << ", violations: " << audit.violations().size() << std::endl;
+    out << ", orders: " << soakRun.orders() << ", violations: " << audit.violations().size() << std::endl;
     for (const std::string &violation : audit.violations()) {
         out << "  " << violation << '\n';
     }
@@ -349,26 +355,31 @@
 int runSoak(const std::vector<std::string> &arguments, std::ostream &out)
 {
     cxxopts::Options options("heatherbench soak", "Runs entry processes under random faults and checks the guarantees to callers; exit code 1 on a violation.");
-    options.add_options()("seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
+    options.add_options()("h,help", "print this text")("seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "seeds", "number of seeds", cxxopts::value<std::uint64_t>()->default_value("1"))(
-        "seconds", "duration of fault injection for each seed", cxxopts::value<int>()->default_value("20"))(
+        "seconds", "duration of fault injection for each seed, in seconds", cxxopts::value<int>()->default_value("20"))(
         "entries", "number of entry processes", cxxopts::value<std::size_t>()->default_value("6"))(
         "callers", "number of concurrent callers", cxxopts::value<std::size_t>()->default_value("24"))("no-times", "don't check the duration of responses")(
         "program", "path of heatherrouted", cxxopts::value<std::string>()->default_value("build/heatherrouted"));
     const cxxopts::ParseResult parsed = parseArguments(options, arguments);
+    if (parsed.count("help") > 0) {
+        out << options.help();
+        return 0;
+    }
     soak_options soakOptions;
     soakOptions.duration = seconds(parsed["seconds"].as<int>());
     soakOptions.checkDurations = parsed.count("no-times") == 0;
     soakOptions.callers = parsed["callers"].as<std::size_t>();
     soakOptions.site.program = std::filesystem::absolute(parsed["program"].as<std::string>()).string();
     soakOptions.site.entries = parsed["entries"].as<std::size_t>();
-    soakOptions.site.decodeEngines = 4;
-    soakOptions.site.prefillEngines = 2;
     soakOptions.site.services = 3;
     soakOptions.site.storeEra = 1;
     const std::uint64_t first = parsed["seed"].as<std::uint64_t>();
     std::uint64_t failedSeeds = 0;
     for (soakOptions.seed = first; soakOptions.seed < first + parsed["seeds"].as<std::uint64_t>(); ++soakOptions.seed) {
+        // With every other seed the pools don't fit the load, so that the lease holder gives orders.
+        soakOptions.site.prefillEngines = soakOptions.seed % 2 == 0 ? 2 : 5;
+        soakOptions.site.decodeEngines = 6 - soakOptions.site.prefillEngines;
         failedSeeds += runSeed(soakOptions, out) ? 0 : 1;
     }
     out << "soak: " << parsed["seeds"].as<std::uint64_t>() << " seeds, " << failedSeeds << " with violations\n";
--- a/tests/soak_audit_test.cpp
+++ b/tests/soak_audit_test.cpp
@@ -117,6 +117,15 @@
     EXPECT_EQ(over.violations().size(), 1U);
 }
 
+TEST(SoakAudit, FindsTwoHoldersWithOneFencingToken)
+{
+    soak_audit audit;
+    audit.checkOrders({{"i-1", "entry-0", 7}, {"i-2", "entry-0", 7}, {"i-1", "entry-1", 8}});
+    EXPECT_TRUE(audit.violations().empty());
+    audit.checkOrders({{"i-1", "entry-0", 7}, {"i-2", "entry-1", 7}});
+    EXPECT_EQ(audit.violations().size(), 1U);
+}
+
 TEST(SoakAudit, FindsConfigurationRollbacks)
 {
     using clock = std::chrono::steady_clock;
--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -99,6 +99,7 @@
     m_startedAt = unixMilliseconds();
     m_sequence = 0;
     m_orders = 0;
+    m_highestToken = 0;
     report();
 }
 
@@ -346,10 +347,16 @@
 http_answer site_upstream::order(const http_request &request)
 {
     const json::value body = json::parse(request.body);
+    const auto token = body.at("FencingToken").to_number<std::uint64_t>();
+    if (token < m_highestToken) {
+        return jsonAnswer(json::object(), 412);
+    }
+    m_highestToken = token;
     if (body.at("Expect").to_number<std::uint64_t>() != m_orders) {
         return jsonAnswer(json::object(), 409);
     }
     ++m_orders;
+    m_log.orders.push_back({m_settings.id, std::string(body.at("Holder").as_string()), token});
     m_settings.phase = std::string(body.at("Phase").as_string());
     return jsonAnswer(json::object(), 202);
 }
--- a/tests/standins/site_upstream.h
+++ b/tests/standins/site_upstream.h
@@ -64,9 +64,18 @@
     std::string target; ///< Of the request.
 };
 
+/// An order to change its phase that an engine has accepted.
+struct accepted_order
+{
+    std::string engine; ///< Id of the instance.
+    std::string holder;
+    std::uint64_t fencingToken = 0;
+};
+
 /// What all upstreams of a site have seen.
 struct upstream_log
 {
+    std::vector<accepted_order> orders; ///< In order.
     std::map<std::string, int> runs; ///< The number of executions by request id.
     std::vector<upstream_arrival> arrivals; ///< In order.
     std::vector<upstream_crash> crashes; ///< In order.
@@ -132,6 +141,7 @@
     std::uint64_t m_startedAt = 0;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_orders = 0;
+    std::uint64_t m_highestToken = 0; ///< Of all orders that arrived at this instance.
     std::uint64_t m_prefills = 0;
     std::uint64_t m_lastId = 0;
     std::uint64_t m_restarts = 0;
--- a/tests/support/soak_audit.cpp
+++ b/tests/support/soak_audit.cpp
@@ -142,6 +142,17 @@
     }
 }
 
+void soak_audit::checkOrders(const std::vector<standins::accepted_order> &orders)
+{
+    std::map<std::uint64_t, std::string> holders;
+    for (const standins::accepted_order &order : orders) {
+        const std::string &holder = holders.emplace(order.fencingToken, order.holder).first->second;
+        if (holder != order.holder) {
+            m_violations.push_back("one holder of orders: " + holder + " and " + order.holder + " ordered with token " + std::to_string(order.fencingToken));
+        }
+    }
+}
+
 void soak_audit::recordNotRecovered(std::size_t entry)
 {
     m_violations.push_back("recovery: entry " + std::to_string(entry) + " did not serve again");
--- a/tests/support/soak_audit.h
+++ b/tests/support/soak_audit.h
@@ -41,6 +41,8 @@
     /// Checks that requests that crash upstreams reached few of them after the third crash, and that retries stayed within the fleet's retry
     /// budget.
     void checkArrivals(const standins::upstream_log &log);
+    /// Checks that no two holders have ordered with the same fencing token.
+    void checkOrders(const std::vector<standins::accepted_order> &orders);
     /// Records that entry @p entry did not serve again after all faults had ended.
     void recordNotRecovered(std::size_t entry);
 
