--- a/include/heatherroute/request_quarantine.h
+++ b/include/heatherroute/request_quarantine.h
@@ -111,7 +111,7 @@
     template<typename Matches>
     std::vector<crash_report> explainPending(instant now, Matches matches);
     crash_report addObserved(instant now, const pending_interruption &interruption);
-    void forgetCrash(std::deque<known_crash>::iterator crash);
+    void forgetCrash(std::size_t index);
     void removeSuspect(known_crash &crash, std::uint64_t fingerprint);
     void clear(instant at, std::uint64_t fingerprint);
     using crash_lists = std::map<std::uint64_t, std::vector<const known_crash *>>;
--- a/src/core/request_quarantine.cpp
+++ b/src/core/request_quarantine.cpp
@@ -188,7 +188,7 @@
 
 crash_report request_quarantine::addSuspect(instant now, instant at, const upstream_instance &instance, std::uint64_t fingerprint)
 {
-    const crash_report report{fingerprint, instance, millisecondsBetween(at, now), false};
+    crash_report report{fingerprint, instance, millisecondsBetween(at, now), false};
     const auto cleared = m_clearedAt.find(fingerprint);
     if (cleared != m_clearedAt.end() && at <= cleared->second) {
         return report;
@@ -196,7 +196,8 @@
     known_crash *crash = findCrash(at, instance);
     if (crash == nullptr) {
         if (m_crashes.size() >= m_settings.maxCrashesKept) {
-            forgetCrash(std::min_element(m_crashes.begin(), m_crashes.end(), [](const known_crash &a, const known_crash &b) { return a.at < b.at; }));
+            const auto oldest = std::min_element(m_crashes.begin(), m_crashes.end(), [](const known_crash &a, const known_crash &b) { return a.at < b.at; });
+            forgetCrash(static_cast<std::size_t>(oldest - m_crashes.begin()));
         }
         crash = &m_crashes.emplace_back(known_crash{at, instance, {}});
     }
@@ -215,12 +216,13 @@
     }
 }
 
-void request_quarantine::forgetCrash(std::deque<known_crash>::iterator crash)
+void request_quarantine::forgetCrash(std::size_t index)
 {
-    while (!crash->suspects.empty()) {
-        removeSuspect(*crash, *crash->suspects.begin());
+    known_crash &crash = m_crashes[index];
+    while (!crash.suspects.empty()) {
+        removeSuspect(crash, *crash.suspects.begin());
     }
-    m_crashes.erase(crash);
+    m_crashes.erase(m_crashes.begin() + static_cast<std::ptrdiff_t>(index));
 }
 
 void request_quarantine::clear(instant at, std::uint64_t fingerprint)
@@ -244,14 +246,10 @@
     std::erase_if(m_observedHere, [&](const auto &entry) { return now - entry.second > m_settings.retention; });
     std::erase_if(m_clearedAt, [&](const auto &entry) { return now - entry.second > m_settings.retention; });
     bool forgot = false;
-    for (auto crash = m_crashes.begin(); crash != m_crashes.end();) {
-        const auto index = crash - m_crashes.begin();
-        if (now - crash->at > m_settings.retention) {
-            forgetCrash(crash);
+    for (std::size_t index = m_crashes.size(); index > 0; --index) {
+        if (now - m_crashes[index - 1].at > m_settings.retention) {
+            forgetCrash(index - 1);
             forgot = true;
-            crash = m_crashes.begin() + index;
-        } else {
-            ++crash;
         }
     }
     if (forgot) {
--- a/tests/process_poison_test.cpp
+++ b/tests/process_poison_test.cpp
@@ -82,12 +82,12 @@
     EXPECT_TRUE(ready) << site.unreadyReason();
 }
 
-class ProcessPoison : public testing::TestWithParam<const char *>
+class process_poison : public testing::TestWithParam<const char *>
 { };
 
 } // namespace
 
-TEST_P(ProcessPoison, RequestThatCrashedThreeUpstreamsIsNotSentToFurtherOnes)
+TEST_P(process_poison, RequestThatCrashedThreeUpstreamsIsNotSentToFurtherOnes)
 {
     runOnSite(poisonSite(), [path = GetParam()](relay_site &site) -> asio::awaitable<void> {
         co_await repeatPoison(site, path, seconds(10));
@@ -99,7 +99,7 @@
     });
 }
 
-INSTANTIATE_TEST_SUITE_P(Kinds, ProcessPoison, testing::ValuesIn(kPoisonPaths), [](const auto &info) {
+INSTANTIATE_TEST_SUITE_P(Kinds, process_poison, testing::ValuesIn(kPoisonPaths), [](const auto &info) {
     return std::string(info.param).substr(1, std::string(info.param).find('/', 1) - 1);
 });
 
