Logs tell how an answer was framed, its events, and a rest inside an event

The HTTP client reports the framing of an answer, event_boundary_tracker counts events without keeping bytes, and request_ended has both. The HTTP server can send a body that ends with its connection, for stand-ins; one that isn't ended is reset, also when the process dies. No decision changes.

--- a/src/net/event_stream.cpp
+++ b/src/net/event_stream.cpp
@@ -1,5 +1,7 @@
 #include "net/event_stream.h"
 
+#include <algorithm>
+
 namespace heatherroute::net
 {
 
@@ -53,6 +55,40 @@
     m_hasData = true;
 }
 
+void event_boundary_tracker::feed(std::string_view piece) noexcept
+{
+    while (!piece.empty()) {
+        if (m_afterReturn) {
+            m_afterReturn = false;
+            if (piece.front() == '\n') {
+                piece.remove_prefix(1);
+                continue;
+            }
+        }
+        const auto end = std::find_if(piece.begin(), piece.end(), [](char c) { return c == '\n' || c == '\r'; });
+        if (end != piece.begin() && m_line == line_state::Start) {
+            m_line = piece.front() == ':' ? line_state::Comment : line_state::Field;
+        }
+        if (end == piece.end()) {
+            return;
+        }
+        m_afterReturn = *end == '\r';
+        piece.remove_prefix(static_cast<std::size_t>(end - piece.begin()) + 1);
+        endLine();
+    }
+}
+
+void event_boundary_tracker::endLine() noexcept
+{
+    if (m_line == line_state::Start) {
+        m_events += m_hasFields ? 1 : 0;
+        m_hasFields = false;
+    } else if (m_line == line_state::Field) {
+        m_hasFields = true;
+    }
+    m_line = line_state::Start;
+}
+
 std::string formatEvent(std::string_view data)
 {
     std::string event = "data: ";
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -164,7 +164,7 @@
             }
         }
         http::response_parser<http::buffer_body> &parser = *parsed;
-        http_answer answer = headOf(parser.get());
+        http_answer answer = headOf(parser);
         arm(m_call.progressTimeout);
         const bool streamed = co_await onHead(answer);
         while (!parser.is_done()) {
@@ -208,9 +208,15 @@
         return true;
     }
 
-    static http_answer headOf(const http::response<http::buffer_body> &message)
+    static http_answer headOf(const http::response_parser<http::buffer_body> &parser)
     {
+        const auto &message = parser.get();
         http_answer answer;
+        if (parser.chunked()) {
+            answer.framing = body_framing::Chunks;
+        } else if (parser.need_eof()) {
+            answer.framing = body_framing::ConnectionClose;
+        }
         answer.status = message.result_int();
         answer.contentType = std::string(message[http::field::content_type]);
         for (const auto &field : message) {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -177,11 +177,14 @@
         co_return finish(error);
     }
 
-    asio::awaitable<bool> beginStream(http_answer head) override
+    asio::awaitable<bool> beginStream(http_answer head, body_framing framing) override
     {
+        m_framing = framing;
+        m_keepAlive = m_keepAlive && framing == body_framing::Chunks;
+        setResetOnClose(framing == body_framing::ConnectionClose);
         http::response<http::empty_body> message{static_cast<http::status>(head.status), 11};
         setHead(message, head);
-        message.chunked(true);
+        message.chunked(framing == body_framing::Chunks);
         http::response_serializer<http::empty_body> serializer{message};
         m_sent = true;
         m_stream.expires_after(m_limits.writeTimeout);
@@ -197,12 +200,21 @@
         }
         m_stream.expires_after(m_limits.writeTimeout);
         beast::error_code error;
-        co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(data)), asio::redirect_error(asio::use_awaitable, error));
+        if (m_framing == body_framing::Chunks) {
+            co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(data)), asio::redirect_error(asio::use_awaitable, error));
+        } else {
+            co_await asio::async_write(m_stream, asio::buffer(data), asio::redirect_error(asio::use_awaitable, error));
+        }
         co_return finish(error);
     }
 
     asio::awaitable<bool> endStream() override
     {
+        if (m_framing == body_framing::ConnectionClose) {
+            m_complete = !isClosed();
+            setResetOnClose(!m_complete);
+            co_return m_complete;
+        }
         m_stream.expires_after(m_limits.writeTimeout);
         beast::error_code error;
         co_await asio::async_write(m_stream, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, error));
@@ -237,6 +249,12 @@
         return m_complete && m_keepAlive && !isClosed();
     }
 
+    /// Whether an orderly end of the connection would make an incomplete body look complete.
+    bool mustReset() const noexcept
+    {
+        return m_framing == body_framing::ConnectionClose && !m_complete;
+    }
+
 private:
     template<typename Message>
     void setHead(Message &message, const http_answer &answer)
@@ -251,6 +269,14 @@
         message.keep_alive(m_keepAlive);
     }
 
+    /// Sets whether the kernel resets the connection when it is closed, also by the end of the process. Not set through Asio, which
+    /// would clear the option when it destroys the socket.
+    void setResetOnClose(bool reset) noexcept
+    {
+        const linger option{reset ? 1 : 0, 0};
+        static_cast<void>(::setsockopt(m_stream.socket().native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option)));
+    }
+
     bool finish(const beast::error_code &error)
     {
         m_stream.expires_never();
@@ -265,6 +291,7 @@
     bool m_keepAlive;
     const bool &m_draining;
     std::shared_ptr<close_watch> m_watch;
+    body_framing m_framing = body_framing::Length;
     bool m_sent = false;
     bool m_complete = false;
 };
@@ -297,6 +324,24 @@
 
 } // namespace
 
+std::string_view toString(body_framing framing) noexcept
+{
+    switch (framing) {
+    case body_framing::Length:
+        return "length";
+    case body_framing::Chunks:
+        return "chunks";
+    case body_framing::ConnectionClose:
+        return "connection_close";
+    }
+    return "";
+}
+
+asio::awaitable<bool> http_responder::beginStream(http_answer head)
+{
+    return beginStream(std::move(head), body_framing::Chunks);
+}
+
 std::string_view http_request::header(std::string_view name) const noexcept
 {
     return valueOf(fields, name);
@@ -533,6 +578,9 @@
         watch->active = false;
         beast::error_code ignored;
         stream.socket().cancel(ignored);
+        if (out.mustReset()) {
+            stream.socket().close(ignored);
+        }
         co_return out.wasSent() && out.mayReuseConnection();
     }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -58,6 +58,16 @@
     std::string_view query(std::string_view name) const noexcept;
 };
 
+/// How the end of a response body is marked.
+enum class body_framing : std::uint8_t {
+    Length, ///< By `Content-Length`; also a response without a body.
+    Chunks, ///< By the last chunk.
+    ConnectionClose, ///< By the end of the connection, so that only a reset shows that the body was broken off.
+};
+
+/// The name of @p framing in logs. Thread safe.
+std::string_view toString(body_framing framing) noexcept;
+
 /// A complete response.
 struct http_answer
 {
@@ -65,6 +75,7 @@
     std::string body;
     std::string contentType = "application/json"; ///< Not sent when empty.
     std::vector<http_field> fields; ///< Sent in this order; names may repeat.
+    body_framing framing = body_framing::Length; ///< Of a received response. It doesn't determine how a response is sent.
     /// The value of header @p name, which is compared case-insensitively; empty when absent.
     std::string_view header(std::string_view name) const noexcept;
     bool operator==(const http_answer &) const = default;
@@ -82,11 +93,14 @@
     virtual ~http_responder() = default;
     /// Sends a complete response. Precondition: nothing was sent before.
     virtual boost::asio::awaitable<bool> send(http_answer answer) = 0;
-    /// Sends the header of a chunked response. Precondition: nothing was sent before.
-    virtual boost::asio::awaitable<bool> beginStream(http_answer head) = 0;
-    /// Sends one chunk. Precondition: beginStream() returned true.
+    /// Sends the header of a response whose body follows in pieces. A body that ends with the connection is reset unless endStream() has
+    /// ended it. Preconditions: nothing was sent before; @p framing isn't `Length`.
+    virtual boost::asio::awaitable<bool> beginStream(http_answer head, body_framing framing) = 0;
+    /// As above, with chunks.
+    boost::asio::awaitable<bool> beginStream(http_answer head);
+    /// Sends one piece of the body. Precondition: beginStream() returned true.
     virtual boost::asio::awaitable<bool> write(std::string data) = 0;
-    /// Ends a chunked response.
+    /// Ends the body.
     virtual boost::asio::awaitable<bool> endStream() = 0;
     /// Sets @p hook, which is called once when the peer disconnects before the response is complete. It is not called when the peer is
     /// already known to have disconnected: check isClosed().
--- a/src/node/plain_relay.cpp
+++ b/src/node/plain_relay.cpp
@@ -48,6 +48,7 @@
         }
         if (m_lastAnswer) {
             const unsigned status = m_lastAnswer->status;
+            m_call.addLogFields({{"framing", std::string(net::toString(m_lastAnswer->framing))}});
             co_await m_call.forwardAnswer(std::move(*m_lastAnswer));
             m_call.finish({"answered", status, endReason, verdict::Ran, m_upstream});
             co_return;
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <set>
 
+#include "net/event_stream.h"
 #include "net/http_status.h"
 
 namespace heatherroute::node
@@ -366,6 +367,7 @@
             co_return false;
         }
         m_streaming = true;
+        m_framing = head.framing;
         http_answer answer;
         answer.status = head.status;
         answer.contentType.clear();
@@ -381,6 +383,7 @@
             const duration computing = m_prefill ? duration::zero() : 2 * m_state.scheduler.computeTime(m_prompt.promptTokens);
             m_state.health.noteSuccess(*m_firstAt, m_upstream, *m_firstAt - m_sentAt, kExpectedFirstEventTime + computing);
         }
+        m_events.feed(piece);
         std::string data(piece);
         co_await m_call.responder().write(std::move(data));
     }
@@ -464,22 +467,28 @@
         return spec != nullptr && spec->engine ? static_cast<double>(spec->engine->memoryTokens) : 0.0;
     }
 
-    /// Returns a breakdown of the request's time for its final log line.
-    std::vector<log_field> timingFields() const
+    /// Returns a breakdown of the request's time, and what arrived of its stream, for its final log line.
+    std::vector<log_field> detailFields() const
     {
         const auto text = [](duration value) { return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count()); };
-        return {{"prompt_tokens", std::to_string(m_prompt.promptTokens)},
+        std::vector<log_field> fields = {{"prompt_tokens", std::to_string(m_prompt.promptTokens)},
                 {"reserved_after_ms", text(m_reservedAfter)},
                 {"prefill_ms", m_prefillTook > duration::zero() ? text(m_prefillTook) : "at_decode"},
                 {"first_event_ms", m_firstAt ? text(*m_firstAt - m_sentAt) : "none"},
                 {"decode_ms", text(m_decodeTook)},
                 {"reservations_refused", std::to_string(m_refusedReservations)}};
+        if (m_streaming) {
+            fields.push_back({"framing", std::string(net::toString(m_framing))});
+            fields.push_back({"events", std::to_string(m_events.events())});
+            fields.push_back({"inside_event", m_events.isInsideEvent() ? "true" : "false"});
+        }
+        return fields;
     }
 
     /// Releases what the request holds, answers the caller unless an answer was already sent, and logs the end of the request.
     asio::awaitable<void> finishRequest()
     {
-        m_call.addLogFields(timingFields());
+        m_call.addLogFields(detailFields());
         releaseReservation();
         releaseKvCache();
         if (m_call.isCallerGone()) {
@@ -547,6 +556,8 @@
     std::string m_upstream;
     std::string m_reason;
     instant m_sentAt{};
+    net::body_framing m_framing = net::body_framing::Length; ///< Of the streamed answer.
+    net::event_boundary_tracker m_events;
     std::optional<instant> m_firstAt;
     instant m_reservedAt{};
     duration m_reservedAfter{}; ///< Age of the request when the memory was reserved.
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -106,6 +106,14 @@
     EXPECT_EQ(result.failure.outcome, verdict::MayHaveRun);
 }
 
+TEST(HttpClient, FramingOfTheResponseIsReported)
+{
+    EXPECT_EQ(callUpstream({"HTTP/1.1 200 OK\r\n\r\nok"}).answer->framing, net::body_framing::ConnectionClose);
+    EXPECT_EQ(callUpstream({"HTTP/1.0 200 OK\r\n\r\nok"}).answer->framing, net::body_framing::ConnectionClose);
+    EXPECT_EQ(callUpstream({"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}).answer->framing, net::body_framing::Length);
+    EXPECT_EQ(callUpstream({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"}).answer->framing, net::body_framing::Chunks);
+}
+
 TEST(HttpClient, BytesAfterTheResponseAreIgnored)
 {
     const http_result result = callUpstream({"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n", false, false});
