Stand-ins answer without length; a stream that ends inside an event appears complete, red

Upstreams and store can answer with neither a length nor chunks, and end bodies early in order or by a reset. On the current code a whole answer is served, a reset one isn't taken for complete, cut answers to the router's own calls aren't used.

--- a/tests/standins/site_store.cpp
+++ b/tests/standins/site_store.cpp
@@ -158,7 +158,22 @@
     if (m_era > 0) {
         answer.fields.push_back({"Store-Era", std::to_string(m_era)});
     }
-    co_await responder.send(std::move(answer));
+    co_await sendAnswer(std::move(answer), responder);
+}
+
+asio::awaitable<void> site_store::sendAnswer(http_answer answer, net::http_responder &responder)
+{
+    if (!m_faults.unframed && !m_faults.cutAnswers) {
+        co_await responder.send(std::move(answer));
+        co_return;
+    }
+    std::string body = std::move(answer.body);
+    if (m_faults.cutAnswers) {
+        body.resize(body.size() / 2);
+    }
+    co_await responder.beginStream(std::move(answer), m_faults.unframed ? net::body_framing::ConnectionClose : net::body_framing::Chunks);
+    co_await responder.write(std::move(body));
+    co_await responder.endStream();
 }
 
 http_answer site_store::newest(const http_request &request)
--- a/tests/standins/site_store.h
+++ b/tests/standins/site_store.h
@@ -20,6 +20,8 @@
     bool busy = false; ///< Answers every call with 503.
     bool silent = false; ///< Never answers.
     std::chrono::milliseconds delay{0}; ///< Delay before each answer.
+    bool unframed = false; ///< Bodies have neither a length nor chunks and end with their connection.
+    bool cutAnswers = false; ///< Ends the bodies of answers in the middle, but in order.
 };
 
 /// An HTTP answer with the JSON @p body. Thread safe.
@@ -67,6 +69,7 @@
     net::http_answer append(const net::http_request &request);
     net::http_answer join(const net::http_request &request);
     net::http_answer leave(const net::http_request &request);
+    boost::asio::awaitable<void> sendAnswer(net::http_answer answer, net::http_responder &responder);
     boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds time);
 
     boost::asio::io_context &m_context;
--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -237,7 +237,31 @@
         co_await servePlain(request, responder);
         co_return;
     }
-    co_await responder.send(std::move(answer));
+    co_await sendAnswer(std::move(answer), responder, m_faults.cutCallAnswers ? body_end::Cut : body_end::Whole);
+}
+
+asio::awaitable<void> site_upstream::sendAnswer(http_answer answer, http_responder &responder, body_end end)
+{
+    if (!m_faults.unframed && end == body_end::Whole) {
+        co_await responder.send(std::move(answer));
+        co_return;
+    }
+    std::string body = std::move(answer.body);
+    if (end != body_end::Whole) {
+        body.resize(body.size() / 2);
+    }
+    co_await responder.beginStream(std::move(answer), streamFraming());
+    co_await responder.write(std::move(body));
+    if (end == body_end::Aborted) {
+        responder.abort();
+    } else {
+        co_await responder.endStream();
+    }
+}
+
+net::body_framing site_upstream::streamFraming() const
+{
+    return m_faults.unframed ? net::body_framing::ConnectionClose : net::body_framing::Chunks;
 }
 
 asio::awaitable<void> site_upstream::sendEndlessBody(const http_request &request, http_responder &responder)
@@ -271,7 +295,7 @@
     }
     http_answer answer = makeAnswer(request, m_faults.fail ? 500 : 200);
     answer.body = std::string(request.header("X-Attempt-Id")) + " " + request.target + " " + request.body;
-    co_await responder.send(std::move(answer));
+    co_await sendAnswer(std::move(answer), responder, m_faults.breakAnswers ? body_end::Aborted : body_end::Whole);
 }
 
 asio::awaitable<void> site_upstream::serveStream(const http_request &request, http_responder &responder)
@@ -300,7 +324,7 @@
     }
     http_answer head = makeAnswer(request, 200);
     head.contentType = "text/event-stream";
-    co_await responder.beginStream(std::move(head));
+    co_await responder.beginStream(std::move(head), streamFraming());
     const std::string id(request.header("X-Attempt-Id"));
     for (std::uint32_t event = 1; event <= m_settings.events; ++event) {
         co_await sleepFor(m_settings.eventInterval);
@@ -309,6 +333,11 @@
             co_return;
         }
         std::string text = "id: " + std::to_string(event) + "\ndata: " + id + "\n\n";
+        if (m_faults.cutStreams && event > m_settings.events / 2) {
+            text.resize(text.size() / 2);
+            co_await responder.write(std::move(text));
+            break;
+        }
         const bool sent = co_await responder.write(std::move(text));
         if (!sent) {
             co_return;
--- a/tests/standins/site_upstream.h
+++ b/tests/standins/site_upstream.h
@@ -45,6 +45,10 @@
     bool mismatchedAnswers = false; ///< Answers with the id of another request.
     bool endlessAnswers = false; ///< Answers all calls but health checks with a body that doesn't end while this is set.
     bool breakStreams = false; ///< Aborts the connection in the middle of a stream.
+    bool cutStreams = false; ///< Ends the body of a stream in order, but in the middle of an event.
+    bool breakAnswers = false; ///< Aborts the connection in the middle of the answer to a plain request.
+    bool cutCallAnswers = false; ///< Ends the bodies of answers to calls of the router itself in order, but in the middle.
+    bool unframed = false; ///< The bodies of all answers have neither a length nor chunks and end with their connection.
 };
 
 /// A request that arrived at an upstream, whether it was executed or rejected. Reservations, reports and orders don't count.
@@ -120,6 +124,14 @@
     boost::asio::awaitable<void> serve(net::http_request request, net::http_responder &responder);
     boost::asio::awaitable<void> dispatch(const net::http_request &request, net::http_responder &responder);
     boost::asio::awaitable<void> sendEndlessBody(const net::http_request &request, net::http_responder &responder);
+    /// How the body of an answer ends.
+    enum class body_end : std::uint8_t {
+        Whole,
+        Cut, ///< In order, but in the middle.
+        Aborted, ///< In the middle, by abort().
+    };
+    boost::asio::awaitable<void> sendAnswer(net::http_answer answer, net::http_responder &responder, body_end end);
+    net::body_framing streamFraming() const;
     boost::asio::awaitable<void> servePlain(const net::http_request &request, net::http_responder &responder);
     boost::asio::awaitable<void> serveStream(const net::http_request &request, net::http_responder &responder);
     net::http_answer reserve(const net::http_request &request);
