--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -472,11 +472,11 @@
     {
         const auto text = [](duration value) { return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count()); };
         std::vector<log_field> fields = {{"prompt_tokens", std::to_string(m_prompt.promptTokens)},
-                {"reserved_after_ms", text(m_reservedAfter)},
-                {"prefill_ms", m_prefillTook > duration::zero() ? text(m_prefillTook) : "at_decode"},
-                {"first_event_ms", m_firstAt ? text(*m_firstAt - m_sentAt) : "none"},
-                {"decode_ms", text(m_decodeTook)},
-                {"reservations_refused", std::to_string(m_refusedReservations)}};
+                                         {"reserved_after_ms", text(m_reservedAfter)},
+                                         {"prefill_ms", m_prefillTook > duration::zero() ? text(m_prefillTook) : "at_decode"},
+                                         {"first_event_ms", m_firstAt ? text(*m_firstAt - m_sentAt) : "none"},
+                                         {"decode_ms", text(m_decodeTook)},
+                                         {"reservations_refused", std::to_string(m_refusedReservations)}};
         if (m_streaming) {
             fields.push_back({"framing", std::string(net::toString(m_framing))});
             fields.push_back({"events", std::to_string(m_events.events())});
