A stream that ends inside an event is broken off, however its body is framed

Cause: completeness was judged by the framing of the body alone. Without length and chunks, the end of the connection ends the body, so the HTTP client reports a complete answer, and the relay, which passes a stream on as bytes, ended its own chunked answer with the last chunk. It also cleared the request as one that engines complete.

ProcessFraming.StreamThatEndsInsideAnEvent... failed 6 of 6, with either framing.

Change: faultOf() judges a stream by its events: complete only between two events, and with at least one where the connection ends the body. Otherwise the attempt counts as failed, so health, crash tracking and the caller see a break.

--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -8,6 +8,7 @@
 
 #include "net/event_stream.h"
 #include "net/http_status.h"
+#include "relay/stream_end.h"
 
 namespace heatherroute::node
 {
@@ -391,6 +392,10 @@
     asio::awaitable<decode_outcome> finishDecode(registration run, http_result result)
     {
         m_decodeTook = coreNow() - m_sentAt;
+        const std::string_view fault = m_streaming ? faultOf({m_framing, m_events.events(), m_events.isInsideEvent()}) : std::string_view();
+        if (result.answer && !fault.empty()) {
+            result = {std::nullopt, {verdict::Ran, std::string(fault)}};
+        }
         m_call.noteAttempt(run, result);
         if (m_streaming) {
             const double memory = memoryTokensOf(run.service);
