Callers that speak HTTP/1.0 get streams without chunks, and a reset for broken ones

Callers by HTTP/1.0 got the marks of chunks in the middle of a stream. A connection that such a caller wanted to keep wasn't announced as kept.

The server answered any version with HTTP/1.1 chunks. Now the end of the connection ends a streamed body for HTTP/1.0, and the socket resets on close until the body has ended in order; the kernel does so as well if the process is killed.

HttpServer.ClientByOldVersion... and ProcessFraming.CallersByOldVersion... failed before: '11' before each event, no reset. They pass, with a stream cut by its engine and with an entry killed in the middle of one.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -77,6 +77,7 @@
 }
 
 constexpr std::size_t kFirstReadBytes = 4096;
+constexpr unsigned kFirstVersionWithChunks = 11; ///< HTTP/1.1, as Beast counts versions.
 constexpr unsigned kTooManyConnectionsStatus = 503;
 constexpr std::size_t kMaxConcurrentRefusals = 64; ///< Connections over the limit that get a 503 response concurrently; further ones are closed without one.
 /// Limit of received bytes that aren't parsed yet, beyond a header. Without it, an endless line in a chunked body would be kept until the timeout.
@@ -155,9 +156,12 @@
 class responder : public http_responder
 {
 public:
-    responder(beast::tcp_stream &stream, const http_limits &limits, bool keepAlive, const bool &draining, std::shared_ptr<close_watch> watch)
+    /// @p requestVersion is 10 for HTTP/1.0 and 11 for HTTP/1.1.
+    responder(
+        beast::tcp_stream &stream, const http_limits &limits, unsigned requestVersion, bool keepAlive, const bool &draining, std::shared_ptr<close_watch> watch)
         : m_stream(stream)
         , m_limits(limits)
+        , m_knowsChunks(requestVersion >= kFirstVersionWithChunks)
         , m_keepAlive(keepAlive)
         , m_draining(draining)
         , m_watch(std::move(watch))
@@ -179,12 +183,12 @@
 
     asio::awaitable<bool> beginStream(http_answer head, body_framing framing) override
     {
-        m_framing = framing;
-        m_keepAlive = m_keepAlive && framing == body_framing::Chunks;
-        setResetOnClose(framing == body_framing::ConnectionClose);
+        m_framing = m_knowsChunks ? framing : body_framing::ConnectionClose;
+        m_keepAlive = m_keepAlive && m_framing == body_framing::Chunks;
+        setResetOnClose(m_framing == body_framing::ConnectionClose);
         http::response<http::empty_body> message{static_cast<http::status>(head.status), 11};
         setHead(message, head);
-        message.chunked(framing == body_framing::Chunks);
+        message.chunked(m_framing == body_framing::Chunks);
         http::response_serializer<http::empty_body> serializer{message};
         m_sent = true;
         m_stream.expires_after(m_limits.writeTimeout);
@@ -267,6 +271,10 @@
         }
         m_keepAlive = m_keepAlive && !m_draining;
         message.keep_alive(m_keepAlive);
+        if (m_keepAlive && !m_knowsChunks) {
+            // An older client takes a connection for closed unless the response says otherwise.
+            message.set(http::field::connection, "keep-alive");
+        }
     }
 
     /// Sets whether the kernel resets the connection when it is closed, also by the end of the process. Not set through Asio, which
@@ -288,6 +296,7 @@
 
     beast::tcp_stream &m_stream;
     const http_limits &m_limits;
+    bool m_knowsChunks; ///< Whether the peer speaks HTTP/1.1.
     bool m_keepAlive;
     const bool &m_draining;
     std::shared_ptr<close_watch> m_watch;
@@ -565,14 +574,14 @@
     asio::awaitable<void> sendRefusal(beast::tcp_stream &stream, unsigned status, std::string reason)
     {
         auto watch = std::make_shared<close_watch>();
-        responder out(stream, m_limits, false, m_draining, watch);
+        responder out(stream, m_limits, kFirstVersionWithChunks, false, m_draining, watch);
         co_await out.send(m_badRequest(status, reason));
     }
 
     asio::awaitable<bool> answer(beast::tcp_stream &stream, http::request<http::string_body> message, const std::string &remoteAddress, bool mayKeepAlive)
     {
         auto watch = std::make_shared<close_watch>();
-        responder out(stream, m_limits, mayKeepAlive && message.keep_alive(), m_draining, watch);
+        responder out(stream, m_limits, message.version(), mayKeepAlive && message.keep_alive(), m_draining, watch);
         asio::co_spawn(m_context, watchForClose(stream.socket(), watch), asio::detached);
         co_await m_handler(makeRequest(std::move(message), remoteAddress), out);
         watch->active = false;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -93,8 +93,8 @@
     virtual ~http_responder() = default;
     /// Sends a complete response. Precondition: nothing was sent before.
     virtual boost::asio::awaitable<bool> send(http_answer answer) = 0;
-    /// Sends the header of a response whose body follows in pieces. A body that ends with the connection is reset unless endStream() has
-    /// ended it. Preconditions: nothing was sent before; @p framing isn't `Length`.
+    /// Sends the header of a response whose body follows in pieces. For a peer that speaks HTTP/1.0 the end of the connection always ends
+    /// the body. Such a body is reset unless endStream() has ended it. Preconditions: nothing was sent before; @p framing isn't `Length`.
     virtual boost::asio::awaitable<bool> beginStream(http_answer head, body_framing framing) = 0;
     /// As above, with chunks.
     boost::asio::awaitable<bool> beginStream(http_answer head);
@@ -118,7 +118,7 @@
 using http_bad_request_handler = std::function<http_answer(unsigned status, std::string_view reason)>;
 
 /**
- * An HTTP/1.1 server with bounded memory and time per connection.
+ * An HTTP/1.1 server, also for clients that speak HTTP/1.0, with bounded memory and time per connection.
  *
  * An unreadable request and a connection over the limit get a response before the connection is closed. A peer that closes its
  * sending half before it has received the response counts as disconnected, because a closed socket looks the same.
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -89,3 +89,51 @@
     }
     EXPECT_EQ(node::normalizeTarget("/a/", nullptr), "/a/");
 }
+
+// Regression test: a client that speaks HTTP/1.0 doesn't know chunks, and expects a connection that is kept open to be announced.
+TEST(HttpServer, ClientByOldVersionGetsNoChunksAndIsToldWhenItsConnectionIsKept)
+{
+    asio::io_context context;
+    const auto handler = [](net::http_request request, net::http_responder &out) -> asio::awaitable<void> {
+        net::http_answer answer;
+        if (request.target == "/plain") {
+            answer.body = "whole";
+            co_await out.send(std::move(answer));
+            co_return;
+        }
+        co_await out.beginStream(std::move(answer));
+        std::string piece = "piece";
+        co_await out.write(std::move(piece));
+        if (request.target == "/broken") {
+            out.abort();
+        } else {
+            co_await out.endStream();
+        }
+    };
+    const auto refuse = [](unsigned status, std::string_view why) { return net::http_answer{status, std::string(why), "text/plain", {}}; };
+    last_reason reason;
+    auto server = net::http_server::make(context, {asio::ip::make_address("127.0.0.1"), 0}, {}, handler, refuse, &reason);
+    ASSERT_TRUE(server) << reason.text();
+    std::thread thread([&context] { context.run(); });
+    asio::io_context own;
+    const auto call = [&](std::string_view request, std::string &answer) {
+        asio::ip::tcp::socket socket(own);
+        socket.connect(server->endpoint());
+        asio::write(socket, asio::buffer(request));
+        boost::system::error_code error;
+        asio::read(socket, asio::dynamic_buffer(answer), error);
+        return error;
+    };
+    std::string whole;
+    EXPECT_EQ(call("GET /stream HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", whole), asio::error::eof);
+    EXPECT_TRUE(whole.ends_with("\r\n\r\npiece")) << whole;
+    EXPECT_EQ(whole.find("chunked"), std::string::npos) << whole;
+    std::string broken;
+    EXPECT_EQ(call("GET /broken HTTP/1.0\r\n\r\n", broken), asio::error::connection_reset) << broken;
+    std::string kept;
+    EXPECT_EQ(call("GET /plain HTTP/1.0\r\nConnection: keep-alive\r\n\r\nGET /plain HTTP/1.0\r\n\r\n", kept), asio::error::eof);
+    EXPECT_NE(kept.find("Connection: keep-alive\r\n"), std::string::npos) << kept;
+    EXPECT_NE(kept.find("Connection: close\r\n"), std::string::npos) << kept;
+    context.stop();
+    thread.join();
+}
--- a/tests/process_framing_test.cpp
+++ b/tests/process_framing_test.cpp
@@ -1,6 +1,13 @@
 // Runs entries before upstreams and a store whose answers are framed by the end of their connection, whole and broken off.
 #include <gtest/gtest.h>
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/write.hpp>
+
+#include <csignal>
+#include <utility>
+
 #include "support/relay_site.h"
 #include "support/site_run.h"
 
@@ -22,6 +29,42 @@
     }
 }
 
+/// What a caller that speaks HTTP/1.0 received.
+struct old_caller_result
+{
+    std::string bytes;
+    bool wasReset = false;
+};
+
+/// Sends a request by HTTP/1.0 to entry 0 and reads until the connection ends. @p afterFirstBytes is called once bytes have arrived.
+asio::awaitable<old_caller_result> callByOldVersion(relay_site &site, std::string path, std::function<void()> afterFirstBytes)
+{
+    asio::ip::tcp::socket socket(co_await asio::this_coro::executor);
+    co_await socket.async_connect(site.callerEndpoint(0), asio::use_awaitable);
+    const std::string request = "POST " + path
+                                + " HTTP/1.0\r\nHost: site.example\r\nX-Attempt-Id: old\r\nX-Deadline-Ms: 3000\r\nX-Model: m\r\n"
+                                  "X-Token-Count: 500,800\r\nX-Prompt-Prefix: ab:500\r\n\r\n";
+    co_await asio::async_write(socket, asio::buffer(request), asio::use_awaitable);
+    old_caller_result result;
+    boost::system::error_code error;
+    std::string piece(4096, '\0');
+    while (!error) {
+        const std::size_t count = co_await socket.async_read_some(asio::buffer(piece), asio::redirect_error(asio::use_awaitable, error));
+        result.bytes.append(piece, 0, count);
+        if (count > 0 && afterFirstBytes) {
+            std::exchange(afterFirstBytes, {})();
+        }
+    }
+    result.wasReset = error == asio::error::connection_reset;
+    co_return result;
+}
+
+std::string bodyOf(const std::string &answer)
+{
+    const auto end = answer.find("\r\n\r\n");
+    return end == std::string::npos ? std::string() : answer.substr(end + 4);
+}
+
 } // namespace
 
 TEST(ProcessFraming, WholeAnswersWithoutLengthAreServed)
@@ -109,3 +152,25 @@
         }
     });
 }
+
+// Regression test: callers that speak HTTP/1.0 got the marks of chunks in the middle of a stream, and couldn't tell a broken one.
+TEST(ProcessFraming, CallersByOldVersionGetWholeStreamsWithoutChunksAndAResetForBrokenOnes)
+{
+    runOnSite({}, [](relay_site &site) -> asio::awaitable<void> {
+        const old_caller_result whole = co_await callByOldVersion(site, kStreamPath, {});
+        EXPECT_TRUE(bodyOf(whole.bytes).starts_with("id: 1\ndata: old\n\nid: 2\n")) << whole.bytes;
+        EXPECT_TRUE(whole.bytes.ends_with("id: 12\ndata: old\n\n")) << whole.bytes;
+        EXPECT_FALSE(whole.wasReset);
+        const old_caller_result plain = co_await callByOldVersion(site, kBookingPath, {});
+        EXPECT_EQ(bodyOf(plain.bytes), "old " + std::string(kBookingPath) + " ");
+        EXPECT_FALSE(plain.wasReset);
+        standins::upstream_faults faults;
+        faults.cutStreams = true;
+        setFaultsOfAll(site, faults);
+        const old_caller_result cut = co_await callByOldVersion(site, kStreamPath, {});
+        EXPECT_TRUE(cut.wasReset) << cut.bytes;
+        setFaultsOfAll(site, {});
+        const old_caller_result killed = co_await callByOldVersion(site, kStreamPath, [&site] { site.entry(0).signal(SIGKILL); });
+        EXPECT_TRUE(killed.wasReset) << killed.bytes;
+    });
+}
