Crashes under a request are recorded before its quarantine

Cause, as suspected: only a quarantine was recorded in the store, so each restart of all entries forgot one or two known crashes, and three more were allowed.

Change: a request is recorded from its second crash on, and again with each further one. The entry that sees it answered deletes the record; before, a restart of all entries brought back a quarantine that had been lifted. Of two records of one request, an earlier one that is tried again no longer overwrites the later one.

--- a/include/heatherroute/request_quarantine.h
+++ b/include/heatherroute/request_quarantine.h
@@ -18,6 +18,7 @@
 struct quarantine_settings
 {
     std::uint32_t maxCrashes = 3; ///< Upstreams that may crash under a request before it is quarantined.
+    std::uint32_t recordedCrashes = 2; ///< Crashes from which on a suspect is recorded where a restart of all entries doesn't lose it.
     duration pendingTime = std::chrono::seconds(10); ///< How long after an interruption the end of its upstream still explains it.
     duration retention = std::chrono::minutes(10); ///< How long a crash counts.
     /// Crashes of one upstream that are less than this apart are the same one, if its start isn't known.
@@ -74,8 +75,13 @@
 
     /// Returns the requests whose quarantine has begun since the last call.
     std::vector<started_quarantine> takeStarted();
-    /// Returns the requests that are quarantined now.
-    std::vector<started_quarantine> current() const;
+    /// Returns the suspects whose known crashes are to be recorded, since this entry had them in flight in a crash and they have more
+    /// known crashes than at the last call.
+    std::vector<std::uint64_t> takeToRecord();
+    /// Makes takeToRecord() return all of them again, since their records were lost.
+    void forgetRecords();
+    /// Whether some entry may have recorded crashes of the request.
+    bool mayBeRecorded(std::uint64_t fingerprint) const;
     /// Returns for how much longer the request must not be sent to an upstream; zero if it may be.
     duration quarantinedFor(instant now, std::uint64_t fingerprint);
     /// Returns the number of known crashes with the request in flight.
@@ -128,6 +134,7 @@
     std::map<std::uint64_t, instant> m_clearedAt; ///< Crashes up to this time don't count against the request.
     std::map<std::uint64_t, instant> m_quarantined; ///< The time at which the quarantine lapses, by request.
     std::map<std::uint64_t, instant> m_observedHere; ///< Requests that this entry had in flight in a crash, with the time of the last one.
+    std::map<std::uint64_t, std::uint32_t> m_recorded; ///< Number of crashes that takeToRecord() has returned, by request.
     std::set<std::uint64_t> m_taken; ///< Requests whose quarantine takeStarted() has returned.
 };
 
--- a/src/core/request_quarantine.cpp
+++ b/src/core/request_quarantine.cpp
@@ -115,15 +115,34 @@
     return started;
 }
 
-std::vector<started_quarantine> request_quarantine::current() const
+std::vector<std::uint64_t> request_quarantine::takeToRecord()
 {
-    std::vector<started_quarantine> result;
-    for (const auto &[fingerprint, lapsesAt] : m_quarantined) {
-        result.push_back({fingerprint, m_observedHere.contains(fingerprint)});
+    std::erase_if(m_recorded, [this](const auto &entry) { return crashesOf(entry.first) == 0; });
+    std::vector<std::uint64_t> result;
+    for (const auto &[fingerprint, lastAt] : m_observedHere) {
+        const std::uint32_t count = crashesOf(fingerprint);
+        if (count < m_settings.recordedCrashes) {
+            continue;
+        }
+        std::uint32_t &recorded = m_recorded[fingerprint];
+        if (count > recorded) {
+            result.push_back(fingerprint);
+        }
+        recorded = count;
     }
     return result;
 }
 
+void request_quarantine::forgetRecords()
+{
+    m_recorded.clear();
+}
+
+bool request_quarantine::mayBeRecorded(std::uint64_t fingerprint) const
+{
+    return crashesOf(fingerprint) >= m_settings.recordedCrashes;
+}
+
 duration request_quarantine::quarantinedFor(instant now, std::uint64_t fingerprint)
 {
     if (m_quarantined.empty()) {
--- a/src/node/crash_monitor.cpp
+++ b/src/node/crash_monitor.cpp
@@ -57,8 +57,12 @@
 
 void crash_monitor::noteCompleted(std::uint64_t fingerprint)
 {
+    const bool mayBeRecorded = m_quarantine.mayBeRecorded(fingerprint);
     if (const auto report = m_quarantine.noteCompleted(coreNow(), fingerprint)) {
         m_gossip.add(coreNow(), *report);
+        if (mayBeRecorded) {
+            m_hooks.record(fingerprint, {});
+        }
     }
 }
 
@@ -76,16 +80,13 @@
     for (const crash_report &report : message.reports) {
         m_quarantine.onReport(coreNow(), report);
     }
-    announceStarted();
+    announceChanges();
 }
 
 void crash_monitor::recordAgain()
 {
-    for (const started_quarantine &quarantine : m_quarantine.current()) {
-        if (quarantine.observedHere) {
-            m_hooks.quarantined(m_quarantine.reportsOn(coreNow(), quarantine.fingerprint));
-        }
-    }
+    m_quarantine.forgetRecords();
+    announceChanges();
 }
 
 std::vector<crash_reports> crash_monitor::dueMessages()
@@ -147,10 +148,10 @@
                      {"instance_started_at", std::to_string(report.instance.startedAt)},
                      {"crashes", std::to_string(m_quarantine.crashesOf(report.fingerprint))}});
     }
-    announceStarted();
+    announceChanges();
 }
 
-void crash_monitor::announceStarted()
+void crash_monitor::announceChanges()
 {
     for (const started_quarantine &started : m_quarantine.takeStarted()) {
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(quarantinedFor(started.fingerprint));
@@ -160,9 +161,9 @@
                      {"crashes", std::to_string(m_quarantine.crashesOf(started.fingerprint))},
                      {"observed_here", started.observedHere ? "true" : "false"},
                      {"for_ms", std::to_string(left.count())}});
-        if (started.observedHere) {
-            m_hooks.quarantined(m_quarantine.reportsOn(coreNow(), started.fingerprint));
-        }
+    }
+    for (const std::uint64_t fingerprint : m_quarantine.takeToRecord()) {
+        m_hooks.record(fingerprint, m_quarantine.reportsOn(coreNow(), fingerprint));
     }
 }
 
--- a/src/node/crash_monitor.h
+++ b/src/node/crash_monitor.h
@@ -22,8 +22,9 @@
 struct crash_monitor_hooks
 {
     std::function<void(log_level, std::string event, std::vector<log_field>)> log;
-    /// Called when a request is quarantined that this entry had in flight in a crash, with all reports on the request.
-    std::function<void(std::vector<crash_report>)> quarantined;
+    /// Called when crashes under a request are to be recorded, with all reports on it; without reports when an upstream has answered the
+    /// request, so that its record is to be deleted.
+    std::function<void(std::uint64_t fingerprint, std::vector<crash_report>)> record;
 };
 
 /**
@@ -47,7 +48,7 @@
     void onUpstreamChange(const registration &run, upstream_change change);
     /// Processes the reports of another entry.
     void onReports(const crash_reports &message);
-    /// Calls the hook for all quarantines again, since their records were lost.
+    /// Records all crashes again, since their records were lost.
     void recordAgain();
     /// Returns the messages to send to all other entries now.
     std::vector<crash_reports> dueMessages();
@@ -63,8 +64,8 @@
     boost::asio::awaitable<void> check(registration run);
     boost::asio::awaitable<void> checkDetached(registration run);
     void publish(const std::vector<crash_report> &reports);
-    /// Logs the quarantines that have begun.
-    void announceStarted();
+    /// Logs the quarantines that have begun, and has crashes recorded.
+    void announceChanges();
 
     boost::asio::any_io_executor m_executor;
     crash_monitor_hooks m_hooks;
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -82,7 +82,9 @@
         , m_stopTimer(context)
     {
         m_state.writeLog = std::move(log);
-        m_state.recordQuarantine = [this](std::vector<crash_report> reports) { post(m_toStore, store_event(quarantine_to_record{std::move(reports)})); };
+        m_state.recordCrashes = [this](std::uint64_t fingerprint, std::vector<crash_report> reports) {
+            post(m_toStore, store_event(crashes_to_record{fingerprint, std::move(reports)}));
+        };
         m_state.entryName = m_settings.entryName;
     }
 
--- a/src/node/relay_event.h
+++ b/src/node/relay_event.h
@@ -123,10 +123,11 @@
     std::uint64_t era = 0;
 };
 
-/// This entry has quarantined a request, which other entries must know even if all of them restart.
-struct quarantine_to_record
+/// Crashes under a request that the entries must know even if all of them restart.
+struct crashes_to_record
 {
-    std::vector<crash_report> reports; ///< All on one request; not empty.
+    std::uint64_t fingerprint = 0;
+    std::vector<crash_report> reports; ///< All on that request. Without any, its record is deleted.
 };
 
 /// The process is stopping. The store duty stops reading and releases the lease.
@@ -134,6 +135,6 @@
 { };
 
 /// An event for the store's thread from the other duties.
-using store_event = std::variant<lease_wanted, store_polling_changed, config_outdated, newer_era_seen, quarantine_to_record, store_stop>;
+using store_event = std::variant<lease_wanted, store_polling_changed, config_outdated, newer_era_seen, crashes_to_record, store_stop>;
 
 } // namespace heatherroute::node
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -32,9 +32,9 @@
 {
     crash_monitor_hooks hooks;
     hooks.log = [this](log_level level, std::string event, std::vector<log_field> fields) { log(level, std::move(event), std::move(fields)); };
-    hooks.quarantined = [this](std::vector<crash_report> reports) {
-        if (recordQuarantine) {
-            recordQuarantine(std::move(reports));
+    hooks.record = [this](std::uint64_t fingerprint, std::vector<crash_report> reports) {
+        if (recordCrashes) {
+            recordCrashes(fingerprint, std::move(reports));
         }
     };
     return hooks;
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -78,7 +78,8 @@
     relay_timing timing;
     retry_after_settings retryAfterSettings;
     std::function<void(log_line)> writeLog;
-    std::function<void(std::vector<crash_report>)> recordQuarantine; ///< Records the quarantine of a request in the platform's store.
+    /// Records crashes under a request in the platform's store; deletes the record when there are none.
+    std::function<void(std::uint64_t fingerprint, std::vector<crash_report>)> recordCrashes;
     std::shared_ptr<const route_table> routes; ///< Null before the first configuration.
     std::mt19937_64 random;
     store_gossip gossip;
--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -77,8 +77,8 @@
             scheduleConfigRead();
         } else if (const auto *newer = std::get_if<newer_era_seen>(&event)) {
             asio::co_spawn(m_context, onPeerEra(shared_from_this(), newer->era), asio::detached);
-        } else if (const auto *quarantine = std::get_if<quarantine_to_record>(&event)) {
-            asio::co_spawn(m_context, appendEntriesRecord(shared_from_this(), makeQuarantineRecord(quarantine->reports, unixMilliseconds())), asio::detached);
+        } else if (const auto *crashes = std::get_if<crashes_to_record>(&event)) {
+            appendToEntries(makeQuarantineRecord(crashes->fingerprint, crashes->reports, unixMilliseconds()));
         } else {
             m_leaseWanted = false;
             m_stopping = true;
@@ -429,20 +429,35 @@
         co_await m_toMembers.push(std::move(event));
     }
 
-    /// Appends a record to the entries' stream; tries again while the store is unavailable.
-    static asio::awaitable<void> appendEntriesRecord(std::shared_ptr<impl> self, keyed_record record)
+    /// Appends @p record to the entries' stream, in place of an earlier one of its key that hasn't been appended yet.
+    void appendToEntries(keyed_record record)
+    {
+        const bool isAppending = m_entriesRecords.contains(record.key);
+        const std::string key = record.key;
+        m_entriesRecords.insert_or_assign(key, std::move(record));
+        if (!isAppending) {
+            asio::co_spawn(m_context, appendEntriesRecord(shared_from_this(), key), asio::detached);
+        }
+    }
+
+    /// Appends the newest record of @p key; tries again while the store is unavailable.
+    static asio::awaitable<void> appendEntriesRecord(std::shared_ptr<impl> self, std::string key)
     {
         stream_cursor cursor;
         cursor.stream = store_stream::Entries;
         while (!self->m_stopping && cursor.failures < kMaxAppends) {
+            keyed_record record = self->m_entriesRecords.at(key);
             const append_answer answer = co_await self->m_store.append(store_stream::Entries, record);
-            if (answer.outcome == store_outcome::Done) {
+            if (answer.outcome != store_outcome::Done) {
+                cursor.failures += 1;
+                co_await self->pause(self->backoffDelay(cursor));
+            } else if (self->m_entriesRecords.at(key) == record) {
+                self->m_entriesRecords.erase(key);
                 co_return;
             }
-            cursor.failures += 1;
-            co_await self->pause(self->backoffDelay(cursor));
         }
-        self->log(log_level::Warning, "quarantine_not_recorded", {{"key", record.key}, {"failures", std::to_string(cursor.failures)}});
+        self->m_entriesRecords.erase(key);
+        self->log(log_level::Warning, "quarantine_not_recorded", {{"key", key}, {"failures", std::to_string(cursor.failures)}});
     }
 
     /// Passes the recorded quarantines on to the relay. Expired records are deleted by entries that start.
@@ -460,7 +475,7 @@
                 relay_event event = crash_reports_received{{*reports}};
                 co_await m_toRelay.push(std::move(event));
             } else if (isSnapshot) {
-                asio::co_spawn(m_context, appendEntriesRecord(shared_from_this(), keyed_record{record.key, std::nullopt}), asio::detached);
+                appendToEntries({record.key, std::nullopt});
             }
         }
     }
@@ -542,6 +557,7 @@
     std::uint64_t m_configVersion = 0;
     lease_tracker m_lease = lease_tracker::make({});
     std::map<std::string, std::string> m_entryAddresses;
+    std::map<std::string, keyed_record> m_entriesRecords; ///< Records that aren't appended yet, by key.
     std::set<std::string> m_unreadableKeys;
 };
 
--- a/src/relay/quarantine_record.cpp
+++ b/src/relay/quarantine_record.cpp
@@ -50,15 +50,19 @@
     return key.starts_with(kKeyPrefix);
 }
 
-keyed_record makeQuarantineRecord(const std::vector<crash_report> &reports, std::int64_t unixMs)
+keyed_record makeQuarantineRecord(std::uint64_t fingerprint, const std::vector<crash_report> &reports, std::int64_t unixMs)
 {
+    const std::string key = std::string(kKeyPrefix) + fingerprintText(fingerprint);
+    if (reports.empty()) {
+        return {key, std::nullopt};
+    }
     json::array crashes;
     for (const crash_report &report : reports) {
         crashes.push_back(json::object{{"instance", report.instance.id},
                                        {"started_at", static_cast<std::int64_t>(report.instance.startedAt)},
                                        {"at", unixMs - static_cast<std::int64_t>(report.ageMs)}});
     }
-    return {std::string(kKeyPrefix) + fingerprintText(reports.front().fingerprint), json::serialize(json::object{{"crashes", std::move(crashes)}})};
+    return {key, json::serialize(json::object{{"crashes", std::move(crashes)}})};
 }
 
 std::optional<std::vector<crash_report>> readQuarantineRecord(const keyed_record &record, std::int64_t unixMs, last_reason *reason)
--- a/src/relay/quarantine_record.h
+++ b/src/relay/quarantine_record.h
@@ -13,7 +13,7 @@
 {
 
 /**
- * The record by which entries remember a quarantined request in the platform's store.
+ * The record by which entries remember a request that crashes upstreams in the platform's store, from its second crash on.
  *
  * Entries lose what they know when they all restart at the same time, and the request would then crash as many upstreams
  * again. Records of quarantined requests lie among the addresses of the entries, so that reading them costs no further call.
@@ -22,9 +22,9 @@
 /// Returns whether @p key belongs to a quarantined request. Thread safe.
 bool isQuarantineKey(const std::string &key);
 
-/// Returns the record of a request with the crashes in @p reports. Preconditions: @p reports isn't empty and all are on one
-/// request. @p unixMs is the current Unix time in milliseconds. Thread safe.
-keyed_record makeQuarantineRecord(const std::vector<crash_report> &reports, std::int64_t unixMs);
+/// Returns the record of the request @p fingerprint with the crashes in @p reports, or one that deletes it when there are none.
+/// Precondition: all reports are on that request. @p unixMs is the current Unix time in milliseconds. Thread safe.
+keyed_record makeQuarantineRecord(std::uint64_t fingerprint, const std::vector<crash_report> &reports, std::int64_t unixMs);
 
 /// Returns the reports in a record, with their ages as of @p unixMs; empty with @p reason set when the record is invalid. A time
 /// in the future, by a clock that differs, counts as now. Thread safe.
--- a/tests/process_poison_test.cpp
+++ b/tests/process_poison_test.cpp
@@ -117,6 +117,30 @@
     });
 }
 
+// Load pattern: all entries are killed each time that the request has crashed two more upstreams.
+TEST(ProcessPoisonRestart, CrashesBeforeTheQuarantineOutlastRestartsOfAllEntries)
+{
+    runOnSite(poisonSite(), [](relay_site &site) -> asio::awaitable<void> {
+        for (int restarts = 0; restarts < 5; ++restarts) {
+            const std::size_t before = site.upstreamLog().crashes.size();
+            const auto until = std::chrono::steady_clock::now() + seconds(2);
+            for (std::size_t i = 0; site.upstreamLog().crashes.size() < before + 2 && std::chrono::steady_clock::now() < until; ++i) {
+                co_await site.call(i % site.entryCount(), kPoisonPaths[1], kRequestDeadline);
+                co_await pauseFor(milliseconds(60));
+            }
+            // An entry records crashes soon after it has learned of them.
+            co_await pauseFor(milliseconds(500));
+            std::vector<std::size_t> all{0, 1, 2};
+            co_await killAndRestart(site, std::move(all));
+        }
+        const auto &crashes = site.upstreamLog().crashes;
+        EXPECT_GE(crashes.size(), kMaxCrashes);
+        if (crashes.size() >= kMaxCrashes) {
+            EXPECT_LE(arrivalsAfter(site, crashes[kMaxCrashes - 1].at + kLearningTime), kMaxFurtherArrivals) << crashes.size() << " crashes";
+        }
+    });
+}
+
 TEST(ProcessPoisonRestart, QuarantineOutlastsARestartOfAllEntries)
 {
     runOnSite(poisonSite(), [](relay_site &site) -> asio::awaitable<void> {
--- a/tests/quarantine_record_test.cpp
+++ b/tests/quarantine_record_test.cpp
@@ -15,7 +15,7 @@
 
 TEST(QuarantineRecord, AgesGrowWithTheTimeInTheStore)
 {
-    const keyed_record record = makeQuarantineRecord(kReports, kNow);
+    const keyed_record record = makeQuarantineRecord(0xabcdefU, kReports, kNow);
     EXPECT_TRUE(isQuarantineKey(record.key));
     const auto reports = readQuarantineRecord(record, kNow + 5'000, nullptr);
     ASSERT_TRUE(reports);
@@ -27,14 +27,14 @@
 
 TEST(QuarantineRecord, TimeInTheFutureCountsAsNow)
 {
-    const auto reports = readQuarantineRecord(makeQuarantineRecord(kReports, kNow), kNow - 60'000, nullptr);
+    const auto reports = readQuarantineRecord(makeQuarantineRecord(0xabcdefU, kReports, kNow), kNow - 60'000, nullptr);
     ASSERT_TRUE(reports);
     EXPECT_EQ(reports->front().ageMs, 0U);
 }
 
 TEST(QuarantineRecord, InvalidRecordsAreRefusedWithAReason)
 {
-    const keyed_record good = makeQuarantineRecord(kReports, kNow);
+    const keyed_record good = makeQuarantineRecord(0xabcdefU, kReports, kNow);
     const std::string longId(kMaxInstanceIdBytes + 1, 'x');
     const std::vector<keyed_record> invalid = {{"front-1", good.value},
                                                {"quarantine.", good.value},
--- a/tests/quarantine_state_test.cpp
+++ b/tests/quarantine_state_test.cpp
@@ -21,6 +21,8 @@
 constexpr std::uint64_t kFirstSound = 100;
 constexpr std::uint32_t kMaxCrashes = 3;
 constexpr int kMaxFurtherArrivals = 3;
+constexpr int kSilenceSteps = 20; ///< From a silent crash until the kernel gives a connection to the upstream up.
+constexpr int kRegistrationSteps = 36; ///< From a crash until the store drops the upstream's registration.
 constexpr int kLearningSteps = 30; ///< The platform's stability window.
 
 /// Entries that exchange reports over a lossy network, restart and lose answers, before upstreams that a poison request crashes.
@@ -38,6 +40,7 @@
     int restartsPerThousand = 0; ///< Restarts of some entry, per thousand steps.
     int restartsOfAllPerThousand = 0; ///< Restarts of all entries at the same moment, per thousand steps.
     int lostAnswersPerCent = 0; ///< Answers to sound requests that are lost.
+    int silentPerCent = 0; ///< Crashes after which the upstream is silent, so that only the end of its registration shows them.
     int poisonPerCent = 50; ///< Steps in which the poison request comes.
     std::size_t besides = 3; ///< Sound requests that run on an upstream.
 
@@ -51,7 +54,8 @@
                 restartAll();
             }
             sendSound();
-            if (below(100) < poisonPerCent) {
+            endSilentAttempts();
+            if (m_step >= m_poisonBusyUntil && below(100) < poisonPerCent) {
                 sendPoison(m_entries[static_cast<std::size_t>(below(m_entries.size()))]);
             }
             exchange();
@@ -62,6 +66,11 @@
     {
         return m_lateArrivals;
     }
+    /// Those that were sent by entries which had been running for the learning time.
+    int steadyLateArrivals() const
+    {
+        return m_steadyLateArrivals;
+    }
     std::uint32_t crashes() const
     {
         return m_crashes;
@@ -82,6 +91,15 @@
     {
         request_quarantine quarantine = request_quarantine::make({});
         crash_gossip gossip = crash_gossip::make({});
+        int starts = 0;
+        int startedAt = 0;
+    };
+    struct silent_crash
+    {
+        entry *sender = nullptr;
+        int senderStarts = 0;
+        upstream_instance instance;
+        int step = 0;
     };
 
     template<typename Number>
@@ -123,8 +141,14 @@
         if (below(100) < lostAnswersPerCent) {
             one.quarantine.noteInterrupted(now(), instanceOf(static_cast<std::size_t>(upstream)), fingerprint);
             one.quarantine.noteAlive(now(), instanceOf(static_cast<std::size_t>(upstream)));
-        } else if (const auto report = one.quarantine.noteCompleted(now(), fingerprint)) {
+            return;
+        }
+        const bool mayBeRecorded = one.quarantine.mayBeRecorded(fingerprint);
+        if (const auto report = one.quarantine.noteCompleted(now(), fingerprint)) {
             one.gossip.add(now(), *report);
+            if (mayBeRecorded) {
+                std::erase_if(m_store, [fingerprint](const auto &record) { return record.second.fingerprint == fingerprint; });
+            }
         }
     }
 
@@ -136,12 +160,24 @@
         }
         if (m_crashes >= kMaxCrashes && m_step > m_thirdCrash + kLearningSteps) {
             ++m_lateArrivals;
+            m_steadyLateArrivals += m_step > one.startedAt + kLearningSteps ? 1 : 0;
         }
         const auto index = static_cast<std::size_t>(upstream);
+        if (silentPerCent > 0 && below(100) < silentPerCent) {
+            m_silentCrashes.push_back({&one, one.starts, instanceOf(index), m_step});
+            m_poisonBusyUntil = m_step + kSilenceSteps;
+            noteCrash(index);
+            return;
+        }
         interrupt(one, index, kPoison);
         for (std::size_t i = 0; i < besides; ++i) {
             interrupt(m_entries[static_cast<std::size_t>(below(m_entries.size()))], index, ++m_nextSound + kFirstSound * 10);
         }
+        noteCrash(index);
+    }
+
+    void noteCrash(std::size_t index)
+    {
         if (++m_crashes == kMaxCrashes) {
             m_thirdCrash = m_step;
         }
@@ -149,6 +185,24 @@
         m_downUntil[index] = m_step + 1 + below(30);
     }
 
+    /// Attempts at silent upstreams end when the kernel gives their connections up; later the registrations of the upstreams end.
+    void endSilentAttempts()
+    {
+        for (const silent_crash &crash : m_silentCrashes) {
+            if (m_step == crash.step + kSilenceSteps && crash.sender->starts == crash.senderStarts) {
+                crash.sender->quarantine.noteInterrupted(now(), crash.instance, kPoison);
+            }
+            if (m_step == crash.step + kRegistrationSteps) {
+                for (entry &one : m_entries) {
+                    for (const crash_report &report : one.quarantine.noteCrashed(now(), crash.instance)) {
+                        one.gossip.add(now(), report);
+                    }
+                    writeStore(one);
+                }
+            }
+        }
+    }
+
     void interrupt(entry &one, std::size_t upstream, std::uint64_t fingerprint)
     {
         if (const auto known = one.quarantine.noteInterrupted(now(), instanceOf(upstream), fingerprint)) {
@@ -160,9 +214,18 @@
         writeStore(one);
     }
 
+    void restart(entry &one) const
+    {
+        const int starts = one.starts + 1;
+        one = entry();
+        one.starts = starts;
+        one.startedAt = m_step;
+    }
+
     void restart(int index)
     {
-        entry &restarted = m_entries[static_cast<std::size_t>(index)] = entry();
+        entry &restarted = m_entries[static_cast<std::size_t>(index)];
+        restart(restarted);
         for (std::size_t i = 0; i < m_entries.size() && i < 3; ++i) {
             for (const crash_report &report : m_entries[i].quarantine.suspectReports(now(), 256)) {
                 if (below(100) >= lostPerCent) {
@@ -175,11 +238,8 @@
 
     void writeStore(entry &one)
     {
-        for (const started_quarantine &started : one.quarantine.takeStarted()) {
-            if (!started.observedHere) {
-                continue;
-            }
-            for (const crash_report &report : one.quarantine.reportsOn(now(), started.fingerprint)) {
+        for (const std::uint64_t fingerprint : one.quarantine.takeToRecord()) {
+            for (const crash_report &report : one.quarantine.reportsOn(now(), fingerprint)) {
                 m_store.emplace_back(now(), report);
             }
         }
@@ -197,7 +257,7 @@
     void restartAll()
     {
         for (entry &one : m_entries) {
-            one = entry();
+            restart(one);
             readStore(one);
         }
     }
@@ -224,10 +284,13 @@
     std::vector<std::pair<instant, crash_report>> m_store; ///< Reports on quarantined requests, with the time of writing.
     std::vector<int> m_downUntil; ///< The step from which an upstream serves again.
     std::vector<std::uint64_t> m_starts;
+    std::vector<silent_crash> m_silentCrashes;
+    int m_poisonBusyUntil = 0; ///< The poison request waits for a silent upstream until this step.
     int m_step = 0;
     std::uint32_t m_crashes = 0;
     int m_thirdCrash = 0;
     int m_lateArrivals = 0;
+    int m_steadyLateArrivals = 0;
     std::uint64_t m_nextSound = 0;
 };
 
@@ -248,6 +311,36 @@
     RC_ASSERT(fleet.lateArrivals() <= kMaxFurtherArrivals);
 }
 
+namespace
+{
+
+/// Runs a fleet whose entries all restart again and again, and returns the late arrivals from entries that ran steadily.
+int runRestartingFleet(int silentPerCent)
+{
+    poisoned_fleet fleet(*rc::gen::inRange<std::size_t>(2, 13), *rc::gen::inRange<std::size_t>(3, 12), *rc::gen::arbitrary<std::uint64_t>());
+    fleet.lostPerCent = *rc::gen::inRange(0, 20);
+    fleet.restartsOfAllPerThousand = *rc::gen::inRange(5, 30);
+    fleet.silentPerCent = silentPerCent;
+    fleet.poisonPerCent = *rc::gen::inRange(1, 101);
+    fleet.run();
+    RC_LOG() << fleet.crashes() << " crashes";
+    return fleet.steadyLateArrivals();
+}
+
+} // namespace
+
+// Load pattern: as above, but all entries restart at the same moment again and again.
+RC_GTEST_PROP(QuarantineState, RequestThatCrashesUpstreamsReachesFewOfThemWhileAllEntriesRestartAgainAndAgain, ())
+{
+    RC_ASSERT(runRestartingFleet(0) <= kMaxFurtherArrivals);
+}
+
+// Load pattern: as above, and some upstreams fall silent as they crash.
+RC_GTEST_PROP(QuarantineState, RequestThatSilencesUpstreamsReachesFewOfThemWhileAllEntriesRestartAgainAndAgain, ())
+{
+    RC_ASSERT(runRestartingFleet(*rc::gen::inRange(1, 100)) <= kMaxFurtherArrivals);
+}
+
 // Load pattern: as above; each sound request is interrupted by one crash at most, or by lost answers.
 RC_GTEST_PROP(QuarantineState, SoundRequestsAreNeverQuarantined, ())
 {
