--- a/bench/heatherbench_soak.cpp
+++ b/bench/heatherbench_soak.cpp
@@ -7,6 +7,7 @@
 
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <ostream>
 #include <random>
 #include <set>
@@ -28,6 +29,7 @@
 
 constexpr milliseconds kRequestTimeout{2'000};
 constexpr milliseconds kRequestPause{15}; ///< Between two requests of one caller.
+constexpr milliseconds kSlowReadPause{300}; ///< Between two pieces of an answer that a slow caller reads.
 constexpr milliseconds kPoisonPause{50}; ///< Between two attempts of the caller whose request crashes upstreams.
 constexpr milliseconds kMaxPoisonDelay{2'000}; ///< From the start of the callers until its first attempt.
 constexpr milliseconds kMaxFaultInterval{350};
@@ -44,6 +46,7 @@
     std::uint64_t seed = 1;
     seconds duration{20};
     std::size_t callers = 24;
+    std::string logFolder; ///< Where the entries' logs of a run with violations are kept; nowhere when empty.
     bool checkDurations = true; ///< Whether a response that takes too long is a violation; false on a machine with other load.
     relay_site_settings site;
 };
@@ -136,7 +139,8 @@
             const std::uint64_t before = m_disturbanceCounts[entry];
             const std::string process = processLabel(entry);
             const auto sent = std::chrono::steady_clock::now();
-            const caller_result result = co_await m_site.call(entry, std::move(path), kRequestTimeout);
+            const milliseconds readPause = random() % 8 == 0 ? kSlowReadPause : milliseconds(0);
+            const caller_result result = co_await m_site.call(entry, std::move(path), kRequestTimeout, readPause);
             if (result.path == kLookupPath && (result.status == kOk || result.status == kNotFound) && process == processLabel(entry)) {
                 m_audit.recordLookup(process, sent, std::chrono::steady_clock::now(), result.status == kOk);
             }
@@ -205,6 +209,8 @@
         faults.busy = randomBelow(3) == 0;
         faults.silent = !faults.busy && randomBelow(2) == 0;
         faults.delay = milliseconds(randomBelow(300));
+        faults.unframed = randomBelow(3) == 0;
+        faults.cutAnswers = randomBelow(4) == 0;
         if (randomBelow(4) == 0) {
             m_site.store().removeHistory("keyed.op");
             m_site.store().removeHistory("keyed.servers");
@@ -237,10 +243,28 @@
     {
         standins::site_upstream &upstream = *m_site.upstreams()[static_cast<std::size_t>(randomBelow(static_cast<std::int64_t>(m_site.upstreams().size())))];
         standins::upstream_faults faults;
-        switch (randomBelow(7)) {
+        switch (randomBelow(12)) {
         case 6:
             faults.endlessAnswers = true;
             break;
+        case 7:
+            faults.longHeads = true;
+            break;
+        case 8:
+            faults.breakAnswers = true;
+            faults.unframed = randomBelow(2) == 0;
+            break;
+        case 9:
+            faults.cutCallAnswers = true;
+            faults.unframed = randomBelow(2) == 0;
+            break;
+        case 10:
+            faults.cutStreams = true;
+            faults.unframed = randomBelow(2) == 0;
+            break;
+        case 11:
+            faults.unframed = true;
+            break;
         case 0:
             faults.hang = true;
             break;
@@ -258,6 +282,7 @@
             break;
         default:
             faults.breakStreams = true;
+            faults.unframed = randomBelow(2) == 0;
         }
         upstream.setFaults(faults);
         co_await pause(duration);
@@ -347,6 +372,12 @@
     for (const std::string &violation : audit.violations()) {
         out << "  " << violation << '\n';
     }
+    if (!audit.violations().empty() && !options.logFolder.empty()) {
+        std::filesystem::create_directories(options.logFolder);
+        for (std::size_t entry = 0; entry < site->entryCount(); ++entry) {
+            std::ofstream(options.logFolder + "/seed-" + std::to_string(options.seed) + "-entry-" + std::to_string(entry) + ".log") << site->logOf(entry);
+        }
+    }
     return audit.violations().empty();
 }
 
@@ -359,6 +390,7 @@
         "seeds", "number of seeds", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "seconds", "duration of fault injection for each seed, in seconds", cxxopts::value<int>()->default_value("20"))(
         "entries", "number of entry processes", cxxopts::value<std::size_t>()->default_value("6"))(
+        "logs", "folder for the entries' logs of runs with violations", cxxopts::value<std::string>()->default_value(""))(
         "callers", "number of concurrent callers", cxxopts::value<std::size_t>()->default_value("24"))("no-times", "don't check the duration of responses")(
         "program", "path of heatherrouted", cxxopts::value<std::string>()->default_value("build/heatherrouted"));
     const cxxopts::ParseResult parsed = parseArguments(options, arguments);
@@ -370,6 +402,7 @@
     soakOptions.duration = seconds(parsed["seconds"].as<int>());
     soakOptions.checkDurations = parsed.count("no-times") == 0;
     soakOptions.callers = parsed["callers"].as<std::size_t>();
+    soakOptions.logFolder = parsed["logs"].as<std::string>();
     soakOptions.site.program = std::filesystem::absolute(parsed["program"].as<std::string>()).string();
     soakOptions.site.entries = parsed["entries"].as<std::size_t>();
     soakOptions.site.services = 3;
--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -19,6 +19,7 @@
 {
 
 constexpr milliseconds kReportInterval{300};
+constexpr std::size_t kLongHeadBytes = std::size_t{2} * 1024 * 1024;
 
 std::uint64_t unixMilliseconds()
 {
@@ -209,6 +210,12 @@
         answer.fields = {{"X-Replica-Id", m_settings.id}};
     } else if (request.path() == "/healthz") {
         answer.fields = {{"X-Replica-Id", m_settings.id}};
+    } else if (m_faults.longHeads) {
+        recordRun(request);
+        answer = makeAnswer(request, 200);
+        answer.fields.push_back({"X-Field", std::string(kLongHeadBytes, 'x')});
+        co_await responder.send(std::move(answer));
+        co_return;
     } else if (m_faults.endlessAnswers) {
         co_await sendEndlessBody(request, responder);
         co_return;
--- a/tests/support/relay_site.cpp
+++ b/tests/support/relay_site.cpp
@@ -190,10 +190,19 @@
     if (!process) {
         return false;
     }
+    if (entry.process) {
+        entry.earlierLog += entry.process->output();
+    }
     entry.process = std::move(process);
     return true;
 }
 
+std::string relay_site::logOf(std::size_t index) const
+{
+    const running_entry &entry = m_entries.at(index);
+    return entry.earlierLog + entry.process->output();
+}
+
 asio::awaitable<void> relay_site::pause(milliseconds time)
 {
     asio::steady_timer timer(m_context, time);
@@ -233,7 +242,7 @@
     co_return true;
 }
 
-asio::awaitable<caller_result> relay_site::call(std::size_t index, std::string path, milliseconds timeLeft)
+asio::awaitable<caller_result> relay_site::call(std::size_t index, std::string path, milliseconds timeLeft, milliseconds readPause)
 {
     caller_result outcome;
     outcome.id = "r" + std::to_string(++m_requests);
@@ -250,12 +259,22 @@
         call.fields.push_back({"X-Token-Count", "500,800"});
         call.fields.push_back({"X-Prompt-Prefix", "ab:500"});
     }
-    const net::http_result result = co_await net::performCall(std::move(call));
+    std::string body;
+    const net::http_exchange::head_hook onHead = [](const http_answer &) -> asio::awaitable<bool> { co_return true; };
+    const net::http_exchange::body_hook onBody = [this, &body, readPause](std::string_view piece) -> asio::awaitable<void> {
+        body.append(piece);
+        if (readPause.count() > 0) {
+            co_await pause(readPause);
+        }
+    };
+    const auto exchange = net::http_exchange::make(m_context.get_executor(), std::move(call));
+    net::http_result result = co_await exchange->run(onHead, onBody);
     if (!result.answer) {
         outcome.fault = result.timedOut ? "no answer within 700 ms after the deadline" : "";
         co_return outcome;
     }
-    const http_answer &answer = *result.answer;
+    http_answer &answer = *result.answer;
+    answer.body = std::move(body);
     outcome.status = answer.status;
     outcome.isComplete = true;
     const bool success = answer.status < net::status::kFirstRedirect;
--- a/tests/support/relay_site.h
+++ b/tests/support/relay_site.h
@@ -75,9 +75,13 @@
     /// Whether entry @p index answers its readiness check with success.
     boost::asio::awaitable<bool> isReady(std::size_t index);
     /// Sends a request for @p path to entry @p index and checks the answer. @p timeLeft is the request's deadline, relative to now.
-    boost::asio::awaitable<caller_result> call(std::size_t index, std::string path, std::chrono::milliseconds timeLeft);
+    /// The caller waits for @p readPause after each piece of the body that it reads.
+    boost::asio::awaitable<caller_result>
+    call(std::size_t index, std::string path, std::chrono::milliseconds timeLeft, std::chrono::milliseconds readPause = std::chrono::milliseconds(0));
     /// Publishes a configuration with the next version, which routes `/look/` if @p lookups is set.
     void publish(bool lookups);
+    /// The logs of all processes of entry @p index so far.
+    std::string logOf(std::size_t index) const;
     /// Restarts entry @p index. Precondition: its process has ended.
     bool restart(std::size_t index, last_reason *reason);
 
@@ -117,6 +121,7 @@
         std::unique_ptr<child_process> process;
         std::unique_ptr<fault_proxy> proxy;
         std::string settingsFile;
+        std::string earlierLog; ///< Of the processes before the current one.
         std::map<std::string, std::uint16_t> ports; ///< Ports by the name of the listen setting.
     };
 
