Entries that start on an older list are told which upstreams drain

Seen: an entry that starts on the store's older copy, and then relies on what others read, gave 55 of 100 requests to an upstream that was draining and had said so to the store again 3 s before (new process test).

Cause: gossip carries changes. For the other entries the upstream had been draining all along, so its new report was none; the new entry reads the list itself only every half minute.

Change: when an entry appears, and when the store comes back, the readers send the upstreams that drain again for two seconds, 16 at most.

--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -57,6 +57,8 @@
 constexpr std::chrono::milliseconds kIdleMargin{2'000};
 /// Number of entries that tell a new one what it has missed; more than are expected to fail at once.
 constexpr std::size_t kIntroducingEntries = 3;
+/// Limits the datagrams while many entries start; more upstreams seldom leave at the same time.
+constexpr std::size_t kMaxAnnouncedDraining = 16;
 /// Timeout of health checks and of the state queries to refusing engines.
 constexpr std::chrono::milliseconds kProbeTimeout{500};
 
@@ -279,7 +281,7 @@
         m_state.retryBudget.setFleetSize(coreNow(), m_otherEntries.size() + 1);
         updateRank();
         updateLeaseCandidacy();
-        introduceSuspects();
+        introduceEntries();
     }
 
     void on(store_update_received &event)
@@ -326,6 +328,7 @@
             m_state.registry.onStoreLost(now);
             m_state.registry.onStoreBack(now);
             m_state.crashes.recordAgain();
+            announceDraining();
         }
     }
 
@@ -334,14 +337,27 @@
         m_state.crashes.onReports(event.reports);
     }
 
-    /// Tells entries that have started, or were out of reach, about suspects of crashes. The first entries by name do so, and an entry
-    /// that was itself out of reach of all others.
-    void introduceSuspects()
+    /// Tells the other entries which upstreams leave. One that has started on an older list than this entry knows wouldn't learn it
+    /// from changes.
+    void announceDraining()
+    {
+        std::vector<const registration *> draining = m_state.registry.draining();
+        draining.resize(std::min(draining.size(), kMaxAnnouncedDraining));
+        for (const registration *run : draining) {
+            m_state.gossip.noteChange(coreNow(), {*run, false, std::nullopt});
+        }
+    }
+
+    /// Tells entries that have started, or were out of reach, about suspects of crashes and upstreams that leave. Of the suspects, the
+    /// first entries by name tell, and an entry that was itself out of reach of all others.
+    void introduceEntries()
     {
         const bool wasAlone = m_knownEntries.empty();
+        bool hasNewEntry = false;
         std::set<member_id> present;
         for (const member &other : m_otherEntries) {
             present.insert(other.id);
+            hasNewEntry = hasNewEntry || !m_knownEntries.contains(other.id);
             if (m_knownEntries.contains(other.id) || (m_rank >= kIntroducingEntries && !wasAlone)) {
                 continue;
             }
@@ -350,6 +366,9 @@
             }
         }
         m_knownEntries = std::move(present);
+        if (hasNewEntry) {
+            announceDraining();
+        }
     }
 
     /// Decides whether this entry reads the store frequently or relies on updates from other entries, and sends the updates that are due.
--- a/src/relay/upstream_registry.cpp
+++ b/src/relay/upstream_registry.cpp
@@ -241,6 +241,17 @@
     return known != m_runs.end() && isUsable(known->second) && !known->second.moving;
 }
 
+std::vector<const registration *> upstream_registry::draining() const
+{
+    std::vector<const registration *> result;
+    for (const auto &[id, entry] : m_runs) {
+        if (entry.run.draining) {
+            result.push_back(&entry.run);
+        }
+    }
+    return result;
+}
+
 std::vector<const registration *> upstream_registry::usable(const std::string &service) const
 {
     std::vector<const registration *> result;
--- a/src/relay/upstream_registry.h
+++ b/src/relay/upstream_registry.h
@@ -97,6 +97,8 @@
     std::vector<const registration *> usable(const std::string &service, engine_phase phase) const;
     /// Returns whether the instance of @p id may get new work in the phase that it has reported.
     bool isUsable(const std::string &id) const;
+    /// Returns the instances whose registrations say that they leave.
+    std::vector<const registration *> draining() const;
     /// Returns whether removals take effect at once, so that other entries may rely on this entry's list. False during an outage
     /// of the store and for the grace period after it.
     bool isAuthoritative(instant now) const noexcept
--- a/tests/process_store_restore_test.cpp
+++ b/tests/process_store_restore_test.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <csignal>
 
 #include "support/relay_site.h"
 #include "support/site_run.h"
@@ -109,3 +110,40 @@
         EXPECT_EQ(site.store().keysOf(kEntriesTopic).size(), site.entryCount());
     });
 }
+
+// Regression test: an entry that started on the older copy, and learns of changes from other entries, never heard that an upstream leaves,
+// since for the others nothing had changed.
+TEST(ProcessStoreRestore, EntryThatStartsOnTheOlderCopyStopsUsingUpstreamsThatLeave)
+{
+    relay_site_settings settings = siteWithEra();
+    settings.entries = 5;
+    runOnSite(settings, [](relay_site &site) -> asio::awaitable<void> {
+        standins::site_upstream &leaving = *site.upstreams().back();
+        const auto copy = site.store().makeCopy();
+        const auto drainedAt = std::chrono::steady_clock::now();
+        leaving.drain();
+        co_await pauseFor(seconds(2));
+        standins::upstream_faults withheld;
+        withheld.withholdReports = true;
+        leaving.setFaults(withheld);
+        const std::size_t newest = site.entryCount() - 1;
+        site.entry(newest).signal(SIGKILL);
+        site.entry(newest).waitForEnd(seconds(5));
+        co_await comeBackFrom(site, copy);
+        last_reason reason;
+        EXPECT_TRUE(site.restart(newest, &reason)) << reason.text();
+        const bool ready = co_await site.waitUntilReady(seconds(10));
+        EXPECT_TRUE(ready) << site.unreadyReason();
+        // By now the entry relies on what others read.
+        co_await pauseFor(seconds(4));
+        leaving.setFaults({});
+        // The upstream reports every 0.3 s, and has to get no more work 2 s later.
+        co_await pauseFor(seconds(3));
+        const auto steadyFrom = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - drainedAt);
+        for (int i = 0; i < 100; ++i) {
+            const caller_result result = co_await site.call(newest, kLookupPath, kRequestDeadline);
+            EXPECT_EQ(result.status, 200U);
+        }
+        EXPECT_EQ(leaving.runsAfterDrain(steadyFrom), 0);
+    });
+}
--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -148,7 +148,9 @@
     if (!m_settings.phase.empty()) {
         entry["Phase"] = m_settings.phase;
     }
-    m_store.put("keyed.servers", m_settings.id, json::serialize(entry));
+    if (!m_faults.withholdReports) {
+        m_store.put("keyed.servers", m_settings.id, json::serialize(entry));
+    }
     m_reportTimer.expires_after(kReportInterval);
     m_reportTimer.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
--- a/tests/standins/site_upstream.h
+++ b/tests/standins/site_upstream.h
@@ -45,6 +45,7 @@
     bool mismatchedAnswers = false; ///< Answers with the id of another request.
     bool endlessAnswers = false; ///< Answers all calls but health checks with a body that doesn't end while this is set.
     bool longHeads = false; ///< Answers all calls but health checks with a header that is longer than any reader accepts.
+    bool withholdReports = false; ///< Doesn't write to the store.
     bool breakStreams = false; ///< Aborts the connection in the middle of a stream.
     bool cutStreams = false; ///< Ends the body of a stream in order, but in the middle of an event.
     bool breakAnswers = false; ///< Aborts the connection in the middle of the answer to a plain request.
--- a/tests/upstream_registry_test.cpp
+++ b/tests/upstream_registry_test.cpp
@@ -48,6 +48,23 @@
     EXPECT_EQ(watched.changes.back(), "a draining");
 }
 
+TEST(UpstreamRegistry, DrainingUpstreamsAreListedUntilTheyAreRemovedOrReady)
+{
+    watched_registry watched;
+    registration leaving = reportOf("a", 1, 1);
+    leaving.draining = true;
+    watched.registry.onReport(leaving);
+    watched.registry.onReport(reportOf("b", 1, 1));
+    ASSERT_EQ(watched.registry.draining().size(), 1U);
+    EXPECT_EQ(watched.registry.draining().front()->id, "a");
+    watched.registry.onReport(reportOf("a", 1, 2));
+    EXPECT_TRUE(watched.registry.draining().empty());
+    leaving.sequence = 3;
+    watched.registry.onReport(leaving);
+    watched.registry.onRemoved(watched.now, "a");
+    EXPECT_TRUE(watched.registry.draining().empty());
+}
+
 TEST(UpstreamRegistry, LateReportsChangeNothing)
 {
     watched_registry watched;
