Collected bodies count the memory that they occupy, and freed ones are given back

Cause: the shared limit of 24 MB counted the sizes of bodies, but a string that grows by doubling occupies up to twice its size, and three times while it moves. And glibc raises its threshold for memory that is mapped when a large block is freed; bodies then stay in the heap.

Change: the limit counts allocations, with a moving body twice, and a body grows by 256 KB at most; the threshold is fixed.

--- a/apps/heatherrouted.cpp
+++ b/apps/heatherrouted.cpp
@@ -1,5 +1,7 @@
 #include <cxxopts.hpp>
 
+#include <malloc.h>
+
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -22,6 +24,7 @@
 constexpr int kExitSuccess = 0;
 constexpr int kExitFailure = 1;
 constexpr int kExitInvalidSettings = 2;
+constexpr int kMmapThresholdBytes = 128 * 1024;
 
 std::optional<entry_settings> readSettings(const std::string &name)
 {
@@ -110,6 +113,8 @@
 
 int main(int argc, char **argv)
 {
+    // The allocator raises this threshold when a large block is freed, and keeps such blocks then; the memory of a VM is small.
+    mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
     try {
         return run(argc, argv);
     } catch (const std::exception &error) {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -13,6 +13,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -32,6 +33,7 @@
 /// Limit of received bytes that aren't parsed yet. Without it, an endless line in a chunked body would be kept until the timeout.
 constexpr std::size_t kMaxBufferBytes = std::size_t{128} * 1024;
 constexpr unsigned kMaxInterimResponses = 8; ///< Responses with a 1xx status before the final one.
+constexpr std::size_t kMaxBodyGrowthBytes = std::size_t{256} * 1024; ///< Of a collected body at once, beyond what has arrived.
 constexpr std::size_t kBodyChunkBytes = std::size_t{16} * 1024;
 /// TCP keep-alive options. They detect a broken path within seconds, even when the peer may take much longer to respond.
 constexpr int kKeepAliveIdleS = 1;
@@ -182,10 +184,11 @@
             if (streamed && !m_cancelled && !piece.empty()) {
                 co_await onBody(piece);
             } else if (!streamed) {
-                if (!reserve(piece.size())) {
+                if (makeRoom(answer.body, piece.size())) {
+                    answer.body.append(piece);
+                } else {
                     error = http::error::body_limit;
                 }
-                answer.body.append(piece);
             }
             if (error || m_cancelled) {
                 co_return makeFailure(verdict::MayHaveRun, "read body", error);
@@ -196,15 +199,21 @@
         co_return http_result{std::move(answer), {}};
     }
 
-    bool reserve(std::size_t bytes)
+    /// Makes room for @p bytes more in @p body; returns false when the shared limit would be exceeded. What counts is the memory that the
+    /// body occupies, twice while it moves, and not its size, which a doubled allocation exceeds by far.
+    bool makeRoom(std::string &body, std::size_t bytes)
     {
-        if (!m_call.bodyMemory) {
+        const std::size_t needed = body.size() + bytes;
+        if (!m_call.bodyMemory || needed <= m_reservedBytes) {
             return true;
         }
-        if (!m_call.bodyMemory->tryReserve(bytes)) {
+        const std::size_t capacity = std::max(needed, m_reservedBytes + std::min(m_reservedBytes, kMaxBodyGrowthBytes));
+        if (!m_call.bodyMemory->tryReserve(capacity)) {
             return false;
         }
-        m_reservedBytes += bytes;
+        body.reserve(capacity);
+        m_call.bodyMemory->release(m_reservedBytes);
+        m_reservedBytes = capacity;
         return true;
     }
 
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -216,6 +216,19 @@
     EXPECT_FALSE(callUpstream({"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false, false}, call).answer);
 }
 
+// Regression test: a body that grew by doubling occupied up to three times its size, and only its size was counted.
+TEST(HttpClient, BodyThatMovesCountsTwiceMeanwhile)
+{
+    http_call call;
+    call.bodyMemory = net::body_memory::make(150'000);
+    const auto responseOf = [](std::size_t bytes) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'x');
+    };
+    EXPECT_TRUE(callUpstream({responseOf(60'000)}, call).answer);
+    EXPECT_FALSE(callUpstream({responseOf(120'000)}, call).answer);
+    EXPECT_EQ(call.bodyMemory->used(), 0U);
+}
+
 // Guards against undetected dead connections: after the network path broke, a long poll of the configuration stream kept waiting, and the
 // entry used an outdated configuration for eight seconds.
 TEST(HttpClient, SocketOptionsDetectDeadPeersWithinTwoSeconds)
