Soak: an audit of the bound for configurations

Entries whose process and path to the store have been undisturbed for the stability window must handle a lookup by a configuration that was published 2 s before, or by a later one. With every third seed the store has no more faults after a quarter of the run, so that the bound is due.

--- a/bench/heatherbench_soak.cpp
+++ b/bench/heatherbench_soak.cpp
@@ -66,6 +66,8 @@
         , m_site(site)
         , m_random(options.seed)
         , m_disturbanceCounts(site.entryCount(), 0)
+        , m_proxyFaults(site.entryCount(), 0)
+        , m_entryCalmSince(site.entryCount(), std::chrono::steady_clock::now())
     { }
 
     asio::awaitable<void> run()
@@ -82,6 +84,7 @@
         }
         asio::co_spawn(m_context, runPoisonCaller(), asio::detached);
         const auto start = std::chrono::steady_clock::now();
+        m_faultsFrom = start;
         const auto until = start + m_options.duration;
         bool drained = false;
         while (std::chrono::steady_clock::now() < until) {
@@ -139,10 +142,11 @@
             const std::uint64_t before = m_disturbanceCounts[entry];
             const std::string process = processLabel(entry);
             const auto sent = std::chrono::steady_clock::now();
+            const bool steady = isSteady(entry, sent);
             const milliseconds readPause = random() % 8 == 0 ? kSlowReadPause : milliseconds(0);
             const caller_result result = co_await m_site.call(entry, std::move(path), kRequestTimeout, readPause);
             if (result.path == kLookupPath && (result.status == kOk || result.status == kNotFound) && process == processLabel(entry)) {
-                m_audit.recordLookup(process, sent, std::chrono::steady_clock::now(), result.status == kOk);
+                m_audit.recordLookup(process, sent, std::chrono::steady_clock::now(), result.status == kOk, steady);
             }
             m_audit.recordResult(result, !m_options.checkDurations || m_disturbedEntries.count(entry) > 0 || m_disturbanceCounts[entry] != before);
             co_await pause(kRequestPause);
@@ -150,6 +154,13 @@
         --m_activeTasks;
     }
 
+    /// Whether entry @p entry and its path to the store have been undisturbed for the stability window.
+    bool isSteady(std::size_t entry, std::chrono::steady_clock::time_point now) const
+    {
+        const bool disturbed = m_storeFaults > 0 || m_proxyFaults[entry] > 0 || m_disturbedEntries.contains(entry);
+        return !disturbed && now - std::max(m_storeCalmSince, m_entryCalmSince[entry]) > kStabilityWindow;
+    }
+
     /// Sends one request again and again that crashes each upstream that runs it. The seed determines its kind and when it begins.
     asio::awaitable<void> runPoisonCaller()
     {
@@ -170,7 +181,14 @@
         ++m_activeTasks;
         const milliseconds duration(randomBelow(kMaxFaultDuration.count()));
         const auto entry = static_cast<std::size_t>(randomBelow(static_cast<std::int64_t>(m_site.entryCount())));
-        switch (randomBelow(7)) {
+        const std::int64_t kind = randomBelow(7);
+        // With every third seed the store has no more faults after a while, so that the bound for configurations is due.
+        const bool storeIsCalm = m_options.seed % 3 == 0 && std::chrono::steady_clock::now() > m_faultsFrom + m_options.duration / 4;
+        if (storeIsCalm && kind < 3) {
+            --m_activeTasks;
+            co_return;
+        }
+        switch (kind) {
         case 0:
             co_await injectStoreFault(duration);
             break;
@@ -205,6 +223,7 @@
 
     asio::awaitable<void> injectStoreFault(milliseconds duration)
     {
+        ++m_storeFaults;
         standins::store_faults faults;
         faults.busy = randomBelow(3) == 0;
         faults.silent = !faults.busy && randomBelow(2) == 0;
@@ -224,10 +243,13 @@
             publish(m_lookups);
         }
         m_site.store().setFaults({});
+        --m_storeFaults;
+        m_storeCalmSince = std::chrono::steady_clock::now();
     }
 
     asio::awaitable<void> injectStoreProxyFault(std::size_t entry, milliseconds duration)
     {
+        ++m_proxyFaults[entry];
         fault_proxy &proxy = m_site.storeProxy(entry);
         const auto fault = static_cast<proxy_fault>(1 + randomBelow(static_cast<std::int64_t>(proxy_fault::DropAll)));
         proxy.setFault(fault);
@@ -237,6 +259,8 @@
         proxy.resetAll();
         proxy.setFault(proxy_fault::None);
         proxy.setDelay(milliseconds(0));
+        --m_proxyFaults[entry];
+        m_entryCalmSince[entry] = std::chrono::steady_clock::now();
     }
 
     asio::awaitable<void> injectUpstreamFault(milliseconds duration)
@@ -316,6 +340,7 @@
         }
         ++m_disturbanceCounts[entry];
         m_disturbedEntries.erase(entry);
+        m_entryCalmSince[entry] = std::chrono::steady_clock::now();
     }
 
     asio::awaitable<void> checkRecovery()
@@ -342,6 +367,11 @@
     soak_audit m_audit;
     std::vector<std::uint64_t> m_disturbanceCounts; ///< Process faults by entry, each counted at its start and at its end.
     std::set<std::size_t> m_disturbedEntries; ///< Entries with a process fault in progress.
+    std::chrono::steady_clock::time_point m_faultsFrom; ///< Start of the fault injection.
+    std::size_t m_storeFaults = 0; ///< In progress.
+    std::vector<std::size_t> m_proxyFaults; ///< In progress, by entry.
+    std::chrono::steady_clock::time_point m_storeCalmSince = std::chrono::steady_clock::now();
+    std::vector<std::chrono::steady_clock::time_point> m_entryCalmSince;
     std::size_t m_activeTasks = 0;
     bool m_lookups = true; ///< Whether the newest configuration routes lookups.
     bool m_stopping = false;
@@ -368,7 +398,7 @@
     for (const auto &[status, count] : audit.byStatus()) {
         out << ' ' << status << ": " << count;
     }
-    out << ", orders: " << soakRun.orders() << ", violations: " << audit.violations().size() << std::endl;
+    out << ", steady lookups: " << audit.steadyLookups() << ", orders: " << soakRun.orders() << ", violations: " << audit.violations().size() << std::endl;
     for (const std::string &violation : audit.violations()) {
         out << "  " << violation << '\n';
     }
--- a/tests/soak_audit_test.cpp
+++ b/tests/soak_audit_test.cpp
@@ -132,17 +132,34 @@
     const auto at = [](int ms) { return clock::time_point(std::chrono::milliseconds(ms)); };
     soak_audit audit;
     audit.recordPublication(at(0), true);
-    audit.recordLookup("a", at(10), at(20), true);
+    audit.recordLookup("a", at(10), at(20), true, false);
     audit.recordPublication(at(100), false);
-    audit.recordLookup("a", at(150), at(160), true); // The new configuration is not active yet.
-    audit.recordLookup("a", at(200), at(210), false);
-    audit.recordLookup("b", at(220), at(230), true);
+    audit.recordLookup("a", at(150), at(160), true, false); // The new configuration is not active yet.
+    audit.recordLookup("a", at(200), at(210), false, false);
+    audit.recordLookup("b", at(220), at(230), true, false);
     EXPECT_TRUE(audit.violations().empty());
-    audit.recordLookup("a", at(205), at(240), true); // Sent before it was known that the newer configuration is active.
+    audit.recordLookup("a", at(205), at(240), true, false); // Sent before it was known that the newer configuration is active.
     EXPECT_TRUE(audit.violations().empty());
-    audit.recordLookup("a", at(250), at(260), true);
+    audit.recordLookup("a", at(250), at(260), true, false);
     EXPECT_EQ(audit.violations().size(), 1U);
     audit.recordPublication(at(300), true);
-    audit.recordLookup("a", at(310), at(320), true);
+    audit.recordLookup("a", at(310), at(320), true, false);
     EXPECT_EQ(audit.violations().size(), 1U);
 }
+
+TEST(SoakAudit, FindsConfigurationsThatAreNotInForceInTime)
+{
+    const std::chrono::steady_clock::time_point start{};
+    const auto at = [start](int ms) { return start + std::chrono::milliseconds(ms); };
+    const auto findingsOf = [&](int sentMs, int endedMs, bool routed, bool steady) {
+        soak_audit audit;
+        audit.recordPublication(at(0), true);
+        audit.recordPublication(at(10'000), false);
+        audit.recordLookup("a", at(sentMs), at(endedMs), routed, steady);
+        return audit.violations().size();
+    };
+    EXPECT_EQ(findingsOf(12'100, 12'110, true, true), 1U);
+    EXPECT_EQ(findingsOf(12'100, 12'110, false, true), 0U);
+    EXPECT_EQ(findingsOf(12'100, 12'110, true, false), 0U) << "the entry was disturbed";
+    EXPECT_EQ(findingsOf(11'900, 12'110, true, true), 0U) << "sent before the bound";
+}
--- a/tests/support/soak_audit.cpp
+++ b/tests/support/soak_audit.cpp
@@ -60,8 +60,27 @@
     m_publications.push_back({at, lookups});
 }
 
-void soak_audit::recordLookup(const std::string &process, std::chrono::steady_clock::time_point sent, std::chrono::steady_clock::time_point ended, bool routed)
+bool soak_audit::isExplainedFrom(std::size_t index, std::chrono::steady_clock::time_point ended, bool routed) const
 {
+    const auto from = m_publications.begin() + static_cast<std::ptrdiff_t>(index);
+    return std::any_of(from, m_publications.end(), [=](const published_configuration &one) { return one.at <= ended && one.lookups == routed; });
+}
+
+void soak_audit::recordLookup(
+    const std::string &process, std::chrono::steady_clock::time_point sent, std::chrono::steady_clock::time_point ended, bool routed, bool steady)
+{
+    if (steady) {
+        ++m_steadyLookups;
+        // The newest configuration that must be in force, or a later one.
+        std::size_t due = 0;
+        for (std::size_t index = 0; index < m_publications.size(); ++index) {
+            due = m_publications[index].at + kConfigBound <= sent ? index : due;
+        }
+        if (!isExplainedFrom(due, ended, routed)) {
+            m_violations.push_back("configuration bound: " + process + (routed ? " routed" : " did not route")
+                                   + " a lookup although a newer configuration had been published in time");
+        }
+    }
     std::vector<oldest_version> &versions = m_oldestVersions[process];
     // Only what was known before the lookup was sent counts: concurrent lookups may use either configuration.
     std::size_t index = 0;
--- a/tests/support/soak_audit.h
+++ b/tests/support/soak_audit.h
@@ -15,6 +15,8 @@
 inline constexpr std::size_t kMaxArrivalsOfPoison = 3; ///< Counted from the learning time after the last allowed crash on.
 inline constexpr std::chrono::seconds kPoisonLearningTime{3};
 inline constexpr std::chrono::seconds kRetryWindow{10};
+inline constexpr std::chrono::seconds kConfigBound{2}; ///< From the store's answer to a configuration until all steady entries apply it.
+inline constexpr std::chrono::seconds kStabilityWindow{3};
 inline constexpr double kRetryShare = 0.2; ///< As relay_site sets it for its entries.
 inline constexpr double kRetrySlack = 100;
 
@@ -34,8 +36,10 @@
     /// in the order of versions.
     void recordPublication(std::chrono::steady_clock::time_point at, bool lookups);
     /// Records a lookup that @p process handled by its configuration at some time between @p sent and @p ended. @p routed tells whether that
-    /// configuration routed it. Must be called in the order of @p ended.
-    void recordLookup(const std::string &process, std::chrono::steady_clock::time_point sent, std::chrono::steady_clock::time_point ended, bool routed);
+    /// configuration routed it, @p steady whether the process and its path to the store had been undisturbed for the stability window when the
+    /// lookup was sent. Must be called in the order of @p ended.
+    void
+    recordLookup(const std::string &process, std::chrono::steady_clock::time_point sent, std::chrono::steady_clock::time_point ended, bool routed, bool steady);
     /// Records that a draining upstream started @p runs requests after its grace time. Zero is no violation.
     void recordRunsAfterDrain(const std::string &upstream, int runs);
     /// Checks that requests that crash upstreams reached few of them after the third crash, and that retries stayed within the fleet's retry
@@ -51,6 +55,11 @@
     {
         return m_violations;
     }
+    /// The number of lookups that the bound for configurations was checked on.
+    std::size_t steadyLookups() const noexcept
+    {
+        return m_steadyLookups;
+    }
     std::size_t requests() const noexcept
     {
         return m_results.size();
@@ -76,6 +85,7 @@
 
     void checkPoisonArrivals(const standins::upstream_log &log);
     void checkRetries(const standins::upstream_log &log);
+    bool isExplainedFrom(std::size_t index, std::chrono::steady_clock::time_point ended, bool routed) const;
     void addViolation(const std::string &rule, const caller_result &result, const std::string &what);
 
     std::vector<caller_result> m_results;
@@ -83,6 +93,7 @@
     std::vector<std::string> m_violations;
     std::vector<published_configuration> m_publications;
     std::map<std::string, std::vector<oldest_version>> m_oldestVersions; ///< Oldest versions by process.
+    std::size_t m_steadyLookups = 0;
 };
 
 } // namespace heatherroute::support
