--- a/bench/heatherbench_soak.cpp
+++ b/bench/heatherbench_soak.cpp
@@ -398,7 +398,13 @@
     for (const auto &[status, count] : audit.byStatus()) {
         out << ' ' << status << ": " << count;
     }
-    out << ", steady lookups: " << audit.steadyLookups() << ", orders: " << soakRun.orders() << ", violations: " << audit.violations().size() << std::endl;
+    std::size_t memoryBytes = 0;
+    for (std::size_t entry = 0; entry < site->entryCount(); ++entry) {
+        memoryBytes += site->entry(entry).peakMemoryBytes();
+    }
+    constexpr std::size_t kMiB = std::size_t{1024} * 1024;
+    out << ", peak memory of the entries: " << memoryBytes / kMiB << " MiB, steady lookups: " << audit.steadyLookups() << ", orders: " << soakRun.orders()
+        << ", violations: " << audit.violations().size() << std::endl;
     for (const std::string &violation : audit.violations()) {
         out << "  " << violation << '\n';
     }
@@ -420,6 +426,8 @@
         "seeds", "number of seeds", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "seconds", "duration of fault injection for each seed, in seconds", cxxopts::value<int>()->default_value("20"))(
         "entries", "number of entry processes", cxxopts::value<std::size_t>()->default_value("6"))(
+        "engines", "number of model engines", cxxopts::value<std::size_t>()->default_value("6"))(
+        "services", "number of upstreams of the plain service", cxxopts::value<std::size_t>()->default_value("3"))(
         "logs", "folder for the entries' logs of runs with violations", cxxopts::value<std::string>()->default_value(""))(
         "callers", "number of concurrent callers", cxxopts::value<std::size_t>()->default_value("24"))("no-times", "don't check the duration of responses")(
         "program", "path of heatherrouted", cxxopts::value<std::string>()->default_value("build/heatherrouted"));
@@ -435,14 +443,15 @@
     soakOptions.logFolder = parsed["logs"].as<std::string>();
     soakOptions.site.program = std::filesystem::absolute(parsed["program"].as<std::string>()).string();
     soakOptions.site.entries = parsed["entries"].as<std::size_t>();
-    soakOptions.site.services = 3;
+    soakOptions.site.services = parsed["services"].as<std::size_t>();
+    const std::size_t engines = parsed["engines"].as<std::size_t>();
     soakOptions.site.storeEra = 1;
     const std::uint64_t first = parsed["seed"].as<std::uint64_t>();
     std::uint64_t failedSeeds = 0;
     for (soakOptions.seed = first; soakOptions.seed < first + parsed["seeds"].as<std::uint64_t>(); ++soakOptions.seed) {
         // With every other seed the pools don't fit the load, so that the lease holder gives orders.
-        soakOptions.site.prefillEngines = soakOptions.seed % 2 == 0 ? 2 : 5;
-        soakOptions.site.decodeEngines = 6 - soakOptions.site.prefillEngines;
+        soakOptions.site.decodeEngines = std::max<std::size_t>(1, soakOptions.seed % 2 == 0 ? engines * 2 / 3 : engines / 6);
+        soakOptions.site.prefillEngines = engines - soakOptions.site.decodeEngines;
         failedSeeds += runSeed(soakOptions, out) ? 0 : 1;
     }
     out << "soak: " << parsed["seeds"].as<std::uint64_t>() << " seeds, " << failedSeeds << " with violations\n";
