Responses to HEAD have no body, at upstreams and at callers

The server sent bodies to HEAD, which a caller on a kept connection takes for its next response.

HttpClient.ResponseToHead... and HttpServer.ResponseToHead... failed before, and pass.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -157,6 +157,8 @@
         for (unsigned heads = 0; !parsed || parsed->get().result_int() < status::kOk; ++heads) {
             parsed.emplace();
             parsed->body_limit(m_call.maxAnswerBytes);
+            // The head of a response to HEAD announces a body that doesn't follow.
+            parsed->skip(m_call.method == "HEAD");
             co_await http::async_read_header(m_stream, m_buffer, *parsed, asio::redirect_error(asio::use_awaitable, error));
             if (!error && heads > kMaxInterimResponses) {
                 error = http::error::header_limit;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -152,17 +152,24 @@
     }
 };
 
+/// What a request says of the response to it.
+struct response_traits
+{
+    bool knowsChunks = true; ///< Whether the peer speaks HTTP/1.1.
+    bool hasBody = true; ///< False for a response to HEAD.
+    bool keepAlive = false;
+};
+
 /// Writes the response of one request to the connection's stream.
 class responder : public http_responder
 {
 public:
-    /// @p requestVersion is 10 for HTTP/1.0 and 11 for HTTP/1.1.
-    responder(
-        beast::tcp_stream &stream, const http_limits &limits, unsigned requestVersion, bool keepAlive, const bool &draining, std::shared_ptr<close_watch> watch)
+    responder(beast::tcp_stream &stream, const http_limits &limits, const response_traits &traits, const bool &draining, std::shared_ptr<close_watch> watch)
         : m_stream(stream)
         , m_limits(limits)
-        , m_knowsChunks(requestVersion >= kFirstVersionWithChunks)
-        , m_keepAlive(keepAlive)
+        , m_knowsChunks(traits.knowsChunks)
+        , m_hasBody(traits.hasBody)
+        , m_keepAlive(traits.keepAlive)
         , m_draining(draining)
         , m_watch(std::move(watch))
     { }
@@ -171,13 +178,22 @@
     {
         http::response<http::string_body> message{static_cast<http::status>(answer.status), 11};
         setHead(message, answer);
-        message.body() = std::move(answer.body);
-        message.prepare_payload();
+        if (m_hasBody) {
+            message.body() = std::move(answer.body);
+            message.prepare_payload();
+        } else if (!answer.body.empty()) {
+            message.content_length(answer.body.size());
+        }
+        http::response_serializer<http::string_body> serializer{message};
         m_sent = true;
         m_complete = true;
         m_stream.expires_after(m_limits.writeTimeout);
         beast::error_code error;
-        co_await http::async_write(m_stream, message, asio::redirect_error(asio::use_awaitable, error));
+        if (m_hasBody) {
+            co_await http::async_write(m_stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+        } else {
+            co_await http::async_write_header(m_stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+        }
         co_return finish(error);
     }
 
@@ -199,7 +215,7 @@
 
     asio::awaitable<bool> write(std::string data) override
     {
-        if (data.empty()) {
+        if (data.empty() || !m_hasBody) {
             co_return !isClosed();
         }
         m_stream.expires_after(m_limits.writeTimeout);
@@ -214,7 +230,7 @@
 
     asio::awaitable<bool> endStream() override
     {
-        if (m_framing == body_framing::ConnectionClose) {
+        if (m_framing == body_framing::ConnectionClose || !m_hasBody) {
             m_complete = !isClosed();
             setResetOnClose(!m_complete);
             co_return m_complete;
@@ -296,7 +312,8 @@
 
     beast::tcp_stream &m_stream;
     const http_limits &m_limits;
-    bool m_knowsChunks; ///< Whether the peer speaks HTTP/1.1.
+    bool m_knowsChunks;
+    bool m_hasBody;
     bool m_keepAlive;
     const bool &m_draining;
     std::shared_ptr<close_watch> m_watch;
@@ -574,14 +591,15 @@
     asio::awaitable<void> sendRefusal(beast::tcp_stream &stream, unsigned status, std::string reason)
     {
         auto watch = std::make_shared<close_watch>();
-        responder out(stream, m_limits, kFirstVersionWithChunks, false, m_draining, watch);
+        responder out(stream, m_limits, {}, m_draining, watch);
         co_await out.send(m_badRequest(status, reason));
     }
 
     asio::awaitable<bool> answer(beast::tcp_stream &stream, http::request<http::string_body> message, const std::string &remoteAddress, bool mayKeepAlive)
     {
         auto watch = std::make_shared<close_watch>();
-        responder out(stream, m_limits, message.version(), mayKeepAlive && message.keep_alive(), m_draining, watch);
+        const response_traits traits{message.version() >= kFirstVersionWithChunks, message.method() != http::verb::head, mayKeepAlive && message.keep_alive()};
+        responder out(stream, m_limits, traits, m_draining, watch);
         asio::co_spawn(m_context, watchForClose(stream.socket(), watch), asio::detached);
         co_await m_handler(makeRequest(std::move(message), remoteAddress), out);
         watch->active = false;
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -114,6 +114,20 @@
     EXPECT_EQ(callUpstream({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"}).answer->framing, net::body_framing::Chunks);
 }
 
+// Regression test: the response to a HEAD request counted as broken off, since its length announces a body that never comes.
+TEST(HttpClient, ResponseToHeadIsCompleteWithoutABody)
+{
+    for (const char *response :
+         {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n"}) {
+        http_call call;
+        call.method = "HEAD";
+        const http_result result = callUpstream({response}, std::move(call));
+        ASSERT_TRUE(result.answer) << response << result.failure.reason;
+        EXPECT_EQ(result.answer->status, 200U);
+        EXPECT_EQ(result.answer->body, "");
+    }
+}
+
 TEST(HttpClient, BytesAfterTheResponseAreIgnored)
 {
     const http_result result = callUpstream({"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n", false, false});
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -137,3 +137,48 @@
     context.stop();
     thread.join();
 }
+
+// Regression test: a body after the response to HEAD is taken for the beginning of the next response.
+TEST(HttpServer, ResponseToHeadHasNoBody)
+{
+    asio::io_context context;
+    const auto handler = [](net::http_request request, net::http_responder &out) -> asio::awaitable<void> {
+        net::http_answer answer;
+        answer.body = request.target == "/empty" ? "" : "whole";
+        if (request.target != "/stream") {
+            co_await out.send(std::move(answer));
+            co_return;
+        }
+        co_await out.beginStream(std::move(answer));
+        std::string piece = "piece";
+        co_await out.write(std::move(piece));
+        co_await out.endStream();
+    };
+    const auto refuse = [](unsigned status, std::string_view why) { return net::http_answer{status, std::string(why), "text/plain", {}}; };
+    last_reason reason;
+    auto server = net::http_server::make(context, {asio::ip::make_address("127.0.0.1"), 0}, {}, handler, refuse, &reason);
+    ASSERT_TRUE(server) << reason.text();
+    std::thread thread([&context] { context.run(); });
+    asio::io_context own;
+    asio::ip::tcp::socket socket(own);
+    socket.connect(server->endpoint());
+    asio::write(socket,
+                asio::buffer(std::string_view("HEAD /whole HTTP/1.1\r\n\r\nHEAD /empty HTTP/1.1\r\n\r\nHEAD /stream HTTP/1.1\r\n\r\n"
+                                              "GET /whole HTTP/1.1\r\nConnection: close\r\n\r\n")));
+    std::string answers;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(answers), error);
+    std::size_t heads = 0;
+    std::size_t at = 0;
+    while ((at = answers.find("HTTP/1.1 200 OK\r\n", at)) != std::string::npos) {
+        EXPECT_TRUE(at == 0 || answers.substr(0, at).ends_with("\r\n\r\n")) << answers;
+        ++heads;
+        ++at;
+    }
+    EXPECT_EQ(heads, 4U) << answers;
+    EXPECT_NE(answers.find("Content-Length: 5\r\n"), std::string::npos) << answers;
+    EXPECT_EQ(answers.find("Content-Length: 0\r\n"), std::string::npos) << "the length of an unknown body";
+    EXPECT_TRUE(answers.ends_with("\r\n\r\nwhole")) << answers;
+    context.stop();
+    thread.join();
+}
