--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -62,7 +62,8 @@
     std::chrono::milliseconds progressTimeout{5'000};
     /// Timeout of the whole call, however much progress it makes; none when zero.
     std::chrono::milliseconds totalTimeout{0};
-    std::shared_ptr<body_memory> bodyMemory; ///< Shared limit for the collected body; none when null. Held until the call ends.
+    /// Shared limit for the collected body; none when null. Held until the call ends. A growing body counts twice while it moves.
+    std::shared_ptr<body_memory> bodyMemory;
     std::size_t maxAnswerBytes = std::size_t{16} * 1024 * 1024; ///< Maximum size of the response body, even when a hook receives it.
 };
 
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -14,9 +14,46 @@
 using namespace heatherroute;
 namespace asio = boost::asio;
 
+namespace
+{
+
+/// A server that runs on a thread of its own and refuses with plain text.
+class threaded_server
+{
+public:
+    threaded_server(const net::http_limits &limits, net::http_handler handler)
+    {
+        const auto refuse = [](unsigned status, std::string_view why) { return net::http_answer{status, std::string(why), "text/plain", {}}; };
+        last_reason reason;
+        m_server = net::http_server::make(m_context, {asio::ip::make_address("127.0.0.1"), 0}, limits, std::move(handler), refuse, &reason);
+        EXPECT_TRUE(m_server) << reason.text();
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+
+    ~threaded_server()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    threaded_server(const threaded_server &) = delete;
+    threaded_server &operator=(const threaded_server &) = delete;
+
+    asio::ip::tcp::endpoint endpoint() const
+    {
+        return m_server->endpoint();
+    }
+
+private:
+    asio::io_context m_context;
+    std::unique_ptr<net::http_server> m_server;
+    std::thread m_thread;
+};
+
+} // namespace
+
 TEST(HttpServer, ConnectionsOverTheLimitGet503AndOthersAreServed)
 {
-    asio::io_context context;
     net::http_limits limits;
     limits.maxConnections = 2;
     const auto handler = [](net::http_request request, net::http_responder &out) -> asio::awaitable<void> {
@@ -24,12 +61,7 @@
         answer.body = request.target;
         co_await out.send(std::move(answer));
     };
-    const auto refuse = [](unsigned status, std::string_view why) { return net::http_answer{status, std::string(why), "text/plain", {}}; };
-    last_reason reason;
-    auto server = net::http_server::make(context, {asio::ip::make_address("127.0.0.1"), 0}, limits, handler, refuse, &reason);
-    ASSERT_TRUE(server) << reason.text();
-    const auto endpoint = server->endpoint();
-    std::thread thread([&context] { context.run(); });
+    const threaded_server server(limits, handler);
     asio::io_context own;
     const auto sendRequest = [](asio::ip::tcp::socket &socket) {
         asio::write(socket, asio::buffer(std::string_view("GET /x HTTP/1.1\r\n\r\n")));
@@ -38,12 +70,12 @@
     };
     std::array<asio::ip::tcp::socket, 2> served{asio::ip::tcp::socket(own), asio::ip::tcp::socket(own)};
     for (auto &socket : served) {
-        socket.connect(endpoint);
+        socket.connect(server.endpoint());
         EXPECT_TRUE(sendRequest(socket).starts_with("HTTP/1.1 200"));
     }
     for (int i = 0; i < 100; ++i) {
         asio::ip::tcp::socket extra(own);
-        extra.connect(endpoint);
+        extra.connect(server.endpoint());
         std::string answer;
         boost::system::error_code error;
         asio::read(extra, asio::dynamic_buffer(answer), error);
@@ -52,22 +84,15 @@
     for (auto &socket : served) {
         EXPECT_TRUE(sendRequest(socket).starts_with("HTTP/1.1 200"));
     }
-    context.stop();
-    thread.join();
 }
 
 TEST(HttpServer, EndlessLineInAChunkedBodyEndsTheConnection)
 {
-    asio::io_context context;
     const auto handler = [](net::http_request, net::http_responder &out) -> asio::awaitable<void> { co_await out.send({}); };
-    const auto refuse = [](unsigned status, std::string_view why) { return net::http_answer{status, std::string(why), "text/plain", {}}; };
-    last_reason reason;
-    auto server = net::http_server::make(context, {asio::ip::make_address("127.0.0.1"), 0}, {}, handler, refuse, &reason);
-    ASSERT_TRUE(server) << reason.text();
-    std::thread thread([&context] { context.run(); });
+    const threaded_server server({}, handler);
     asio::io_context own;
     asio::ip::tcp::socket socket(own);
-    socket.connect(server->endpoint());
+    socket.connect(server.endpoint());
     asio::write(socket, asio::buffer(std::string_view("POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;")));
     constexpr std::size_t kMaxAcceptedBytes = std::size_t{16} * 1024 * 1024; // Generous for the kernel's buffers.
     const std::string block(std::size_t{64} * 1024, 'x');
@@ -77,8 +102,6 @@
         sent += asio::write(socket, asio::buffer(block), error);
     }
     EXPECT_LT(sent, kMaxAcceptedBytes);
-    context.stop();
-    thread.join();
 }
 
 TEST(HttpServer, TargetsAreNormalizedAndAmbiguousOnesRejected)
@@ -93,7 +116,6 @@
 // Regression test: a client that speaks HTTP/1.0 doesn't know chunks, and expects a connection that is kept open to be announced.
 TEST(HttpServer, ClientByOldVersionGetsNoChunksAndIsToldWhenItsConnectionIsKept)
 {
-    asio::io_context context;
     const auto handler = [](net::http_request request, net::http_responder &out) -> asio::awaitable<void> {
         net::http_answer answer;
         if (request.target == "/plain") {
@@ -110,15 +132,11 @@
             co_await out.endStream();
         }
     };
-    const auto refuse = [](unsigned status, std::string_view why) { return net::http_answer{status, std::string(why), "text/plain", {}}; };
-    last_reason reason;
-    auto server = net::http_server::make(context, {asio::ip::make_address("127.0.0.1"), 0}, {}, handler, refuse, &reason);
-    ASSERT_TRUE(server) << reason.text();
-    std::thread thread([&context] { context.run(); });
+    const threaded_server server({}, handler);
     asio::io_context own;
     const auto call = [&](std::string_view request, std::string &answer) {
         asio::ip::tcp::socket socket(own);
-        socket.connect(server->endpoint());
+        socket.connect(server.endpoint());
         asio::write(socket, asio::buffer(request));
         boost::system::error_code error;
         asio::read(socket, asio::dynamic_buffer(answer), error);
@@ -134,14 +152,11 @@
     EXPECT_EQ(call("GET /plain HTTP/1.0\r\nConnection: keep-alive\r\n\r\nGET /plain HTTP/1.0\r\n\r\n", kept), asio::error::eof);
     EXPECT_NE(kept.find("Connection: keep-alive\r\n"), std::string::npos) << kept;
     EXPECT_NE(kept.find("Connection: close\r\n"), std::string::npos) << kept;
-    context.stop();
-    thread.join();
 }
 
 // Regression test: a body after the response to HEAD is taken for the beginning of the next response.
 TEST(HttpServer, ResponseToHeadHasNoBody)
 {
-    asio::io_context context;
     const auto handler = [](net::http_request request, net::http_responder &out) -> asio::awaitable<void> {
         net::http_answer answer;
         answer.body = request.target == "/empty" ? "" : "whole";
@@ -154,14 +169,10 @@
         co_await out.write(std::move(piece));
         co_await out.endStream();
     };
-    const auto refuse = [](unsigned status, std::string_view why) { return net::http_answer{status, std::string(why), "text/plain", {}}; };
-    last_reason reason;
-    auto server = net::http_server::make(context, {asio::ip::make_address("127.0.0.1"), 0}, {}, handler, refuse, &reason);
-    ASSERT_TRUE(server) << reason.text();
-    std::thread thread([&context] { context.run(); });
+    const threaded_server server({}, handler);
     asio::io_context own;
     asio::ip::tcp::socket socket(own);
-    socket.connect(server->endpoint());
+    socket.connect(server.endpoint());
     asio::write(socket,
                 asio::buffer(std::string_view("HEAD /whole HTTP/1.1\r\n\r\nHEAD /empty HTTP/1.1\r\n\r\nHEAD /stream HTTP/1.1\r\n\r\n"
                                               "GET /whole HTTP/1.1\r\nConnection: close\r\n\r\n")));
@@ -179,6 +190,4 @@
     EXPECT_NE(answers.find("Content-Length: 5\r\n"), std::string::npos) << answers;
     EXPECT_EQ(answers.find("Content-Length: 0\r\n"), std::string::npos) << "the length of an unknown body";
     EXPECT_TRUE(answers.ends_with("\r\n\r\nwhole")) << answers;
-    context.stop();
-    thread.join();
 }
--- a/tests/process_framing_test.cpp
+++ b/tests/process_framing_test.cpp
@@ -22,13 +22,6 @@
 
 constexpr milliseconds kRequestDeadline{3'000};
 
-void setFaultsOfAll(relay_site &site, const standins::upstream_faults &faults)
-{
-    for (const auto &upstream : site.upstreams()) {
-        upstream->setFaults(faults);
-    }
-}
-
 /// What a caller that speaks HTTP/1.0 received.
 struct old_caller_result
 {
--- a/tests/process_relay_test.cpp
+++ b/tests/process_relay_test.cpp
@@ -22,13 +22,6 @@
 
 constexpr milliseconds kRequestDeadline{3'000};
 
-void setFaultsOfAll(relay_site &site, const standins::upstream_faults &faults)
-{
-    for (const auto &upstream : site.upstreams()) {
-        upstream->setFaults(faults);
-    }
-}
-
 /// Sends a request and expects a complete and successful answer.
 asio::awaitable<caller_result> expectSuccess(relay_site &site, std::size_t entry, std::string path)
 {
--- a/tests/support/site_run.h
+++ b/tests/support/site_run.h
@@ -44,6 +44,14 @@
     EXPECT_TRUE(ended);
 }
 
+/// Sets the fault switches of all upstreams.
+inline void setFaultsOfAll(relay_site &site, const standins::upstream_faults &faults)
+{
+    for (const auto &upstream : site.upstreams()) {
+        upstream->setFaults(faults);
+    }
+}
+
 /// Waits for @p time on the executor of the calling coroutine.
 inline boost::asio::awaitable<void> pauseFor(std::chrono::milliseconds time)
 {
