Soak and site tests: concurrent processes use different port ranges

A port is chosen before the entry binds it, and a site of another process could take it in between.

Change: a process that runs sites claims one of eight port ranges by a lock on a file.

--- a/tests/support/relay_site.cpp
+++ b/tests/support/relay_site.cpp
@@ -4,6 +4,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
 #include <filesystem>
 #include <fstream>
 #include <random>
@@ -26,13 +31,32 @@
 
 constexpr const char *kHost = "site.example";
 
+/// Claims one of a few port ranges for this process, which holds it until it ends. Without a free one, the first is shared.
+std::uint16_t claimPortRange(std::uint16_t ranges)
+{
+    const std::filesystem::path folder = std::filesystem::temp_directory_path();
+    for (std::uint16_t range = 0; range < ranges; ++range) {
+        const std::string name = (folder / ("relay-site-ports-" + std::to_string(range))).string();
+        // The lock is released by the kernel, and not inherited by the entries.
+        const int file = ::open(name.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, S_IRUSR | S_IWUSR);
+        if (file >= 0 && ::flock(file, LOCK_EX | LOCK_NB) == 0) {
+            return range;
+        }
+        ::close(file);
+    }
+    return 0;
+}
+
 /// Returns a port that is currently free. It is below the kernel's ephemeral port range, because an outgoing connection could otherwise
-/// take it before the entry binds it.
+/// take it before the entry binds it, and in a range of this process, because another site could.
 std::uint16_t freePort(asio::io_context &context, std::mt19937 &random)
 {
-    constexpr std::uint16_t kMinPort = 12'000;
-    constexpr std::uint16_t kMaxPort = 30'000;
-    std::uniform_int_distribution<std::uint16_t> ports(kMinPort, kMaxPort);
+    constexpr std::uint16_t kFirstPort = 12'000;
+    constexpr std::uint16_t kPortsPerRange = 2'500;
+    constexpr std::uint16_t kRanges = 8;
+    static const std::uint16_t range = claimPortRange(kRanges);
+    const auto first = static_cast<std::uint16_t>(kFirstPort + range * kPortsPerRange);
+    std::uniform_int_distribution<std::uint16_t> ports(first, first + kPortsPerRange - 1);
     while (true) {
         const std::uint16_t port = ports(random);
         boost::system::error_code error;
