Stand-in upstreams: long heads of several fields, and no trace of an exchange that throws

Beast throws at a field of 64 KiB and more, so the head of 2 MB was never sent, and the exchange left its entry behind.

The head has fields of 60,000 bytes, and the entry goes with the exchange. The new test checks that the heads arrive.

--- a/tests/process_framing_test.cpp
+++ b/tests/process_framing_test.cpp
@@ -167,3 +167,22 @@
         EXPECT_TRUE(killed.wasReset) << killed.bytes;
     });
 }
+
+// Regression test: the stand-in threw at one field of this size, and its next crash used what the exchange had left behind.
+TEST(ProcessFraming, LongHeadsAreNoAnswersAndUpstreamsThatSendThemMayCrash)
+{
+    runOnSite({}, [](relay_site &site) -> asio::awaitable<void> {
+        standins::upstream_faults faults;
+        faults.longHeads = true;
+        setFaultsOfAll(site, faults);
+        for (const char *path : {kLookupPath, kBookingPath, kStreamPath}) {
+            const caller_result result = co_await site.call(0, path, kRequestDeadline);
+            EXPECT_GE(result.status, 500U) << path;
+            EXPECT_EQ(result.fault, "") << path;
+        }
+        EXPECT_NE(site.logOf(0).find("header limit"), std::string::npos) << "the heads did not arrive";
+        for (const auto &upstream : site.upstreams()) {
+            upstream->crash();
+        }
+    });
+}
--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -20,6 +20,7 @@
 
 constexpr milliseconds kReportInterval{300};
 constexpr std::size_t kLongHeadBytes = std::size_t{2} * 1024 * 1024;
+constexpr std::size_t kLongFieldBytes = 60'000; ///< Beast throws at fields of 64 KiB and more.
 
 std::uint64_t unixMilliseconds()
 {
@@ -198,9 +199,11 @@
         co_return;
     }
     recordArrival(request);
+    const auto remove = [this](http_responder *open) { m_open.erase(open); };
     m_open.insert(&responder);
+    // Also removes it when the exchange ends by an exception.
+    const std::unique_ptr<http_responder, decltype(remove)> open(&responder, remove);
     co_await dispatch(request, responder);
-    m_open.erase(&responder);
 }
 
 asio::awaitable<void> site_upstream::dispatch(const http_request &request, http_responder &responder)
@@ -215,7 +218,9 @@
     } else if (m_faults.longHeads) {
         recordRun(request);
         answer = makeAnswer(request, 200);
-        answer.fields.push_back({"X-Field", std::string(kLongHeadBytes, 'x')});
+        for (std::size_t bytes = 0; bytes < kLongHeadBytes; bytes += kLongFieldBytes) {
+            answer.fields.push_back({"X-Field", std::string(kLongFieldBytes, 'x')});
+        }
         co_await responder.send(std::move(answer));
         co_return;
     } else if (m_faults.endlessAnswers) {
