Stand-in upstreams: a prefill with an endless or a long answer is no execution

The stand-in counted the prefill as an execution, which it isn't: only the prompt is computed. The audit stays as it is.

--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -186,6 +186,9 @@
 
 void site_upstream::recordRun(const http_request &request)
 {
+    if (request.header("X-Stage") == "prefill") {
+        return; // Only the prompt is computed.
+    }
     m_log.runs[std::string(request.header("X-Attempt-Id"))] += 1;
     if (m_drainedAt) {
         m_runsAfterDrain.insert(std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - *m_drainedAt));
