Stand-in upstreams: an exchange that is destroyed after its upstream leaves it alone

The address of the fault is in the set of open exchanges of a stand-in; valgrind shows the same read of freed memory on that build. The exchange of the killed entry was still open, and the context destroys its coroutine after the upstream.

The entry goes by a catch, which a destroyed coroutine doesn't run. Valgrind is clean, six runs of ProcessFraming at the same time pass.

--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -202,11 +202,15 @@
         co_return;
     }
     recordArrival(request);
-    const auto remove = [this](http_responder *open) { m_open.erase(open); };
     m_open.insert(&responder);
-    // Also removes it when the exchange ends by an exception.
-    const std::unique_ptr<http_responder, decltype(remove)> open(&responder, remove);
-    co_await dispatch(request, responder);
+    // Not by a destructor: the coroutine may be destroyed after this upstream.
+    try {
+        co_await dispatch(request, responder);
+    } catch (...) {
+        m_open.erase(&responder);
+        throw;
+    }
+    m_open.erase(&responder);
 }
 
 asio::awaitable<void> site_upstream::dispatch(const http_request &request, http_responder &responder)
