Test: lookups that crash all four upstreams, from all entries at once

The test plays it without their bench: callers at all of 12 entries at the same time, upstreams that take 4 s to restart.

--- a/tests/process_poison_test.cpp
+++ b/tests/process_poison_test.cpp
@@ -103,6 +103,37 @@
     return std::string(info.param).substr(1, std::string(info.param).find('/', 1) - 1);
 });
 
+// Load pattern: callers send the request to all entries at the same time; each of four upstreams crashes under it and takes some seconds to restart.
+TEST(ProcessPoisonAllEntries, LookupThatCrashesAllFourUpstreamsReachesFewOfThemAfterTheThird)
+{
+    relay_site_settings settings = poisonSite();
+    settings.entries = 12;
+    settings.services = 4;
+    settings.upstreamDownTime = seconds(4);
+    runOnSite(settings, [](relay_site &site) -> asio::awaitable<void> {
+        std::size_t callers = site.entryCount();
+        for (std::size_t entry = 0; entry < site.entryCount(); ++entry) {
+            const auto caller = [&, entry]() -> asio::awaitable<void> {
+                const auto until = std::chrono::steady_clock::now() + seconds(20);
+                while (std::chrono::steady_clock::now() < until) {
+                    static_cast<void>(co_await site.call(entry, kPoisonPaths[0], kRequestDeadline));
+                    co_await pauseFor(milliseconds(150));
+                }
+                --callers;
+            };
+            asio::co_spawn(co_await asio::this_coro::executor, caller, asio::detached);
+        }
+        while (callers > 0) {
+            co_await pauseFor(milliseconds(20));
+        }
+        const auto &crashes = site.upstreamLog().crashes;
+        EXPECT_GE(crashes.size(), kMaxCrashes);
+        if (crashes.size() >= kMaxCrashes) {
+            EXPECT_LE(arrivalsAfter(site, crashes[kMaxCrashes - 1].at + kLearningTime), kMaxFurtherArrivals) << crashes.size() << " crashes";
+        }
+    });
+}
+
 TEST(ProcessPoisonRestart, RestartedEntryLearnsOfQuarantinedRequestsFromTheOthers)
 {
     runOnSite(poisonSite(), [](relay_site &site) -> asio::awaitable<void> {
--- a/tests/support/relay_site.cpp
+++ b/tests/support/relay_site.cpp
@@ -157,6 +157,7 @@
     settings.id = "i-" + service + phase + std::to_string(m_upstreams.size());
     settings.service = service;
     settings.phase = phase;
+    settings.downTime = m_settings.upstreamDownTime;
     auto upstream = standins::site_upstream::make(m_context, std::move(settings), *m_store, m_log, reason);
     if (!upstream) {
         return false;
--- a/tests/support/relay_site.h
+++ b/tests/support/relay_site.h
@@ -29,6 +29,7 @@
     std::size_t prefillEngines = 1;
     std::size_t decodeEngines = 2;
     std::size_t services = 2;
+    std::chrono::milliseconds upstreamDownTime{1'200}; ///< Time from the crash of an upstream until its restart.
     double stopGraceS = 8; ///< The entries' relay.stop_grace_s: time from the stop signal until the process must have ended.
     std::uint64_t storeEra = 0; ///< The era that the store sends at first; 0 for a store that sends none.
     bool discardStandardError = true; ///< Discards the standard error of the entries. Their log goes to standard output and is always kept.
