--- a/include/heatherroute/crash_gossip.h
+++ b/include/heatherroute/crash_gossip.h
@@ -23,6 +23,72 @@
 
 /// Returns messages with @p reports, as few as possible. Thread safe.
 std::vector<crash_reports> makeMessages(const std::vector<crash_report> &reports);
+std::vector<open_attempts> makeMessages(const std::vector<open_attempt> &reports);
+
+namespace detail
+{
+
+inline bool isSameSubject(const crash_report &a, const crash_report &b)
+{
+    return a.fingerprint == b.fingerprint && a.instance == b.instance && a.cleared == b.cleared;
+}
+
+inline bool isSameSubject(const open_attempt &a, const open_attempt &b)
+{
+    return a.fingerprint == b.fingerprint && a.instance == b.instance;
+}
+
+/// Reports that are sent at once and a few times more. Not thread safe.
+template<typename Report>
+class resend_queue
+{
+public:
+    explicit resend_queue(const crash_gossip_settings &settings)
+        : m_settings(settings)
+    { }
+
+    /// Adds a report in place of an earlier one on the same subject. Its age is as of @p now.
+    void add(instant now, const Report &report)
+    {
+        std::erase_if(m_queue, [&report](const queued_report &queued) { return isSameSubject(queued.report, report); });
+        if (m_queue.size() >= m_settings.maxQueued) {
+            m_queue.pop_front();
+        }
+        m_queue.push_back({report, now, now});
+    }
+
+    /// Returns the reports to send now, with their ages as of @p now.
+    std::vector<Report> due(instant now)
+    {
+        while (!m_queue.empty() && now - m_queue.front().addedAt > m_settings.resendFor) {
+            m_queue.pop_front();
+        }
+        std::vector<Report> result;
+        for (queued_report &queued : m_queue) {
+            if (now < queued.nextAt) {
+                continue;
+            }
+            queued.nextAt = now + m_settings.interval;
+            Report report = queued.report;
+            report.ageMs += static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - queued.addedAt).count());
+            result.push_back(std::move(report));
+        }
+        return result;
+    }
+
+private:
+    struct queued_report
+    {
+        Report report;
+        instant addedAt{};
+        instant nextAt{};
+    };
+
+    crash_gossip_settings m_settings;
+    std::deque<queued_report> m_queue; ///< In order of addition.
+};
+
+} // namespace detail
 
 /**
  * Decides which crash reports to send to the other entries, and when.
@@ -37,21 +103,15 @@
 
     /// Adds a report of this entry. Its age is as of @p now.
     void add(instant now, const crash_report &report);
+    void add(instant now, const open_attempt &report);
     /// Returns the messages to send to all other entries now, with the ages as of @p now; empty when none is due.
-    std::vector<crash_reports> dueMessages(instant now);
+    std::vector<crash_message> dueMessages(instant now);
 
 private:
-    struct queued_report
-    {
-        crash_report report;
-        instant addedAt{};
-        instant nextAt{};
-    };
-
     explicit crash_gossip(const crash_gossip_settings &settings);
 
-    crash_gossip_settings m_settings;
-    std::deque<queued_report> m_queue; ///< In order of addition.
+    detail::resend_queue<crash_report> m_reports;
+    detail::resend_queue<open_attempt> m_openAttempts;
 };
 
 } // namespace heatherroute
--- a/include/heatherroute/crash_report.h
+++ b/include/heatherroute/crash_report.h
@@ -4,7 +4,9 @@
 
 #include <compare>
 #include <cstdint>
+#include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 /**
@@ -49,6 +51,50 @@
     }
 };
 
+/// An attempt at an upstream that has stopped responding. If the upstream turns out to have ended, the attempt was in flight in its crash.
+struct open_attempt
+{
+    std::uint64_t fingerprint = 0; ///< Of the request.
+    upstream_instance instance;
+    std::uint32_t ageMs = 0; ///< Time since the upstream was found silent.
+
+    auto operator<=>(const open_attempt &) const = default;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(fingerprint, instance.startedAt, ageMs);
+        serializeText(archive, instance.id, kMaxInstanceIdBytes);
+    }
+};
+
+/// What the entries have to remember about one request while they restart.
+struct crash_evidence
+{
+    std::vector<crash_report> crashes;
+    std::vector<open_attempt> open;
+
+    auto operator<=>(const crash_evidence &) const = default;
+
+    bool isEmpty() const noexcept
+    {
+        return crashes.empty() && open.empty();
+    }
+};
+
+/// Tells an observation from others, whatever its age.
+struct observation_key
+{
+    std::uint64_t fingerprint = 0;
+    upstream_instance instance;
+    bool isOpen = false;
+
+    auto operator<=>(const observation_key &) const = default;
+};
+
+/// Returns the keys of all of @p evidence. Thread safe.
+std::set<observation_key> keysOf(const crash_evidence &evidence);
+
 /// A message with some reports.
 struct crash_reports
 {
@@ -63,4 +109,21 @@
     }
 };
 
+/// A message with some open attempts.
+struct open_attempts
+{
+    std::vector<open_attempt> reports;
+
+    auto operator<=>(const open_attempts &) const = default;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        serializeList(archive, reports, kMaxCrashReportsPerMessage);
+    }
+};
+
+/// Any message about crashes.
+using crash_message = std::variant<crash_reports, open_attempts>;
+
 } // namespace heatherroute
--- a/include/heatherroute/peer_message.h
+++ b/include/heatherroute/peer_message.h
@@ -36,7 +36,8 @@
                                config_part,
                                store_update,
                                crash_reports,
-                               store_update_of_era>;
+                               store_update_of_era,
+                               open_attempts>;
 
 /// Sender and sequence number of a message.
 struct peer_header
--- a/include/heatherroute/request_quarantine.h
+++ b/include/heatherroute/request_quarantine.h
@@ -18,13 +18,13 @@
 struct quarantine_settings
 {
     std::uint32_t maxCrashes = 3; ///< Upstreams that may crash under a request before it is quarantined.
-    std::uint32_t recordedCrashes = 2; ///< Crashes from which on a suspect is recorded where a restart of all entries doesn't lose it.
+    std::uint32_t announcedCrashes = 2; ///< Crashes from which on attempts of a suspect are reported as they begin.
     duration pendingTime = std::chrono::seconds(10); ///< How long after an interruption the end of its upstream still explains it.
     duration retention = std::chrono::minutes(10); ///< How long a crash counts.
     /// Crashes of one upstream that are less than this apart are the same one, if its start isn't known.
     duration sameCrashWindow = std::chrono::seconds(5);
-    std::size_t maxCrashesKept = 512; ///< The oldest crash is forgotten beyond this number.
-    std::size_t maxSuspectsPerCrash = 256;
+    std::size_t maxCrashesKept = 256; ///< The oldest crash is forgotten beyond this number.
+    std::size_t maxSuspectsPerCrash = 128;
     std::size_t maxPending = 4096; ///< Interruptions that wait for an explanation.
 
     auto operator<=>(const quarantine_settings &) const = default;
@@ -62,6 +62,14 @@
     /// Records that @p instance ended an attempt of the request without a complete answer, though it may have run it. Returns the
     /// report for the other entries if the instance is known to have crashed; otherwise the interruption stays pending.
     std::optional<crash_report> noteInterrupted(instant now, const upstream_instance &instance, std::uint64_t fingerprint);
+    /// Records that @p instance is silent, so that only the end of its registration will show a crash. Returns a report for each pending
+    /// interruption there, from which the other entries can conclude if this one restarts.
+    std::vector<open_attempt> noteSilent(instant now, const upstream_instance &instance);
+    /// Records that an attempt of the request begins at @p instance. Returns the report for the other entries if earlier attempts of it met
+    /// crashes or silent upstreams, so that this one should be known from the start.
+    std::optional<open_attempt> noteStarted(instant now, const upstream_instance &instance, std::uint64_t fingerprint);
+    /// Records that @p instance has answered an attempt of the request, so the attempt is no longer in flight.
+    void noteAnswered(const upstream_instance &instance, std::uint64_t fingerprint);
     /// Records that @p instance has crashed. Returns a report for each pending interruption that this explains.
     std::vector<crash_report> noteCrashed(instant now, const upstream_instance &instance);
     /// Records that a new instance of an upstream has started, so an earlier one of the same id has crashed. Returns as above.
@@ -72,24 +80,26 @@
     std::optional<crash_report> noteCompleted(instant now, std::uint64_t fingerprint);
     /// Processes a report of another entry.
     void onReport(instant now, const crash_report &report);
+    /// Processes a report of another entry on an attempt that it may forget.
+    void onOpenAttempt(instant now, const open_attempt &report);
+    /// Returns the upstreams with an open attempt.
+    std::vector<upstream_instance> silentInstances() const;
 
     /// Returns the requests whose quarantine has begun since the last call.
     std::vector<started_quarantine> takeStarted();
-    /// Returns the suspects whose known crashes are to be recorded, since this entry had them in flight in a crash and they have more
-    /// known crashes than at the last call.
-    std::vector<std::uint64_t> takeToRecord();
-    /// Makes takeToRecord() return all of them again, since their records were lost.
-    void forgetRecords();
-    /// Whether some entry may have recorded crashes of the request.
-    bool mayBeRecorded(std::uint64_t fingerprint) const;
+    /// Returns what this entry has observed itself, the newest first and at most @p limit reports, to be recorded where a restart doesn't lose
+    /// it.
+    crash_evidence observations(instant now, std::size_t limit) const;
+    /// Takes over what this entry had recorded before it restarted.
+    void restore(instant now, const crash_evidence &recorded);
     /// Returns for how much longer the request must not be sent to an upstream; zero if it may be.
     duration quarantinedFor(instant now, std::uint64_t fingerprint);
     /// Returns the number of known crashes with the request in flight.
     std::uint32_t crashesOf(std::uint64_t fingerprint) const;
     /// Returns the reports on all suspects of the newest crashes, at most @p limit, for an entry that has missed them.
     std::vector<crash_report> suspectReports(instant now, std::size_t limit) const;
-    /// Returns the reports on one request.
-    std::vector<crash_report> reportsOn(instant now, std::uint64_t fingerprint) const;
+    /// Returns the open attempts, for an entry that has missed them.
+    std::vector<open_attempt> openAttempts(instant now) const;
     /// Returns the number of quarantined requests.
     std::size_t size() const noexcept
     {
@@ -102,21 +112,26 @@
         instant at{};
         upstream_instance instance;
         std::uint64_t fingerprint = 0;
+        bool observedHere = true;
+        bool isOpen = false; ///< The upstream was silent, and the other entries know of the attempt.
     };
     struct known_crash
     {
         instant at{};
         upstream_instance instance;
-        std::set<std::uint64_t> suspects;
+        std::map<std::uint64_t, bool> suspects; ///< Fingerprints; true for requests that this entry had in flight.
     };
 
     explicit request_quarantine(const quarantine_settings &settings);
     void expire(instant now);
+    void addPending(const pending_interruption &interruption);
+    bool isAnnounced(std::uint64_t fingerprint) const;
+    bool isPending(const upstream_instance &instance, std::uint64_t fingerprint) const;
+    std::size_t openCount(std::uint64_t fingerprint) const;
     known_crash *findCrash(instant at, const upstream_instance &instance);
-    crash_report addSuspect(instant now, instant at, const upstream_instance &instance, std::uint64_t fingerprint);
+    crash_report addSuspect(instant now, const pending_interruption &interruption);
     template<typename Matches>
     std::vector<crash_report> explainPending(instant now, Matches matches);
-    crash_report addObserved(instant now, const pending_interruption &interruption);
     void forgetCrash(std::size_t index);
     void removeSuspect(known_crash &crash, std::uint64_t fingerprint);
     void clear(instant at, std::uint64_t fingerprint);
@@ -133,8 +148,6 @@
     std::map<upstream_instance, instant> m_crashedInstances; ///< Crashes of the last moments, also those without a suspect.
     std::map<std::uint64_t, instant> m_clearedAt; ///< Crashes up to this time don't count against the request.
     std::map<std::uint64_t, instant> m_quarantined; ///< The time at which the quarantine lapses, by request.
-    std::map<std::uint64_t, instant> m_observedHere; ///< Requests that this entry had in flight in a crash, with the time of the last one.
-    std::map<std::uint64_t, std::uint32_t> m_recorded; ///< Number of crashes that takeToRecord() has returned, by request.
     std::set<std::uint64_t> m_taken; ///< Requests whose quarantine takeStarted() has returned.
 };
 
--- a/src/core/crash_gossip.cpp
+++ b/src/core/crash_gossip.cpp
@@ -1,12 +1,18 @@
 #include "heatherroute/crash_gossip.h"
 
+#include <utility>
+
 namespace heatherroute
 {
 
-std::vector<crash_reports> makeMessages(const std::vector<crash_report> &reports)
+namespace
 {
-    std::vector<crash_reports> messages;
-    for (const crash_report &report : reports) {
+
+template<typename Message, typename Report>
+std::vector<Message> packed(const std::vector<Report> &reports)
+{
+    std::vector<Message> messages;
+    for (const Report &report : reports) {
         if (messages.empty() || messages.back().reports.size() == kMaxCrashReportsPerMessage) {
             messages.emplace_back();
         }
@@ -15,42 +21,48 @@
     return messages;
 }
 
+} // namespace
+
+std::vector<crash_reports> makeMessages(const std::vector<crash_report> &reports)
+{
+    return packed<crash_reports>(reports);
+}
+
+std::vector<open_attempts> makeMessages(const std::vector<open_attempt> &reports)
+{
+    return packed<open_attempts>(reports);
+}
+
 crash_gossip crash_gossip::make(const crash_gossip_settings &settings)
 {
     return crash_gossip(settings);
 }
 
 crash_gossip::crash_gossip(const crash_gossip_settings &settings)
-    : m_settings(settings)
+    : m_reports(settings)
+    , m_openAttempts(settings)
 { }
 
 void crash_gossip::add(instant now, const crash_report &report)
 {
-    std::erase_if(m_queue, [&report](const queued_report &queued) {
-        return queued.report.fingerprint == report.fingerprint && queued.report.instance == report.instance && queued.report.cleared == report.cleared;
-    });
-    if (m_queue.size() >= m_settings.maxQueued) {
-        m_queue.pop_front();
-    }
-    m_queue.push_back({report, now, now});
+    m_reports.add(now, report);
 }
 
-std::vector<crash_reports> crash_gossip::dueMessages(instant now)
+void crash_gossip::add(instant now, const open_attempt &report)
 {
-    while (!m_queue.empty() && now - m_queue.front().addedAt > m_settings.resendFor) {
-        m_queue.pop_front();
+    m_openAttempts.add(now, report);
+}
+
+std::vector<crash_message> crash_gossip::dueMessages(instant now)
+{
+    std::vector<crash_message> messages;
+    for (crash_reports &message : makeMessages(m_reports.due(now))) {
+        messages.emplace_back(std::move(message));
     }
-    std::vector<crash_report> due;
-    for (queued_report &queued : m_queue) {
-        if (now < queued.nextAt) {
-            continue;
-        }
-        queued.nextAt = now + m_settings.interval;
-        crash_report report = queued.report;
-        report.ageMs += static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - queued.addedAt).count());
-        due.push_back(std::move(report));
+    for (open_attempts &message : makeMessages(m_openAttempts.due(now))) {
+        messages.emplace_back(std::move(message));
     }
-    return makeMessages(due);
+    return messages;
 }
 
 } // namespace heatherroute
--- a/src/core/crash_handler.cpp
+++ b/src/core/crash_handler.cpp
@@ -63,6 +63,10 @@
             m_quarantine.onReport(m_context.now(), report);
         }
         logStarted();
+    } else if (const auto *open = std::get_if<open_attempts>(&event.body)) {
+        for (const open_attempt &report : open->reports) {
+            m_quarantine.onOpenAttempt(m_context.now(), report);
+        }
     }
 }
 
@@ -85,9 +89,9 @@
 
 void crash_handler::onTick()
 {
-    for (const crash_reports &message : m_gossip.dueMessages(m_context.now())) {
+    for (const crash_message &message : m_gossip.dueMessages(m_context.now())) {
         for (const auto &[id, address] : m_addresses) {
-            m_context.emit(send_to_peer{address, message, false});
+            m_context.emit(send_to_peer{address, std::visit([](const auto &body) { return peer_body(body); }, message), false});
         }
     }
 }
--- a/src/core/request_quarantine.cpp
+++ b/src/core/request_quarantine.cpp
@@ -15,6 +15,18 @@
 
 } // namespace
 
+std::set<observation_key> keysOf(const crash_evidence &evidence)
+{
+    std::set<observation_key> keys;
+    for (const crash_report &report : evidence.crashes) {
+        keys.insert({report.fingerprint, report.instance, false});
+    }
+    for (const open_attempt &open : evidence.open) {
+        keys.insert({open.fingerprint, open.instance, true});
+    }
+    return keys;
+}
+
 request_quarantine request_quarantine::make(const quarantine_settings &settings)
 {
     return request_quarantine(settings);
@@ -30,15 +42,71 @@
     const auto crashed = m_crashedInstances.find(instance);
     // If its start isn't known, an interruption long after the crash belongs to the next instance.
     if (crashed != m_crashedInstances.end() && (instance.startedAt != 0 || now - crashed->second < m_settings.sameCrashWindow)) {
-        crash_report report = addObserved(now, {now, instance, fingerprint});
+        crash_report report = addSuspect(now, {now, instance, fingerprint});
         updateQuarantine();
         return report;
     }
+    addPending({now, instance, fingerprint});
+    return std::nullopt;
+}
+
+std::vector<open_attempt> request_quarantine::noteSilent(instant now, const upstream_instance &instance)
+{
+    expire(now);
+    std::vector<open_attempt> reports;
+    for (pending_interruption &interruption : m_pending) {
+        if (interruption.instance == instance && !interruption.isOpen) {
+            interruption.isOpen = true;
+            reports.push_back({interruption.fingerprint, instance, millisecondsBetween(interruption.at, now)});
+        }
+    }
+    return reports;
+}
+
+std::optional<open_attempt> request_quarantine::noteStarted(instant now, const upstream_instance &instance, std::uint64_t fingerprint)
+{
+    expire(now);
+    if (!isAnnounced(fingerprint) || m_crashedInstances.contains(instance) || isPending(instance, fingerprint)) {
+        return std::nullopt;
+    }
+    addPending({now, instance, fingerprint, true, true});
+    return open_attempt{fingerprint, instance, 0};
+}
+
+void request_quarantine::noteAnswered(const upstream_instance &instance, std::uint64_t fingerprint)
+{
+    std::erase_if(m_pending, [&](const pending_interruption &known) { return known.instance == instance && known.fingerprint == fingerprint; });
+}
+
+bool request_quarantine::isPending(const upstream_instance &instance, std::uint64_t fingerprint) const
+{
+    return std::any_of(
+        m_pending.begin(), m_pending.end(), [&](const pending_interruption &known) { return known.instance == instance && known.fingerprint == fingerprint; });
+}
+
+/// Adds an interruption in the order of time. An earlier one of the same attempt is replaced, but stays open if it was.
+void request_quarantine::addPending(const pending_interruption &interruption)
+{
+    pending_interruption added = interruption;
+    std::erase_if(m_pending, [&added](const pending_interruption &known) {
+        const bool isSame = known.instance == added.instance && known.fingerprint == added.fingerprint;
+        added.isOpen = added.isOpen || (isSame && known.isOpen);
+        added.observedHere = added.observedHere || (isSame && known.observedHere);
+        return isSame;
+    });
     if (m_pending.size() >= m_settings.maxPending) {
         m_pending.pop_front();
     }
-    m_pending.push_back({now, instance, fingerprint});
-    return std::nullopt;
+    const auto later =
+        std::upper_bound(m_pending.begin(), m_pending.end(), added.at, [](instant at, const pending_interruption &known) { return at < known.at; });
+    m_pending.insert(later, added);
+}
+
+std::size_t request_quarantine::openCount(std::uint64_t fingerprint) const
+{
+    return static_cast<std::size_t>(std::count_if(m_pending.begin(), m_pending.end(), [fingerprint](const pending_interruption &interruption) {
+        return interruption.isOpen && interruption.fingerprint == fingerprint;
+    }));
 }
 
 std::vector<crash_report> request_quarantine::noteCrashed(instant now, const upstream_instance &instance)
@@ -60,7 +128,7 @@
     std::vector<crash_report> reports;
     for (const pending_interruption &interruption : m_pending) {
         if (matches(interruption.instance)) {
-            reports.push_back(addObserved(now, interruption));
+            reports.push_back(addSuspect(now, interruption));
         }
     }
     std::erase_if(m_pending, [&matches](const pending_interruption &interruption) { return matches(interruption.instance); });
@@ -70,12 +138,6 @@
     return reports;
 }
 
-crash_report request_quarantine::addObserved(instant now, const pending_interruption &interruption)
-{
-    m_observedHere[interruption.fingerprint] = now;
-    return addSuspect(now, interruption.at, interruption.instance, interruption.fingerprint);
-}
-
 void request_quarantine::noteAlive(instant aliveAt, const upstream_instance &instance)
 {
     std::erase_if(m_pending, [&](const pending_interruption &interruption) { return interruption.instance == instance && interruption.at <= aliveAt; });
@@ -83,8 +145,9 @@
 
 std::optional<crash_report> request_quarantine::noteCompleted(instant now, std::uint64_t fingerprint)
 {
+    const bool isSuspect = crashesOf(fingerprint) > 0 || openCount(fingerprint) > 0;
     std::erase_if(m_pending, [fingerprint](const pending_interruption &interruption) { return interruption.fingerprint == fingerprint; });
-    if (crashesOf(fingerprint) == 0) {
+    if (!isSuspect) {
         return std::nullopt;
     }
     clear(now, fingerprint);
@@ -98,49 +161,104 @@
     if (report.cleared) {
         clear(at, report.fingerprint);
     } else if (now - at <= m_settings.retention) {
-        addSuspect(now, at, report.instance, report.fingerprint);
+        addSuspect(now, {at, report.instance, report.fingerprint, false});
         updateQuarantine();
     }
 }
 
+void request_quarantine::onOpenAttempt(instant now, const open_attempt &report)
+{
+    expire(now);
+    const instant at = now - std::chrono::milliseconds(report.ageMs);
+    const auto cleared = m_clearedAt.find(report.fingerprint);
+    const bool isCleared = cleared != m_clearedAt.end() && at <= cleared->second;
+    const crash_report inCrash{report.fingerprint, report.instance, report.ageMs, false};
+    if (isCleared || now - at > m_settings.retention) {
+        return;
+    }
+    if (m_crashedInstances.contains(report.instance)) {
+        // The sender may restart before it comes to the same conclusion.
+        onReport(now, inCrash);
+    } else {
+        addPending({at, report.instance, report.fingerprint, false, true});
+    }
+}
+
+std::vector<upstream_instance> request_quarantine::silentInstances() const
+{
+    std::set<upstream_instance> instances;
+    for (const pending_interruption &interruption : m_pending) {
+        if (interruption.isOpen) {
+            instances.insert(interruption.instance);
+        }
+    }
+    return {instances.begin(), instances.end()};
+}
+
+std::vector<open_attempt> request_quarantine::openAttempts(instant now) const
+{
+    std::vector<open_attempt> reports;
+    for (const pending_interruption &interruption : m_pending) {
+        if (interruption.isOpen) {
+            reports.push_back({interruption.fingerprint, interruption.instance, millisecondsBetween(interruption.at, now)});
+        }
+    }
+    return reports;
+}
+
 std::vector<started_quarantine> request_quarantine::takeStarted()
 {
     std::erase_if(m_taken, [this](std::uint64_t fingerprint) { return !m_quarantined.contains(fingerprint); });
     std::vector<started_quarantine> started;
     for (const auto &[fingerprint, lapsesAt] : m_quarantined) {
         if (m_taken.insert(fingerprint).second) {
-            started.push_back({fingerprint, m_observedHere.contains(fingerprint)});
+            const bool observedHere = std::any_of(m_crashes.begin(), m_crashes.end(), [fingerprint = fingerprint](const known_crash &crash) {
+                const auto suspect = crash.suspects.find(fingerprint);
+                return suspect != crash.suspects.end() && suspect->second;
+            });
+            started.push_back({fingerprint, observedHere});
         }
     }
     return started;
 }
 
-std::vector<std::uint64_t> request_quarantine::takeToRecord()
+crash_evidence request_quarantine::observations(instant now, std::size_t limit) const
 {
-    std::erase_if(m_recorded, [this](const auto &entry) { return crashesOf(entry.first) == 0; });
-    std::vector<std::uint64_t> result;
-    for (const auto &[fingerprint, lastAt] : m_observedHere) {
-        const std::uint32_t count = crashesOf(fingerprint);
-        if (count < m_settings.recordedCrashes) {
-            continue;
+    crash_evidence observed;
+    for (const pending_interruption &interruption : m_pending) {
+        if (interruption.isOpen && interruption.observedHere && observed.open.size() < limit) {
+            observed.open.push_back({interruption.fingerprint, interruption.instance, millisecondsBetween(interruption.at, now)});
         }
-        std::uint32_t &recorded = m_recorded[fingerprint];
-        if (count > recorded) {
-            result.push_back(fingerprint);
+    }
+    std::vector<const known_crash *> newestFirst = crashesByTime();
+    std::reverse(newestFirst.begin(), newestFirst.end());
+    for (const known_crash *crash : newestFirst) {
+        for (const auto &[fingerprint, observedHere] : crash->suspects) {
+            if (observedHere && observed.open.size() + observed.crashes.size() < limit) {
+                observed.crashes.push_back({fingerprint, crash->instance, millisecondsBetween(crash->at, now), false});
+            }
         }
-        recorded = count;
     }
-    return result;
+    return observed;
 }
 
-void request_quarantine::forgetRecords()
+void request_quarantine::restore(instant now, const crash_evidence &recorded)
 {
-    m_recorded.clear();
+    expire(now);
+    for (const crash_report &report : recorded.crashes) {
+        if (std::chrono::milliseconds(report.ageMs) <= m_settings.retention) {
+            addSuspect(now, {now - std::chrono::milliseconds(report.ageMs), report.instance, report.fingerprint});
+        }
+    }
+    for (const open_attempt &open : recorded.open) {
+        addPending({now - std::chrono::milliseconds(open.ageMs), open.instance, open.fingerprint, true, true});
+    }
+    updateQuarantine();
 }
 
-bool request_quarantine::mayBeRecorded(std::uint64_t fingerprint) const
+bool request_quarantine::isAnnounced(std::uint64_t fingerprint) const
 {
-    return crashesOf(fingerprint) >= m_settings.recordedCrashes;
+    return crashesOf(fingerprint) >= m_settings.announcedCrashes || openCount(fingerprint) > 0;
 }
 
 duration request_quarantine::quarantinedFor(instant now, std::uint64_t fingerprint)
@@ -165,7 +283,7 @@
     std::reverse(newestFirst.begin(), newestFirst.end());
     std::vector<crash_report> reports;
     for (const known_crash *crash : newestFirst) {
-        for (const std::uint64_t fingerprint : crash->suspects) {
+        for (const auto &[fingerprint, observedHere] : crash->suspects) {
             if (reports.size() == limit) {
                 return reports;
             }
@@ -175,17 +293,6 @@
     return reports;
 }
 
-std::vector<crash_report> request_quarantine::reportsOn(instant now, std::uint64_t fingerprint) const
-{
-    std::vector<crash_report> reports;
-    for (const known_crash &crash : m_crashes) {
-        if (crash.suspects.contains(fingerprint)) {
-            reports.push_back({fingerprint, crash.instance, millisecondsBetween(crash.at, now), false});
-        }
-    }
-    return reports;
-}
-
 std::vector<const request_quarantine::known_crash *> request_quarantine::crashesByTime() const
 {
     std::vector<const known_crash *> ordered;
@@ -205,22 +312,27 @@
     return found == m_crashes.end() ? nullptr : &*found;
 }
 
-crash_report request_quarantine::addSuspect(instant now, instant at, const upstream_instance &instance, std::uint64_t fingerprint)
+crash_report request_quarantine::addSuspect(instant now, const pending_interruption &interruption)
 {
-    crash_report report{fingerprint, instance, millisecondsBetween(at, now), false};
+    const std::uint64_t fingerprint = interruption.fingerprint;
+    crash_report report{fingerprint, interruption.instance, millisecondsBetween(interruption.at, now), false};
     const auto cleared = m_clearedAt.find(fingerprint);
-    if (cleared != m_clearedAt.end() && at <= cleared->second) {
+    if (cleared != m_clearedAt.end() && interruption.at <= cleared->second) {
         return report;
     }
-    known_crash *crash = findCrash(at, instance);
+    known_crash *crash = findCrash(interruption.at, interruption.instance);
     if (crash == nullptr) {
         if (m_crashes.size() >= m_settings.maxCrashesKept) {
             const auto oldest = std::min_element(m_crashes.begin(), m_crashes.end(), [](const known_crash &a, const known_crash &b) { return a.at < b.at; });
             forgetCrash(static_cast<std::size_t>(oldest - m_crashes.begin()));
         }
-        crash = &m_crashes.emplace_back(known_crash{at, instance, {}});
+        crash = &m_crashes.emplace_back(known_crash{interruption.at, interruption.instance, {}});
     }
-    if (crash->suspects.size() < m_settings.maxSuspectsPerCrash && crash->suspects.insert(fingerprint).second) {
+    const auto known = crash->suspects.find(fingerprint);
+    if (known != crash->suspects.end()) {
+        known->second = known->second || interruption.observedHere;
+    } else if (crash->suspects.size() < m_settings.maxSuspectsPerCrash) {
+        crash->suspects.emplace(fingerprint, interruption.observedHere);
         ++m_crashCounts[fingerprint];
     }
     return report;
@@ -239,7 +351,7 @@
 {
     known_crash &crash = m_crashes[index];
     while (!crash.suspects.empty()) {
-        removeSuspect(crash, *crash.suspects.begin());
+        removeSuspect(crash, crash.suspects.begin()->first);
     }
     m_crashes.erase(m_crashes.begin() + static_cast<std::ptrdiff_t>(index));
 }
@@ -248,6 +360,7 @@
 {
     instant &clearedAt = m_clearedAt.try_emplace(fingerprint, at).first->second;
     clearedAt = std::max(clearedAt, at);
+    std::erase_if(m_pending, [&](const pending_interruption &interruption) { return interruption.fingerprint == fingerprint && interruption.at <= at; });
     for (known_crash &crash : m_crashes) {
         if (crash.at <= at && crash.suspects.contains(fingerprint)) {
             removeSuspect(crash, fingerprint);
@@ -262,7 +375,6 @@
         m_pending.pop_front();
     }
     std::erase_if(m_crashedInstances, [&](const auto &entry) { return now - entry.second > m_settings.pendingTime; });
-    std::erase_if(m_observedHere, [&](const auto &entry) { return now - entry.second > m_settings.retention; });
     std::erase_if(m_clearedAt, [&](const auto &entry) { return now - entry.second > m_settings.retention; });
     bool forgot = false;
     for (std::size_t index = m_crashes.size(); index > 0; --index) {
@@ -290,7 +402,7 @@
     std::set<const known_crash *> explained;
     for (const known_crash *crash : crashesByTime()) {
         std::map<std::size_t, std::vector<std::uint64_t>, std::greater<>> byCount;
-        for (const std::uint64_t fingerprint : crash->suspects) {
+        for (const auto &[fingerprint, observedHere] : crash->suspects) {
             if (isCandidate(fingerprint)) {
                 std::vector<const known_crash *> &crashes = crashesOfRequest[fingerprint];
                 crashes.push_back(crash);
--- a/src/node/crash_monitor.cpp
+++ b/src/node/crash_monitor.cpp
@@ -16,8 +16,15 @@
 {
 
 constexpr std::size_t kMaxIntroducedReports = 256;
+constexpr std::size_t kMaxRecordedReports = 512;
+/// Between two records of this entry, since many requests may be interrupted and answered one after the other.
+constexpr std::chrono::seconds kRecordInterval{1};
 /// Allows for several round trips between availability zones.
 constexpr std::chrono::milliseconds kCheckTimeout{150};
+/// How long an upstream may send nothing for an attempt before it is checked.
+constexpr std::chrono::milliseconds kStallTime{400};
+/// Between two checks of an upstream that sends nothing, since each opens a connection.
+constexpr std::chrono::seconds kSilenceCheckInterval{2};
 
 upstream_instance instanceOf(const registration &run)
 {
@@ -33,21 +40,103 @@
     , m_gossip(crash_gossip::make({}))
 { }
 
-void crash_monitor::noteAttempt(const registration &run, std::uint64_t fingerprint, const net::http_result &result)
+std::uint64_t crash_monitor::beginAttempt(const registration &run, std::uint64_t fingerprint)
 {
+    m_attempts.emplace(++m_lastAttempt, running_attempt{run, fingerprint, coreNow()});
+    if (const auto report = m_quarantine.noteStarted(coreNow(), instanceOf(run), fingerprint)) {
+        m_gossip.add(coreNow(), *report);
+    }
+    return m_lastAttempt;
+}
+
+void crash_monitor::noteProgress(std::uint64_t attempt)
+{
+    if (const auto found = m_attempts.find(attempt); found != m_attempts.end()) {
+        found->second.lastProgress = coreNow();
+    }
+}
+
+void crash_monitor::endAttempt(std::uint64_t attempt, const net::http_result &result, bool endedHere)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    const running_attempt ended = found->second;
+    m_attempts.erase(found);
+    const upstream_instance instance = instanceOf(ended.run);
     if (result.answer || result.failure.outcome == verdict::NotRun) {
+        m_quarantine.noteAnswered(instance, ended.fingerprint);
         return;
     }
-    const upstream_instance instance = instanceOf(run);
-    if (const auto report = m_quarantine.noteInterrupted(coreNow(), instance, fingerprint)) {
+    if (endedHere) {
+        return;
+    }
+    if (const auto report = m_quarantine.noteInterrupted(coreNow(), instance, ended.fingerprint)) {
         publish({*report});
-    } else if (!result.timedOut) {
-        if (m_checking.insert(instance).second) {
-            asio::co_spawn(m_executor, checkDetached(run), asio::detached);
-        } else {
-            m_interruptedMeanwhile.insert(instance);
+    } else if (result.timedOut) {
+        checkIfDue(ended.run);
+    } else if (m_checking.insert(instance).second) {
+        asio::co_spawn(m_executor, checkDetached(ended.run), asio::detached);
+    } else {
+        m_interruptedMeanwhile.insert(instance);
+    }
+}
+
+void crash_monitor::advance()
+{
+    const instant now = coreNow();
+    std::erase_if(m_silenceChecks, [now](const auto &check) { return now - check.second > kSilenceCheckInterval; });
+    for (const auto &[number, attempt] : m_attempts) {
+        if (now - attempt.lastProgress >= kStallTime) {
+            checkIfDue(attempt.run);
+        }
+    }
+    for (const upstream_instance &instance : m_quarantine.silentInstances()) {
+        if (m_hooks.isGone(instance)) {
+            interruptStalled(instance);
+            publish(m_quarantine.noteCrashed(now, instance));
+        }
+    }
+    recordObservations();
+}
+
+void crash_monitor::recordObservations()
+{
+    const instant now = coreNow();
+    if (now - m_recordedAt < kRecordInterval) {
+        return;
+    }
+    crash_evidence evidence = m_quarantine.observations(now, kMaxRecordedReports);
+    if (std::set<observation_key> keys = keysOf(evidence); keys != m_recorded) {
+        m_recorded = std::move(keys);
+        m_recordedAt = now;
+        m_hooks.record(std::move(evidence));
+    }
+}
+
+void crash_monitor::checkIfDue(const registration &run)
+{
+    const upstream_instance instance = instanceOf(run);
+    if (!m_checking.contains(instance) && m_silenceChecks.emplace(instance, coreNow()).second) {
+        m_checking.insert(instance);
+        asio::co_spawn(m_executor, checkDetached(run), asio::detached);
+    }
+}
+
+void crash_monitor::interruptStalled(const upstream_instance &instance)
+{
+    const instant now = coreNow();
+    std::vector<crash_report> reports;
+    for (const auto &[number, attempt] : m_attempts) {
+        if (instanceOf(attempt.run) == instance && now - attempt.lastProgress >= kStallTime) {
+            const auto report = m_quarantine.noteInterrupted(now, instance, attempt.fingerprint);
+            if (report) {
+                reports.push_back(*report);
+            }
         }
     }
+    publish(reports);
 }
 
 void crash_monitor::noteRefused(const registration &run)
@@ -57,12 +146,8 @@
 
 void crash_monitor::noteCompleted(std::uint64_t fingerprint)
 {
-    const bool mayBeRecorded = m_quarantine.mayBeRecorded(fingerprint);
     if (const auto report = m_quarantine.noteCompleted(coreNow(), fingerprint)) {
         m_gossip.add(coreNow(), *report);
-        if (mayBeRecorded) {
-            m_hooks.record(fingerprint, {});
-        }
     }
 }
 
@@ -75,28 +160,51 @@
     }
 }
 
-void crash_monitor::onReports(const crash_reports &message)
+void crash_monitor::onMessage(const crash_message &message)
 {
-    for (const crash_report &report : message.reports) {
-        m_quarantine.onReport(coreNow(), report);
+    if (const auto *crashes = std::get_if<crash_reports>(&message)) {
+        for (const crash_report &report : crashes->reports) {
+            m_quarantine.onReport(coreNow(), report);
+        }
+    } else {
+        for (const open_attempt &report : std::get<open_attempts>(message).reports) {
+            m_quarantine.onOpenAttempt(coreNow(), report);
+        }
     }
     announceChanges();
 }
 
+void crash_monitor::onRecord(const crash_evidence &evidence, bool isOwn)
+{
+    if (isOwn) {
+        m_quarantine.restore(coreNow(), evidence);
+        announceChanges();
+    } else {
+        onMessage(crash_reports{evidence.crashes});
+        onMessage(open_attempts{evidence.open});
+    }
+}
+
 void crash_monitor::recordAgain()
 {
-    m_quarantine.forgetRecords();
-    announceChanges();
+    m_recorded.clear();
 }
 
-std::vector<crash_reports> crash_monitor::dueMessages()
+std::vector<crash_message> crash_monitor::dueMessages()
 {
     return m_gossip.dueMessages(coreNow());
 }
 
-std::vector<crash_reports> crash_monitor::introduction() const
+std::vector<crash_message> crash_monitor::introduction() const
 {
-    return makeMessages(m_quarantine.suspectReports(coreNow(), kMaxIntroducedReports));
+    std::vector<crash_message> messages;
+    for (crash_reports &message : makeMessages(m_quarantine.suspectReports(coreNow(), kMaxIntroducedReports))) {
+        messages.emplace_back(std::move(message));
+    }
+    for (open_attempts &message : makeMessages(m_quarantine.openAttempts(coreNow()))) {
+        messages.emplace_back(std::move(message));
+    }
+    return messages;
 }
 
 duration crash_monitor::quarantinedFor(std::uint64_t fingerprint)
@@ -131,8 +239,15 @@
     const net::port_state state = co_await net::checkPort(*endpoint, kCheckTimeout);
     if (state == net::port_state::Open) {
         m_quarantine.noteAlive(startedAt, instanceOf(run));
-    } else if (state == net::port_state::Refused) {
-        noteRefused(run);
+    } else {
+        interruptStalled(instanceOf(run));
+        if (state == net::port_state::Refused) {
+            noteRefused(run);
+        } else {
+            for (const open_attempt &report : m_quarantine.noteSilent(coreNow(), instanceOf(run))) {
+                m_gossip.add(coreNow(), report);
+            }
+        }
     }
     m_hooks.log(log_level::Info, "interrupting_upstream_checked", {upstreamField(run.id), {"port", toString(state)}});
 }
@@ -162,9 +277,6 @@
                      {"observed_here", started.observedHere ? "true" : "false"},
                      {"for_ms", std::to_string(left.count())}});
     }
-    for (const std::uint64_t fingerprint : m_quarantine.takeToRecord()) {
-        m_hooks.record(fingerprint, m_quarantine.reportsOn(coreNow(), fingerprint));
-    }
 }
 
 } // namespace heatherroute::node
--- a/src/node/crash_monitor.h
+++ b/src/node/crash_monitor.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <set>
 #include <vector>
 
@@ -22,24 +23,33 @@
 struct crash_monitor_hooks
 {
     std::function<void(log_level, std::string event, std::vector<log_field>)> log;
-    /// Called when crashes under a request are to be recorded, with all reports on it; without reports when an upstream has answered the
-    /// request, so that its record is to be deleted.
-    std::function<void(std::uint64_t fingerprint, std::vector<crash_report>)> record;
+    /// Called with all that this entry has observed when that is to be recorded; without evidence when its record is to be deleted.
+    std::function<void(crash_evidence)> record;
+    /// Whether the registration of an upstream has ended.
+    std::function<bool(const upstream_instance &)> isGone;
 };
 
 /**
  * Finds out which upstreams crashed with which requests in flight, and quarantines requests with the other entries.
  *
- * An upstream whose connection ends early is checked by a connection to its port, at most one at a time for each instance; the
- * registry's changes show the other crashes. Belongs to the relay's thread and must outlive the coroutines on its executor.
+ * An upstream whose connection ends early, or that sends nothing for a while, is checked by a connection to its port, at most one at a time
+ * for each instance; the registry's changes show the other crashes. Attempts at upstreams that don't answer this check are reported to the
+ * other entries and recorded, since this entry may restart before their crash shows. Belongs to the relay's thread and must outlive the coroutines on its
+ * executor.
  */
 class crash_monitor
 {
 public:
     crash_monitor(boost::asio::any_io_executor executor, crash_monitor_hooks hooks);
 
-    /// Records how an attempt that passed the request on to @p run ended, unless the caller or this entry ended it.
-    void noteAttempt(const registration &run, std::uint64_t fingerprint, const net::http_result &result);
+    /// Records that an attempt passes the request on to @p run, and returns the attempt's number.
+    std::uint64_t beginAttempt(const registration &run, std::uint64_t fingerprint);
+    /// Records that the upstream has sent something for an attempt.
+    void noteProgress(std::uint64_t attempt);
+    /// Records how an attempt ended. @p endedHere: the caller or this entry ended it, which says nothing about the upstream.
+    void endAttempt(std::uint64_t attempt, const net::http_result &result, bool endedHere);
+    /// Checks upstreams that have sent nothing for a while, and looks for the end of those that were silent. To be called regularly.
+    void advance();
     /// Records that @p run refused a connection.
     void noteRefused(const registration &run);
     /// Records that an upstream answered the request completely.
@@ -47,13 +57,15 @@
     /// Processes a change of the registry.
     void onUpstreamChange(const registration &run, upstream_change change);
     /// Processes the reports of another entry.
-    void onReports(const crash_reports &message);
-    /// Records all crashes again, since their records were lost.
+    void onMessage(const crash_message &message);
+    /// Processes a record in the store, @p isOwn if it is of this entry before it restarted.
+    void onRecord(const crash_evidence &evidence, bool isOwn);
+    /// Records all observations again, since their record was lost.
     void recordAgain();
     /// Returns the messages to send to all other entries now.
-    std::vector<crash_reports> dueMessages();
+    std::vector<crash_message> dueMessages();
     /// Returns the messages that tell an entry about the suspects that it doesn't know.
-    std::vector<crash_reports> introduction() const;
+    std::vector<crash_message> introduction() const;
 
     /// Returns for how much longer the request must not be sent to an upstream; zero if it may be.
     duration quarantinedFor(std::uint64_t fingerprint);
@@ -61,16 +73,33 @@
     boost::asio::awaitable<void> checkBeforeRetry(registration run, std::uint64_t fingerprint);
 
 private:
+    /// An attempt in progress.
+    struct running_attempt
+    {
+        registration run;
+        std::uint64_t fingerprint = 0;
+        instant lastProgress{};
+    };
+
+    void checkIfDue(const registration &run);
+    /// Adds the attempts in progress at @p instance to the interruptions that its crash would explain.
+    void interruptStalled(const upstream_instance &instance);
     boost::asio::awaitable<void> check(registration run);
     boost::asio::awaitable<void> checkDetached(registration run);
     void publish(const std::vector<crash_report> &reports);
-    /// Logs the quarantines that have begun, and has crashes recorded.
+    /// Logs the quarantines that have begun.
     void announceChanges();
+    void recordObservations();
 
     boost::asio::any_io_executor m_executor;
     crash_monitor_hooks m_hooks;
     request_quarantine m_quarantine;
     crash_gossip m_gossip;
+    std::map<std::uint64_t, running_attempt> m_attempts; ///< By number.
+    std::uint64_t m_lastAttempt = 0;
+    std::map<upstream_instance, instant> m_silenceChecks; ///< When an upstream was last checked because it sent nothing.
+    std::set<observation_key> m_recorded; ///< What the record of this entry holds.
+    instant m_recordedAt{};
     std::set<upstream_instance> m_checking;
     std::set<upstream_instance> m_interruptedMeanwhile; ///< Interrupted a request since the check in progress began.
 };
--- a/src/node/member_duty.cpp
+++ b/src/node/member_duty.cpp
@@ -41,6 +41,10 @@
                 forwardToRelay(crash_reports_received{std::move(*reports)});
                 return;
             }
+            if (auto *open = std::get_if<open_attempts>(&message.body)) {
+                forwardToRelay(crash_reports_received{std::move(*open)});
+                return;
+            }
             processEvent(membership_received{from, std::move(message.header.sender), std::move(message.body)});
         };
         m_transport = net::peer_transport::make(m_context, m_settings.transport, std::move(hooks), reason);
@@ -77,10 +81,11 @@
                 broadcast(broadcastEvent->update);
             }
         } else if (auto *crashEvent = std::get_if<crash_reports_to_send>(&event)) {
+            const peer_body body = std::visit([](const auto &message) { return peer_body(message); }, crashEvent->message);
             if (crashEvent->peerAddress) {
-                m_transport->sendDatagram(*crashEvent->peerAddress, crashEvent->reports);
+                m_transport->sendDatagram(*crashEvent->peerAddress, body);
             } else {
-                broadcast(crashEvent->reports);
+                broadcast(body);
             }
         } else {
             processEvent(membership_leave{});
--- a/src/node/plain_relay.cpp
+++ b/src/node/plain_relay.cpp
@@ -113,6 +113,7 @@
             call.progressTimeout = std::chrono::duration_cast<std::chrono::milliseconds>(*limit);
         }
         const instant sentAt = coreNow();
+        m_call.beginAttempt(run);
         m_state.inFlight[run.id] += 1;
         http_result result = co_await m_call.perform(std::move(call));
         if (--m_state.inFlight[run.id] == 0) {
@@ -124,7 +125,7 @@
     attempt_result evaluate(const registration &run, http_result result, duration took)
     {
         const instant now = coreNow();
-        m_call.noteAttempt(run, result);
+        m_call.endAttempt(result);
         if (!result.answer) {
             if (!m_call.isEnded()) {
                 m_state.noteFailedCall(run, result);
--- a/src/node/relay_call.cpp
+++ b/src/node/relay_call.cpp
@@ -172,12 +172,19 @@
     return {};
 }
 
-void relay_call::noteAttempt(const registration &run, const http_result &result) const
+void relay_call::beginAttempt(const registration &run)
 {
-    // A caller that leaves, or a stop of this entry, says nothing about the upstream.
-    if (!isCallerGone() && !m_shared->aborted) {
-        m_state.crashes.noteAttempt(run, m_fingerprint, result);
-    }
+    m_attempt = m_state.crashes.beginAttempt(run, m_fingerprint);
+}
+
+void relay_call::noteProgress()
+{
+    m_state.crashes.noteProgress(m_attempt);
+}
+
+void relay_call::endAttempt(const http_result &result)
+{
+    m_state.crashes.endAttempt(m_attempt, result, isCallerGone() || m_shared->aborted);
 }
 
 void relay_call::noteFailedAttempt(const registration &run, const std::string &stage, const std::string &reason, verdict execution) const
--- a/src/node/relay_call.h
+++ b/src/node/relay_call.h
@@ -108,8 +108,12 @@
     boost::asio::awaitable<void> forwardAnswer(net::http_answer answer);
     /// Returns why @p answer can't be the upstream's own answer to this request; empty when it is valid.
     std::string validateAnswer(const answer_facts &facts, const net::http_answer &answer) const;
-    /// Records how an attempt that passed the request on to @p run ended, as far as the upstream ended it.
-    void noteAttempt(const registration &run, const net::http_result &result) const;
+    /// Records that an attempt passes the request on to @p run. To be followed by perform() and endAttempt().
+    void beginAttempt(const registration &run);
+    /// Records that the upstream has sent something for the current attempt.
+    void noteProgress();
+    /// Records how the current attempt ended.
+    void endAttempt(const net::http_result &result);
     /// Logs a failed attempt at the upstream @p run in the given @p stage of the request.
     void noteFailedAttempt(const registration &run, const std::string &stage, const std::string &reason, verdict execution) const;
     /// Adds fields to the log line that finish() writes.
@@ -132,6 +136,7 @@
     net::http_request m_request;
     relay_request m_facts;
     std::uint64_t m_fingerprint;
+    std::uint64_t m_attempt = 0; ///< The number of the current attempt.
     net::http_responder &m_responder;
     std::shared_ptr<const route_table> m_routes; ///< Keeps the route valid when the configuration changes.
     const route *m_route = nullptr;
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -84,9 +84,7 @@
         , m_stopTimer(context)
     {
         m_state.writeLog = std::move(log);
-        m_state.recordCrashes = [this](std::uint64_t fingerprint, std::vector<crash_report> reports) {
-            post(m_toStore, store_event(crashes_to_record{fingerprint, std::move(reports)}));
-        };
+        m_state.recordCrashes = [this](crash_evidence evidence) { post(m_toStore, store_event(crashes_to_record{std::move(evidence)})); };
         m_state.entryName = m_settings.entryName;
     }
 
@@ -334,7 +332,12 @@
 
     void on(crash_reports_received &event)
     {
-        m_state.crashes.onReports(event.reports);
+        m_state.crashes.onMessage(event.message);
+    }
+
+    void on(recorded_crashes_read &event)
+    {
+        m_state.crashes.onRecord(event.evidence, event.isOwn);
     }
 
     /// Tells the other entries which upstreams leave. One that has started on an older list than this entry knows wouldn't learn it
@@ -361,7 +364,7 @@
             if (m_knownEntries.contains(other.id) || (m_rank >= kIntroducingEntries && !wasAlone)) {
                 continue;
             }
-            for (crash_reports &message : m_state.crashes.introduction()) {
+            for (crash_message &message : m_state.crashes.introduction()) {
                 post(m_toMembers, member_event(crash_reports_to_send{std::move(message), other.peerAddress}));
             }
         }
@@ -382,7 +385,7 @@
         for (store_update &message : m_state.gossip.dueMessages(now, m_state.routes ? m_state.routes->version() : 0)) {
             post(m_toMembers, member_event(store_update_broadcast{std::move(message), m_storeEra}));
         }
-        for (crash_reports &message : m_state.crashes.dueMessages()) {
+        for (crash_message &message : m_state.crashes.dueMessages()) {
             post(m_toMembers, member_event(crash_reports_to_send{std::move(message), std::nullopt}));
         }
     }
@@ -452,6 +455,7 @@
                 m_state.health.noteProbe(now, id, false);
             }
         }
+        m_state.crashes.advance();
         queryRefusingEngines(now);
         m_orders.advance(now);
         updateLeaseCandidacy();
--- a/src/node/relay_event.h
+++ b/src/node/relay_event.h
@@ -51,6 +51,13 @@
     std::uint64_t era = 0; ///< The era of the store that the sender has read; 0 when it knows none.
 };
 
+/// An entry's record of crashes was read from the store.
+struct recorded_crashes_read
+{
+    crash_evidence evidence;
+    bool isOwn = false; ///< Written by this entry before it restarted.
+};
+
 /// The store has come back from an older copy, or its era has become known.
 struct store_era_changed
 {
@@ -61,12 +68,19 @@
 /// Reports of crashes were received from another entry.
 struct crash_reports_received
 {
-    crash_reports reports;
+    crash_message message;
 };
 
 /// An event for the relay's thread from the other duties.
-using relay_event = std::
-    variant<routes_read, upstreams_reported, store_reachability, lease_term, members_changed, store_update_received, crash_reports_received, store_era_changed>;
+using relay_event = std::variant<routes_read,
+                                 upstreams_reported,
+                                 store_reachability,
+                                 lease_term,
+                                 members_changed,
+                                 store_update_received,
+                                 crash_reports_received,
+                                 recorded_crashes_read,
+                                 store_era_changed>;
 
 /// The peer addresses of entries that are recorded in the store.
 struct entry_addresses
@@ -94,7 +108,7 @@
 /// Reports of crashes to send to other entries.
 struct crash_reports_to_send
 {
-    crash_reports reports;
+    crash_message message;
     std::optional<std::string> peerAddress; ///< The only receiver; all other entries if empty.
 };
 
@@ -123,11 +137,10 @@
     std::uint64_t era = 0;
 };
 
-/// Crashes under a request that the entries must know even if all of them restart.
+/// What this entry has observed of crashes, which the entries must know even if all of them restart.
 struct crashes_to_record
 {
-    std::uint64_t fingerprint = 0;
-    std::vector<crash_report> reports; ///< All on that request. Without any, its record is deleted.
+    crash_evidence evidence; ///< All of it. Without any, the record of this entry is deleted.
 };
 
 /// The process is stopping. The store duty stops reading and releases the lease.
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -32,11 +32,16 @@
 {
     crash_monitor_hooks hooks;
     hooks.log = [this](log_level level, std::string event, std::vector<log_field> fields) { log(level, std::move(event), std::move(fields)); };
-    hooks.record = [this](std::uint64_t fingerprint, std::vector<crash_report> reports) {
+    hooks.record = [this](crash_evidence evidence) {
         if (recordCrashes) {
-            recordCrashes(fingerprint, std::move(reports));
+            recordCrashes(std::move(evidence));
         }
     };
+    hooks.isGone = [this](const upstream_instance &instance) {
+        const registration *run = registry.find(instance.id);
+        const bool isReplaced = run != nullptr && run->startedAt > instance.startedAt;
+        return isReplaced || (run == nullptr && registry.isComplete() && registry.isAuthoritative(coreNow()));
+    };
     return hooks;
 }
 
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -78,8 +78,8 @@
     relay_timing timing;
     retry_after_settings retryAfterSettings;
     std::function<void(log_line)> writeLog;
-    /// Records crashes under a request in the platform's store; deletes the record when there are none.
-    std::function<void(std::uint64_t fingerprint, std::vector<crash_report>)> recordCrashes;
+    /// Records what this entry has observed of crashes in the platform's store; deletes the record when there is nothing.
+    std::function<void(crash_evidence)> recordCrashes;
     std::shared_ptr<const route_table> routes; ///< Null before the first configuration.
     std::mt19937_64 random;
     store_gossip gossip;
--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -78,7 +78,7 @@
         } else if (const auto *newer = std::get_if<newer_era_seen>(&event)) {
             asio::co_spawn(m_context, onPeerEra(shared_from_this(), newer->era), asio::detached);
         } else if (const auto *crashes = std::get_if<crashes_to_record>(&event)) {
-            appendToEntries(makeQuarantineRecord(crashes->fingerprint, crashes->reports, unixMilliseconds()));
+            appendToEntries(makeQuarantineRecord(quarantineKeyOf(m_settings.entryName), crashes->evidence, unixMilliseconds()));
         } else {
             m_leaseWanted = false;
             m_stopping = true;
@@ -468,16 +468,21 @@
                 continue;
             }
             last_reason reason;
-            const auto reports = readQuarantineRecord(record, unixMilliseconds(), &reason);
-            if (!reports) {
+            const auto evidence = readQuarantineRecord(record, unixMilliseconds(), &reason);
+            if (!evidence) {
                 log(log_level::Warning, "quarantine_unreadable", {{"key", record.key}, {"reason", reason.text()}});
-            } else if (!isExpired(*reports, quarantine_settings{}.retention)) {
-                relay_event event = crash_reports_received{{*reports}};
-                co_await m_toRelay.push(std::move(event));
+            } else if (!isExpired(*evidence, quarantine_settings{}.retention)) {
+                // This entry's later records hold nothing that it doesn't know.
+                const bool isOwn = record.key == quarantineKeyOf(m_settings.entryName);
+                if (!isOwn || !m_ownRecordRead) {
+                    relay_event event = recorded_crashes_read{*evidence, isOwn};
+                    co_await m_toRelay.push(std::move(event));
+                }
             } else if (isSnapshot) {
                 appendToEntries({record.key, std::nullopt});
             }
         }
+        m_ownRecordRead = true;
     }
 
     static asio::awaitable<void> keepLease(std::shared_ptr<impl> self)
@@ -552,6 +557,7 @@
     bool m_configOutdated = false;
     std::map<store_stream, asio::steady_timer *> m_pausedReads; ///< Timers of the streams that wait between two reads.
     bool m_inLeaseGroup = false;
+    bool m_ownRecordRead = false; ///< The record of crashes that this entry wrote before it restarted, if there is one.
     bool m_published = false; ///< Whether the store holds this entry's address, as far as is known.
     store_era m_era = store_era::make();
     std::uint64_t m_configVersion = 0;
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -304,10 +304,11 @@
         call.totalTimeout = call.progressTimeout;
         const instant sentAt = coreNow();
         m_state.scheduler.addPrefill(run.id, m_prompt.promptTokens);
+        m_call.beginAttempt(run);
         http_result result = co_await m_call.perform(std::move(call));
         m_state.scheduler.removePrefill(run.id, m_prompt.promptTokens);
         const duration took = coreNow() - sentAt;
-        m_call.noteAttempt(run, result);
+        m_call.endAttempt(result);
         if (!result.answer) {
             if (!m_call.isEnded()) {
                 m_state.noteFailedCall(run, result);
@@ -354,6 +355,7 @@
         m_upstream = run.id;
         m_sentAt = coreNow();
         m_reservationSent = true;
+        m_call.beginAttempt(run);
         auto onHead = [this](const http_answer &head) { return beginStream(head); };
         auto onBody = [this](std::string_view piece) { return forwardPiece(piece); };
         http_result result = co_await m_call.perform(std::move(call), onHead, onBody);
@@ -384,6 +386,7 @@
             const duration computing = m_prefill ? duration::zero() : 2 * m_state.scheduler.computeTime(m_prompt.promptTokens);
             m_state.health.noteSuccess(*m_firstAt, m_upstream, *m_firstAt - m_sentAt, kExpectedFirstEventTime + computing);
         }
+        m_call.noteProgress();
         m_events.feed(piece);
         std::string data(piece);
         co_await m_call.responder().write(std::move(data));
@@ -396,7 +399,7 @@
         if (result.answer && !fault.empty()) {
             result = {std::nullopt, {verdict::Ran, std::string(fault)}};
         }
-        m_call.noteAttempt(run, result);
+        m_call.endAttempt(result);
         if (m_streaming) {
             const double memory = memoryTokensOf(run.service);
             if (memory > 0) {
--- a/src/relay/quarantine_record.cpp
+++ b/src/relay/quarantine_record.cpp
@@ -16,31 +16,78 @@
 {
 
 constexpr std::string_view kKeyPrefix = "quarantine.";
+constexpr std::string_view kEntryKeyPrefix = "quarantine.entry.";
 constexpr int kHexBase = 16;
-constexpr std::size_t kMaxCrashesRead = 64;
+constexpr std::size_t kMaxReportsRead = 1024;
 
-std::optional<std::uint64_t> fingerprintIn(const std::string &key)
+/// One request at one upstream.
+struct recorded_attempt
 {
     std::uint64_t fingerprint = 0;
-    const char *begin = key.data() + kKeyPrefix.size();
-    const char *end = key.data() + key.size();
-    const auto [rest, error] = std::from_chars(begin, end, fingerprint, kHexBase);
-    return error == std::errc{} && rest == end ? std::optional(fingerprint) : std::nullopt;
+    upstream_instance instance;
+    std::uint32_t ageMs = 0;
+};
+
+std::optional<std::uint64_t> parseHex(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [rest, error] = std::from_chars(text.data(), text.data() + text.size(), value, kHexBase);
+    return error == std::errc{} && rest == text.data() + text.size() ? std::optional(value) : std::nullopt;
 }
 
-std::optional<crash_report> reportIn(const json::value &value, std::uint64_t fingerprint, std::int64_t unixMs)
+std::optional<recorded_attempt> attemptIn(const json::value &value, std::int64_t unixMs)
 {
     const json::object *fields = value.if_object();
-    const json::value *instance = fields != nullptr ? fields->if_contains("instance") : nullptr;
-    const json::value *startedAt = fields != nullptr ? fields->if_contains("started_at") : nullptr;
-    const json::value *at = fields != nullptr ? fields->if_contains("at") : nullptr;
-    const bool isComplete = instance != nullptr && instance->is_string() && startedAt != nullptr && startedAt->is_int64() && at != nullptr && at->is_int64();
+    if (fields == nullptr) {
+        return std::nullopt;
+    }
+    const json::value *request = fields->if_contains("request");
+    const json::value *instance = fields->if_contains("instance");
+    const json::value *startedAt = fields->if_contains("started_at");
+    const json::value *at = fields->if_contains("at");
+    const bool isComplete = request != nullptr && request->is_string() && instance != nullptr && instance->is_string() && startedAt != nullptr
+                            && startedAt->is_int64() && at != nullptr && at->is_int64();
     if (!isComplete || instance->get_string().size() > kMaxInstanceIdBytes || startedAt->get_int64() < 0) {
         return std::nullopt;
     }
+    const auto fingerprint = parseHex(request->get_string());
+    if (!fingerprint) {
+        return std::nullopt;
+    }
     const std::int64_t age = std::clamp<std::int64_t>(unixMs - at->get_int64(), 0, std::numeric_limits<std::uint32_t>::max());
-    return crash_report{
-        fingerprint, {std::string(instance->get_string()), static_cast<std::uint64_t>(startedAt->get_int64())}, static_cast<std::uint32_t>(age), false};
+    return recorded_attempt{
+        *fingerprint, {std::string(instance->get_string()), static_cast<std::uint64_t>(startedAt->get_int64())}, static_cast<std::uint32_t>(age)};
+}
+
+/// Returns the attempts in the list @p name; empty when there is no such list, or one of its attempts is invalid.
+std::optional<std::vector<recorded_attempt>> attemptsIn(const json::object &object, std::string_view name, std::int64_t unixMs)
+{
+    const json::value *list = object.if_contains(name);
+    if (list == nullptr || !list->is_array() || list->get_array().size() > kMaxReportsRead) {
+        return std::nullopt;
+    }
+    std::vector<recorded_attempt> attempts;
+    for (const json::value &value : list->get_array()) {
+        auto attempt = attemptIn(value, unixMs);
+        if (!attempt) {
+            return std::nullopt;
+        }
+        attempts.push_back(std::move(*attempt));
+    }
+    return attempts;
+}
+
+template<typename Report>
+json::array toJson(const std::vector<Report> &reports, std::int64_t unixMs)
+{
+    json::array list;
+    for (const Report &report : reports) {
+        list.push_back(json::object{{"request", fingerprintText(report.fingerprint)},
+                                    {"instance", report.instance.id},
+                                    {"started_at", static_cast<std::int64_t>(report.instance.startedAt)},
+                                    {"at", unixMs - static_cast<std::int64_t>(report.ageMs)}});
+    }
+    return list;
 }
 
 } // namespace
@@ -50,47 +97,44 @@
     return key.starts_with(kKeyPrefix);
 }
 
-keyed_record makeQuarantineRecord(std::uint64_t fingerprint, const std::vector<crash_report> &reports, std::int64_t unixMs)
+std::string quarantineKeyOf(const std::string &entryName)
+{
+    return std::string(kEntryKeyPrefix) + entryName;
+}
+
+keyed_record makeQuarantineRecord(const std::string &key, const crash_evidence &evidence, std::int64_t unixMs)
 {
-    const std::string key = std::string(kKeyPrefix) + fingerprintText(fingerprint);
-    if (reports.empty()) {
+    if (evidence.isEmpty()) {
         return {key, std::nullopt};
     }
-    json::array crashes;
-    for (const crash_report &report : reports) {
-        crashes.push_back(json::object{{"instance", report.instance.id},
-                                       {"started_at", static_cast<std::int64_t>(report.instance.startedAt)},
-                                       {"at", unixMs - static_cast<std::int64_t>(report.ageMs)}});
-    }
-    return {key, json::serialize(json::object{{"crashes", std::move(crashes)}})};
+    return {key, json::serialize(json::object{{"crashes", toJson(evidence.crashes, unixMs)}, {"open", toJson(evidence.open, unixMs)}})};
 }
 
-std::optional<std::vector<crash_report>> readQuarantineRecord(const keyed_record &record, std::int64_t unixMs, last_reason *reason)
+std::optional<crash_evidence> readQuarantineRecord(const keyed_record &record, std::int64_t unixMs, last_reason *reason)
 {
-    const auto fingerprint = isQuarantineKey(record.key) ? fingerprintIn(record.key) : std::nullopt;
     boost::system::error_code error;
     const json::value value = json::parse(record.value.value_or(""), error);
     const json::object *object = error ? nullptr : value.if_object();
-    const json::value *crashes = object != nullptr ? object->if_contains("crashes") : nullptr;
-    if (!fingerprint || crashes == nullptr || !crashes->is_array() || crashes->get_array().size() > kMaxCrashesRead) {
-        setReason(reason, !fingerprint ? "the key has no fingerprint" : "the value has no list of crashes, or a longer one than is read");
+    const auto crashes = object != nullptr ? attemptsIn(*object, "crashes", unixMs) : std::nullopt;
+    const auto open = object != nullptr ? attemptsIn(*object, "open", unixMs) : std::nullopt;
+    if (!crashes || !open) {
+        setReason(reason, "a list is missing or longer than is read, or one of its items lacks a request, an instance or a time");
         return std::nullopt;
     }
-    std::vector<crash_report> reports;
-    for (const json::value &crash : crashes->get_array()) {
-        auto report = reportIn(crash, *fingerprint, unixMs);
-        if (!report) {
-            setReason(reason, "a crash lacks its instance or a time");
-            return std::nullopt;
-        }
-        reports.push_back(std::move(*report));
+    crash_evidence evidence;
+    for (const recorded_attempt &attempt : *crashes) {
+        evidence.crashes.push_back({attempt.fingerprint, attempt.instance, attempt.ageMs, false});
+    }
+    for (const recorded_attempt &attempt : *open) {
+        evidence.open.push_back({attempt.fingerprint, attempt.instance, attempt.ageMs});
     }
-    return reports;
+    return evidence;
 }
 
-bool isExpired(const std::vector<crash_report> &reports, duration retention)
+bool isExpired(const crash_evidence &evidence, duration retention)
 {
-    return std::all_of(reports.begin(), reports.end(), [retention](const crash_report &report) { return std::chrono::milliseconds(report.ageMs) > retention; });
+    const auto isOld = [retention](const auto &report) { return std::chrono::milliseconds(report.ageMs) > retention; };
+    return std::all_of(evidence.crashes.begin(), evidence.crashes.end(), isOld) && std::all_of(evidence.open.begin(), evidence.open.end(), isOld);
 }
 
 } // namespace heatherroute
--- a/src/relay/quarantine_record.h
+++ b/src/relay/quarantine_record.h
@@ -13,24 +13,28 @@
 {
 
 /**
- * The record by which entries remember a request that crashes upstreams in the platform's store, from its second crash on.
+ * The record by which an entry remembers in the platform's store which requests it had in flight on upstreams that crashed or fell silent.
  *
- * Entries lose what they know when they all restart at the same time, and the request would then crash as many upstreams
- * again. Records of quarantined requests lie among the addresses of the entries, so that reading them costs no further call.
+ * Entries lose what they know when they all restart at the same time, and a request could then crash as many upstreams again. Each entry
+ * has one record, whatever happens, so that its calls to the store stay few. The records lie among the addresses of the entries, so
+ * that reading them costs no further call.
  */
 
-/// Returns whether @p key belongs to a quarantined request. Thread safe.
+/// Returns whether @p key belongs to such a record. Thread safe.
 bool isQuarantineKey(const std::string &key);
 
-/// Returns the record of the request @p fingerprint with the crashes in @p reports, or one that deletes it when there are none.
-/// Precondition: all reports are on that request. @p unixMs is the current Unix time in milliseconds. Thread safe.
-keyed_record makeQuarantineRecord(std::uint64_t fingerprint, const std::vector<crash_report> &reports, std::int64_t unixMs);
+/// Returns the key of the record of entry @p entryName. Thread safe.
+std::string quarantineKeyOf(const std::string &entryName);
 
-/// Returns the reports in a record, with their ages as of @p unixMs; empty with @p reason set when the record is invalid. A time
+/// Returns the record with @p key, or one that deletes it when there is no @p evidence. @p unixMs is the current Unix time in milliseconds.
+/// Thread safe.
+keyed_record makeQuarantineRecord(const std::string &key, const crash_evidence &evidence, std::int64_t unixMs);
+
+/// Returns the evidence in a record, with its ages as of @p unixMs; empty with @p reason set when the record is invalid. A time
 /// in the future, by a clock that differs, counts as now. Thread safe.
-std::optional<std::vector<crash_report>> readQuarantineRecord(const keyed_record &record, std::int64_t unixMs, last_reason *reason);
+std::optional<crash_evidence> readQuarantineRecord(const keyed_record &record, std::int64_t unixMs, last_reason *reason);
 
-/// Returns whether all crashes in @p reports are older than @p retention, so that the record may be deleted. Thread safe.
-bool isExpired(const std::vector<crash_report> &reports, duration retention);
+/// Returns whether all of @p evidence is older than @p retention, so that the record may be deleted. Thread safe.
+bool isExpired(const crash_evidence &evidence, duration retention);
 
 } // namespace heatherroute
--- a/tests/crash_gossip_test.cpp
+++ b/tests/crash_gossip_test.cpp
@@ -19,6 +19,11 @@
     return {fingerprint, {"i-1", 1'000}, 0, false};
 }
 
+const std::vector<crash_report> &reportsIn(const crash_message &message)
+{
+    return std::get<crash_reports>(message).reports;
+}
+
 } // namespace
 
 TEST(CrashGossip, ReportIsSentAtOnceAndAgainForAWhile)
@@ -43,7 +48,7 @@
     static_cast<void>(gossip.dueMessages(at(seconds(0))));
     const auto messages = gossip.dueMessages(at(seconds(1)));
     ASSERT_EQ(messages.size(), 1U);
-    EXPECT_EQ(messages.front().reports.front().ageMs, 1'300U);
+    EXPECT_EQ(reportsIn(messages.front()).front().ageMs, 1'300U);
 }
 
 // Load pattern: an upstream crashes with many requests of one entry in flight.
@@ -57,8 +62,8 @@
     }
     const auto messages = gossip.dueMessages(at(seconds(0)));
     ASSERT_EQ(messages.size(), 3U);
-    EXPECT_EQ(messages.front().reports.size(), kMaxCrashReportsPerMessage);
-    EXPECT_EQ(messages.back().reports.back(), reportOf(99));
+    EXPECT_EQ(reportsIn(messages.front()).size(), kMaxCrashReportsPerMessage);
+    EXPECT_EQ(reportsIn(messages.back()).back(), reportOf(99));
 }
 
 TEST(CrashGossip, ReportThatIsAddedAgainIsQueuedOnce)
@@ -68,5 +73,15 @@
     gossip.add(at(seconds(1)), reportOf(1));
     const auto messages = gossip.dueMessages(at(seconds(1)));
     ASSERT_EQ(messages.size(), 1U);
-    EXPECT_EQ(messages.front().reports.size(), 1U);
+    EXPECT_EQ(reportsIn(messages.front()).size(), 1U);
+}
+
+TEST(CrashGossip, OpenAttemptsAreSentAgainLikeReports)
+{
+    auto gossip = crash_gossip::make({});
+    gossip.add(at(seconds(0)), open_attempt{1, {"i-1", 1'000}, 200});
+    static_cast<void>(gossip.dueMessages(at(seconds(0))));
+    const auto messages = gossip.dueMessages(at(seconds(1)));
+    ASSERT_EQ(messages.size(), 1U);
+    EXPECT_EQ(std::get<open_attempts>(messages.front()).reports.front().ageMs, 1'200U);
 }
--- a/tests/process_poison_test.cpp
+++ b/tests/process_poison_test.cpp
@@ -172,6 +172,44 @@
     });
 }
 
+// Load pattern: each upstream falls silent as it crashes, and all entries are killed before its registration ends.
+TEST(ProcessPoisonRestart, AttemptsAtSilentUpstreamsOutlastRestartsOfAllEntries)
+{
+    relay_site_settings settings = poisonSite();
+    settings.services = 6;
+    settings.upstreamDownTime = seconds(3);
+    runOnSite(settings, [](relay_site &site) -> asio::awaitable<void> {
+        standins::upstream_faults faults;
+        faults.silentCrashes = true;
+        setFaultsOfAll(site, faults);
+        const auto until = std::chrono::steady_clock::now() + seconds(30);
+        std::size_t callers = 0;
+        for (std::size_t i = 0; std::chrono::steady_clock::now() < until; ++i) {
+            const std::size_t before = site.upstreamLog().crashes.size();
+            const auto caller = [&, i]() -> asio::awaitable<void> {
+                ++callers;
+                static_cast<void>(co_await site.call(i % site.entryCount(), kPoisonPaths[1], kRequestDeadline));
+                --callers;
+            };
+            asio::co_spawn(co_await asio::this_coro::executor, caller, asio::detached);
+            for (int wait = 0; wait < 20 && site.upstreamLog().crashes.size() == before; ++wait) {
+                co_await pauseFor(milliseconds(20));
+            }
+            co_await pauseFor(milliseconds(1'000));
+            std::vector<std::size_t> all{0, 1, 2};
+            co_await killAndRestart(site, std::move(all));
+        }
+        while (callers > 0) {
+            co_await pauseFor(milliseconds(20));
+        }
+        const auto &crashes = site.upstreamLog().crashes;
+        EXPECT_GE(crashes.size(), kMaxCrashes);
+        if (crashes.size() >= kMaxCrashes) {
+            EXPECT_LE(arrivalsAfter(site, crashes[kMaxCrashes - 1].at + kLearningTime), kMaxFurtherArrivals) << crashes.size() << " crashes";
+        }
+    });
+}
+
 TEST(ProcessPoisonRestart, QuarantineOutlastsARestartOfAllEntries)
 {
     runOnSite(poisonSite(), [](relay_site &site) -> asio::awaitable<void> {
--- a/tests/quarantine_state_test.cpp
+++ b/tests/quarantine_state_test.cpp
@@ -2,7 +2,10 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <random>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "heatherroute/crash_gossip.h"
@@ -21,6 +24,8 @@
 constexpr std::uint64_t kFirstSound = 100;
 constexpr std::uint32_t kMaxCrashes = 3;
 constexpr int kMaxFurtherArrivals = 3;
+constexpr int kStallSteps = 6; ///< From a silent crash until the sender finds the upstream silent.
+constexpr int kRecordSteps = 10; ///< Between two records of one entry.
 constexpr int kSilenceSteps = 20; ///< From a silent crash until the kernel gives a connection to the upstream up.
 constexpr int kRegistrationSteps = 36; ///< From a crash until the store drops the upstream's registration.
 constexpr int kLearningSteps = 30; ///< The platform's stability window.
@@ -58,6 +63,7 @@
             if (m_step >= m_poisonBusyUntil && below(100) < poisonPerCent) {
                 sendPoison(m_entries[static_cast<std::size_t>(below(m_entries.size()))]);
             }
+            writeRecords();
             exchange();
         }
     }
@@ -93,6 +99,8 @@
         crash_gossip gossip = crash_gossip::make({});
         int starts = 0;
         int startedAt = 0;
+        std::set<observation_key> recorded;
+        int recordedAt = -kRecordSteps;
     };
     struct silent_crash
     {
@@ -143,12 +151,8 @@
             one.quarantine.noteAlive(now(), instanceOf(static_cast<std::size_t>(upstream)));
             return;
         }
-        const bool mayBeRecorded = one.quarantine.mayBeRecorded(fingerprint);
         if (const auto report = one.quarantine.noteCompleted(now(), fingerprint)) {
             one.gossip.add(now(), *report);
-            if (mayBeRecorded) {
-                std::erase_if(m_store, [fingerprint](const auto &record) { return record.second.fingerprint == fingerprint; });
-            }
         }
     }
 
@@ -163,6 +167,9 @@
             m_steadyLateArrivals += m_step > one.startedAt + kLearningSteps ? 1 : 0;
         }
         const auto index = static_cast<std::size_t>(upstream);
+        if (const auto open = one.quarantine.noteStarted(now(), instanceOf(index), kPoison)) {
+            one.gossip.add(now(), *open);
+        }
         if (silentPerCent > 0 && below(100) < silentPerCent) {
             m_silentCrashes.push_back({&one, one.starts, instanceOf(index), m_step});
             m_poisonBusyUntil = m_step + kSilenceSteps;
@@ -185,19 +192,22 @@
         m_downUntil[index] = m_step + 1 + below(30);
     }
 
-    /// Attempts at silent upstreams end when the kernel gives their connections up; later the registrations of the upstreams end.
+    /// Attempts at silent upstreams stall, and end when the kernel gives their connections up; later the registrations of the upstreams end.
     void endSilentAttempts()
     {
         for (const silent_crash &crash : m_silentCrashes) {
-            if (m_step == crash.step + kSilenceSteps && crash.sender->starts == crash.senderStarts) {
+            const bool senderLives = crash.sender->starts == crash.senderStarts;
+            if (senderLives && (m_step == crash.step + kStallSteps || m_step == crash.step + kSilenceSteps)) {
                 crash.sender->quarantine.noteInterrupted(now(), crash.instance, kPoison);
+                for (const open_attempt &open : crash.sender->quarantine.noteSilent(now(), crash.instance)) {
+                    crash.sender->gossip.add(now(), open);
+                }
             }
             if (m_step == crash.step + kRegistrationSteps) {
                 for (entry &one : m_entries) {
                     for (const crash_report &report : one.quarantine.noteCrashed(now(), crash.instance)) {
                         one.gossip.add(now(), report);
                     }
-                    writeStore(one);
                 }
             }
         }
@@ -211,7 +221,6 @@
         for (const crash_report &report : one.quarantine.noteCrashed(now(), instanceOf(upstream))) {
             one.gossip.add(now(), report);
         }
-        writeStore(one);
     }
 
     void restart(entry &one) const
@@ -232,26 +241,65 @@
                     restarted.quarantine.onReport(now(), report);
                 }
             }
+            for (const open_attempt &open : m_entries[i].quarantine.openAttempts(now())) {
+                if (below(100) >= lostPerCent) {
+                    restarted.quarantine.onOpenAttempt(now(), open);
+                }
+            }
         }
         readStore(restarted);
     }
 
-    void writeStore(entry &one)
+    /// The list of upstreams shows an entry which silent ones are gone.
+    void noteGone(entry &one)
     {
-        for (const std::uint64_t fingerprint : one.quarantine.takeToRecord()) {
-            for (const crash_report &report : one.quarantine.reportsOn(now(), fingerprint)) {
-                m_store.emplace_back(now(), report);
+        for (const silent_crash &crash : m_silentCrashes) {
+            if (m_step >= crash.step + kRegistrationSteps) {
+                one.quarantine.noteCrashed(now(), crash.instance);
+            }
+        }
+    }
+
+    std::ptrdiff_t indexOf(const entry &one) const
+    {
+        return &one - m_entries.data();
+    }
+
+    void writeRecords()
+    {
+        for (entry &one : m_entries) {
+            if (m_step - one.recordedAt < kRecordSteps) {
+                continue;
+            }
+            const crash_evidence observed = one.quarantine.observations(now(), 512);
+            if (std::set<observation_key> keys = keysOf(observed); keys != one.recorded) {
+                one.recorded = std::move(keys);
+                one.recordedAt = m_step;
+                m_store[indexOf(one)] = {now(), observed};
             }
         }
     }
 
     void readStore(entry &one)
     {
-        for (const auto &[writtenAt, report] : m_store) {
-            crash_report aged = report;
-            aged.ageMs += static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(now() - writtenAt).count());
-            one.quarantine.onReport(now(), aged);
+        for (const auto &[index, record] : m_store) {
+            const auto &[writtenAt, recorded] = record;
+            const auto passed = static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(now() - writtenAt).count());
+            crash_evidence evidence = recorded;
+            for (crash_report &report : evidence.crashes) {
+                report.ageMs += passed;
+            }
+            for (open_attempt &open : evidence.open) {
+                open.ageMs += passed;
+            }
+            if (index == indexOf(one)) {
+                one.quarantine.restore(now(), evidence);
+                continue;
+            }
+            receive(one, crash_reports{evidence.crashes});
+            receive(one, open_attempts{evidence.open});
         }
+        noteGone(one);
     }
 
     void restartAll()
@@ -262,18 +310,28 @@
         }
     }
 
+    void receive(entry &one, const crash_message &message) const
+    {
+        if (const auto *crashes = std::get_if<crash_reports>(&message)) {
+            for (const crash_report &report : crashes->reports) {
+                one.quarantine.onReport(now(), report);
+            }
+        } else {
+            for (const open_attempt &open : std::get<open_attempts>(message).reports) {
+                one.quarantine.onOpenAttempt(now(), open);
+            }
+        }
+    }
+
     void exchange()
     {
         for (std::size_t from = 0; from < m_entries.size(); ++from) {
-            for (const crash_reports &message : m_entries[from].gossip.dueMessages(now())) {
+            for (const crash_message &message : m_entries[from].gossip.dueMessages(now())) {
                 for (std::size_t to = 0; to < m_entries.size(); ++to) {
                     if (to == from || below(100) < lostPerCent) {
                         continue;
                     }
-                    for (const crash_report &report : message.reports) {
-                        m_entries[to].quarantine.onReport(now(), report);
-                    }
-                    writeStore(m_entries[to]);
+                    receive(m_entries[to], message);
                 }
             }
         }
@@ -281,7 +339,7 @@
 
     std::mt19937_64 m_random;
     std::vector<entry> m_entries;
-    std::vector<std::pair<instant, crash_report>> m_store; ///< Reports on quarantined requests, with the time of writing.
+    std::map<std::ptrdiff_t, std::pair<instant, crash_evidence>> m_store; ///< The record of each entry, with the time of writing.
     std::vector<int> m_downUntil; ///< The step from which an upstream serves again.
     std::vector<std::uint64_t> m_starts;
     std::vector<silent_crash> m_silentCrashes;
--- a/tests/request_quarantine_test.cpp
+++ b/tests/request_quarantine_test.cpp
@@ -160,6 +160,69 @@
     EXPECT_EQ(restarted.quarantinedFor(at(seconds(4)), kPoison), one.quarantinedFor(at(seconds(4)), kPoison));
 }
 
+TEST(RequestQuarantine, OpenAttemptOfAnotherEntryIsExplainedByTheCrash)
+{
+    auto sender = request_quarantine::make({});
+    auto other = request_quarantine::make({});
+    sender.noteInterrupted(at(seconds(0)), instanceOf(1), kPoison);
+    const auto open = sender.noteSilent(at(seconds(1)), instanceOf(1));
+    ASSERT_EQ(open.size(), 1U);
+    EXPECT_EQ(open.front().ageMs, 1'000U);
+    EXPECT_TRUE(sender.noteSilent(at(seconds(1)), instanceOf(1)).empty());
+    other.onOpenAttempt(at(seconds(1)), open.front());
+    EXPECT_EQ(other.silentInstances(), std::vector<upstream_instance>{instanceOf(1)});
+    other.noteCrashed(at(seconds(4)), instanceOf(1));
+    EXPECT_EQ(other.crashesOf(kPoison), 1U);
+    EXPECT_TRUE(other.silentInstances().empty());
+}
+
+TEST(RequestQuarantine, NextAttemptsAreReportedFromTheStartOnceAnUpstreamFellSilent)
+{
+    auto quarantine = request_quarantine::make({});
+    EXPECT_FALSE(quarantine.noteStarted(at(seconds(0)), instanceOf(1), kPoison));
+    quarantine.noteInterrupted(at(seconds(0)), instanceOf(1), kPoison);
+    EXPECT_FALSE(quarantine.noteStarted(at(seconds(0)), instanceOf(2), kPoison));
+    quarantine.noteSilent(at(seconds(1)), instanceOf(1));
+    EXPECT_TRUE(quarantine.noteStarted(at(seconds(1)), instanceOf(2), kPoison));
+    EXPECT_FALSE(quarantine.noteStarted(at(seconds(1)), instanceOf(2), kPoison));
+    EXPECT_EQ(quarantine.silentInstances().size(), 2U);
+    quarantine.noteAnswered(instanceOf(2), kPoison);
+    EXPECT_EQ(quarantine.silentInstances().size(), 1U);
+}
+
+TEST(RequestQuarantine, EntryRestoresWhatItHadObserved)
+{
+    auto quarantine = request_quarantine::make({});
+    crash(quarantine, 1, seconds(0), {kPoison, kSound});
+    quarantine.onReport(at(seconds(0)), {kPoison, instanceOf(2), 0, false});
+    quarantine.noteInterrupted(at(seconds(1)), instanceOf(3), kPoison);
+    quarantine.noteSilent(at(seconds(1)), instanceOf(3));
+    quarantine.noteCompleted(at(seconds(1)), kSound);
+    const crash_evidence observed = quarantine.observations(at(seconds(2)), 100);
+    EXPECT_EQ(observed, (crash_evidence{{{kPoison, instanceOf(1), 2'000, false}}, {{kPoison, instanceOf(3), 1'000}}}));
+    auto restarted = request_quarantine::make({});
+    restarted.restore(at(seconds(2)), observed);
+    restarted.noteCrashed(at(seconds(4)), instanceOf(3));
+    EXPECT_EQ(restarted.crashesOf(kPoison), 2U);
+    EXPECT_EQ(restarted.observations(at(seconds(4)), 100).crashes.size(), 2U);
+    EXPECT_EQ(restarted.observations(at(seconds(4)), 1).crashes.size(), 1U);
+}
+
+TEST(RequestQuarantine, CompleteAnswerClearsOpenAttemptsAtAllEntries)
+{
+    auto quarantine = request_quarantine::make({});
+    auto other = request_quarantine::make({});
+    quarantine.noteInterrupted(at(seconds(0)), instanceOf(1), kSound);
+    for (const open_attempt &open : quarantine.noteSilent(at(seconds(1)), instanceOf(1))) {
+        other.onOpenAttempt(at(seconds(1)), open);
+    }
+    const auto cleared = quarantine.noteCompleted(at(seconds(3)), kSound);
+    ASSERT_TRUE(cleared);
+    other.onReport(at(seconds(3)), *cleared);
+    EXPECT_TRUE(other.silentInstances().empty());
+    EXPECT_TRUE(quarantine.observations(at(seconds(3)), 100).isEmpty());
+}
+
 TEST(RequestQuarantine, QuarantineLapsesWithTheEvidence)
 {
     auto quarantine = request_quarantine::make({});
--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -73,6 +73,28 @@
     for (http_responder *responder : std::set<http_responder *>(m_open)) {
         responder->abort();
     }
+    restartLater();
+}
+
+void site_upstream::crashSilently()
+{
+    if (!m_server || m_isSilent) {
+        return;
+    }
+    m_isSilent = true;
+    m_server->stopAccepting();
+    m_reportTimer.cancel();
+    m_fullPort = std::make_unique<asio::ip::tcp::acceptor>(m_context, m_endpoint.protocol());
+    m_fullPort->set_option(asio::socket_base::reuse_address(true));
+    m_fullPort->bind(m_endpoint);
+    m_fullPort->listen(0);
+    m_filler = std::make_unique<asio::ip::tcp::socket>(m_context);
+    m_filler->connect(m_endpoint);
+    restartLater();
+}
+
+void site_upstream::restartLater()
+{
     m_reservations.clear();
     m_handles.clear();
     m_restartTimer.expires_after(m_settings.downTime);
@@ -86,6 +108,14 @@
 void site_upstream::restart()
 {
     last_reason reason;
+    m_fullPort.reset();
+    m_filler.reset();
+    if (std::exchange(m_isSilent, false)) {
+        m_server.reset();
+        for (http_responder *responder : std::set<http_responder *>(m_open)) {
+            responder->abort();
+        }
+    }
     if (!listen(m_endpoint, &reason)) {
         // A connection of the previous instance still occupies the port.
         m_restartTimer.expires_after(kReportInterval);
@@ -111,7 +141,11 @@
         return false;
     }
     m_log.crashes.push_back({std::chrono::steady_clock::now(), request.target});
-    crash();
+    if (m_faults.silentCrashes) {
+        crashSilently();
+    } else {
+        crash();
+    }
     return true;
 }
 
@@ -160,6 +194,13 @@
     });
 }
 
+asio::awaitable<void> site_upstream::waitWhileSilent(http_responder &responder)
+{
+    while (m_isSilent && !responder.isClosed()) {
+        co_await sleepFor(m_settings.workTime);
+    }
+}
+
 asio::awaitable<void> site_upstream::sleepFor(milliseconds time)
 {
     asio::steady_timer timer(m_context, time);
@@ -201,8 +242,14 @@
         responder.abort();
         co_return;
     }
-    recordArrival(request);
     m_open.insert(&responder);
+    if (m_isSilent) {
+        co_await waitWhileSilent(responder);
+        m_open.erase(&responder);
+        responder.abort();
+        co_return;
+    }
+    recordArrival(request);
     // Not by a destructor: the coroutine may be destroyed after this upstream.
     try {
         co_await dispatch(request, responder);
@@ -304,6 +351,7 @@
 {
     recordRun(request);
     if (crashesOn(request)) {
+        co_await waitWhileSilent(responder);
         co_return;
     }
     co_await sleepFor(m_settings.workTime);
@@ -314,6 +362,7 @@
         responder.abort();
         co_return;
     }
+    co_await waitWhileSilent(responder);
     http_answer answer = makeAnswer(request, m_faults.fail ? 500 : 200);
     answer.body = std::string(request.header("X-Attempt-Id")) + " " + request.target + " " + request.body;
     co_await sendAnswer(std::move(answer), responder, m_faults.breakAnswers ? body_end::Aborted : body_end::Whole);
@@ -338,6 +387,7 @@
     }
     recordRun(request);
     if (crashesOn(request)) {
+        co_await waitWhileSilent(responder);
         co_return;
     }
     while (m_faults.hang && !responder.isClosed()) {
@@ -349,6 +399,7 @@
     const std::string id(request.header("X-Attempt-Id"));
     for (std::uint32_t event = 1; event <= m_settings.events; ++event) {
         co_await sleepFor(m_settings.eventInterval);
+        co_await waitWhileSilent(responder);
         if (m_faults.breakStreams && event > m_settings.events / 2) {
             responder.abort();
             co_return;
--- a/tests/standins/site_upstream.h
+++ b/tests/standins/site_upstream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
@@ -50,6 +51,7 @@
     bool cutStreams = false; ///< Ends the body of a stream in order, but in the middle of an event.
     bool breakAnswers = false; ///< Aborts the connection in the middle of the answer to a plain request.
     bool cutCallAnswers = false; ///< Ends the bodies of answers to calls of the router itself in order, but in the middle.
+    bool silentCrashes = false; ///< After a crash, open connections stay open, and new ones aren't answered, until the next instance starts.
     bool unframed = false; ///< The bodies of all answers have neither a length nor chunks and end with their connection.
 };
 
@@ -115,11 +117,14 @@
     }
     /// Closes all connections and the port. A new instance follows after the down time.
     void crash();
+    /// Like crash(), but no connection is closed, and the port doesn't answer.
+    void crashSilently();
 
 private:
     site_upstream(boost::asio::io_context &context, site_upstream_settings settings, site_store &store, upstream_log &log);
     bool listen(const boost::asio::ip::tcp::endpoint &endpoint, last_reason *reason);
     void restart();
+    void restartLater();
     void report();
     /// Whether @p request crashes this upstream, which it does when it begins to run.
     bool crashesOn(const net::http_request &request);
@@ -142,6 +147,8 @@
     net::http_answer makeAnswer(const net::http_request &request, unsigned status) const;
     void recordArrival(const net::http_request &request);
     void recordRun(const net::http_request &request);
+    /// Waits until the crash of this upstream shows, if it was a silent one.
+    boost::asio::awaitable<void> waitWhileSilent(net::http_responder &responder);
     boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds time);
 
     boost::asio::io_context &m_context;
@@ -152,6 +159,9 @@
     boost::asio::steady_timer m_reportTimer;
     boost::asio::steady_timer m_restartTimer;
     std::unique_ptr<net::http_server> m_server;
+    bool m_isSilent = false;
+    std::unique_ptr<boost::asio::ip::tcp::acceptor> m_fullPort; ///< Its queue is full, so the kernel drops attempts to connect.
+    std::unique_ptr<boost::asio::ip::tcp::socket> m_filler; ///< The connection that fills it.
     std::uint64_t m_startedAt = 0;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_orders = 0;
