Logs name the shared parts of a stream's prompt

request_ended and attempt_failed of streams have prompt_parts: hashes of the parts other than the last, with the model. The adapter reads them; nothing decides by them yet.

--- a/include/heatherroute/relay_request.h
+++ b/include/heatherroute/relay_request.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "heatherroute/time.h"
 
@@ -20,6 +21,8 @@
     auto operator<=>(const prompt_facts &) const = default;
 };
 
+inline constexpr std::size_t kMaxSharedParts = 16;
+
 /**
  * The data of a request that routing needs; the request itself is forwarded as opaque bytes.
  *
@@ -32,6 +35,10 @@
     std::string path; ///< Without the query.
     std::optional<duration> timeLeft; ///< How long the caller waits, counted from the request's arrival.
     std::optional<prompt_facts> prompt; ///< Set for generation requests.
+    std::string model; ///< Empty if the caller names none.
+    /// Ids of the parts of the prompt that other requests may share, in order and at most kMaxSharedParts, the deepest ones. The last part
+    /// of a prompt belongs to the request or its session, so it isn't among them.
+    std::vector<std::string> sharedParts;
 
     auto operator<=>(const relay_request &) const = default;
 };
--- a/include/heatherroute/request_fingerprint.h
+++ b/include/heatherroute/request_fingerprint.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace heatherroute
 {
@@ -23,7 +24,12 @@
 /// Returns a hash of @p identity, which is the same on all entries. It isn't cryptographic. Thread safe.
 std::uint64_t fingerprintOf(const request_identity &identity);
 
+/// Returns a hash of each of the shared @p parts of a prompt for @p model, which is the same on all entries. Thread safe.
+std::vector<std::uint64_t> fingerprintsOf(std::string_view model, const std::vector<std::string> &parts);
+
 /// Returns the form of @p fingerprint in logs. Thread safe.
 std::string fingerprintText(std::uint64_t fingerprint);
+/// Returns the form of several in logs, separated by commas. Thread safe.
+std::string fingerprintsText(const std::vector<std::uint64_t> &fingerprints);
 
 } // namespace heatherroute
--- a/src/core/request_fingerprint.cpp
+++ b/src/core/request_fingerprint.cpp
@@ -17,6 +17,17 @@
     return hash;
 }
 
+std::vector<std::uint64_t> fingerprintsOf(std::string_view model, const std::vector<std::string> &parts)
+{
+    const std::uint64_t seed = XXH3_64bits(model.data(), model.size());
+    std::vector<std::uint64_t> fingerprints;
+    fingerprints.reserve(parts.size());
+    for (const std::string &part : parts) {
+        fingerprints.push_back(XXH3_64bits_withSeed(part.data(), part.size(), seed));
+    }
+    return fingerprints;
+}
+
 std::string fingerprintText(std::uint64_t fingerprint)
 {
     std::array<char, 17> text{};
@@ -24,4 +35,13 @@
     return text.data();
 }
 
+std::string fingerprintsText(const std::vector<std::uint64_t> &fingerprints)
+{
+    std::string text;
+    for (const std::uint64_t fingerprint : fingerprints) {
+        text += (text.empty() ? "" : ",") + fingerprintText(fingerprint);
+    }
+    return text;
+}
+
 } // namespace heatherroute
--- a/src/node/relay_call.cpp
+++ b/src/node/relay_call.cpp
@@ -45,6 +45,7 @@
     , m_request(std::move(request))
     , m_facts(state.dialect.readRequest(m_request))
     , m_fingerprint(fingerprintOf({m_request.remoteAddress, m_request.method, m_facts.host, m_request.target, m_request.body}))
+    , m_parts(fingerprintsOf(m_facts.model, m_facts.sharedParts))
     , m_responder(responder)
     , m_routes(state.routes)
     , m_startedAt(coreNow())
@@ -193,6 +194,7 @@
                 "attempt_failed",
                 {requestIdField(m_facts.id),
                  {"fingerprint", fingerprintText(m_fingerprint)},
+                 {"prompt_parts", fingerprintsText(m_parts)},
                  upstreamField(run.id),
                  {"stage", stage},
                  {"reason", reason},
@@ -227,6 +229,9 @@
                                      upstreamField(result.upstream),
                                      {"took_ms", std::to_string(toMilliseconds(age()).count())},
                                      {"time_left_ms", std::to_string(toMilliseconds(timeLeft()).count())}};
+    if (!m_parts.empty()) {
+        fields.push_back({"prompt_parts", fingerprintsText(m_parts)});
+    }
     fields.insert(fields.end(), m_extraLogFields.begin(), m_extraLogFields.end());
     m_state.log(result.outcome == "answered" ? log_level::Info : log_level::Warning, "request_ended", std::move(fields));
 }
--- a/src/node/relay_call.h
+++ b/src/node/relay_call.h
@@ -62,6 +62,11 @@
     {
         return m_fingerprint;
     }
+    /// Identify the shared parts of its prompt, in order.
+    const std::vector<std::uint64_t> &parts() const noexcept
+    {
+        return m_parts;
+    }
     /// Precondition: begin() was called.
     const route &matchedRoute() const noexcept
     {
@@ -136,6 +141,7 @@
     net::http_request m_request;
     relay_request m_facts;
     std::uint64_t m_fingerprint;
+    std::vector<std::uint64_t> m_parts;
     std::uint64_t m_attempt = 0; ///< The number of the current attempt.
     net::http_responder &m_responder;
     std::shared_ptr<const route_table> m_routes; ///< Keeps the route valid when the configuration changes.
--- a/tests/platform_dialect_test.cpp
+++ b/tests/platform_dialect_test.cpp
@@ -56,6 +56,28 @@
     EXPECT_EQ(facts.prompt->promptTokens, 1460U);
     EXPECT_EQ(facts.prompt->maxOutputTokens, 80U);
     EXPECT_EQ(facts.prompt->expectedOutputTokens, 70U);
+    EXPECT_EQ(facts.model, "m");
+    EXPECT_EQ(facts.sharedParts, std::vector<std::string>{"5c1e07a2"});
+}
+
+TEST(PlatformDialect, SharedPartsAreAllButTheLast)
+{
+    const auto partsOf = [](const std::string &list) {
+        http_request request = generation();
+        request.fields[4].value = list;
+        return dialect().readRequest(request).sharedParts;
+    };
+    using parts = std::vector<std::string>;
+    EXPECT_EQ(partsOf("5C1E:800,91bd:410,e440:250"), (parts{"5c1e", "91bd"}));
+    EXPECT_EQ(partsOf("5c1e:800"), parts{});
+    EXPECT_EQ(partsOf(""), parts{});
+    EXPECT_EQ(partsOf("5c1e,:7,,x"), parts{"5c1e"});
+    std::string many;
+    for (int i = 0; i < 40; ++i) {
+        many += std::to_string(i) + ":1,";
+    }
+    EXPECT_EQ(partsOf(many + "e:1").size(), kMaxSharedParts);
+    EXPECT_EQ(partsOf(many + "e:1").back(), "39");
 }
 
 TEST(PlatformDialect, MalformedNumbersAreIgnored)
