Test, red: requests that share a part which crashes engines reach them again and again

The stand-in engines crash when they have begun to write an answer to a prompt with such a part; the requests are all different, come at each entry, and run beside sound ones with the same first part.

--- a/bench/heatherbench_soak.cpp
+++ b/bench/heatherbench_soak.cpp
@@ -143,8 +143,11 @@
             const std::string process = processLabel(entry);
             const auto sent = std::chrono::steady_clock::now();
             const bool steady = isSteady(entry, sent);
-            const milliseconds readPause = random() % 8 == 0 ? kSlowReadPause : milliseconds(0);
-            const caller_result result = co_await m_site.call(entry, std::move(path), kRequestTimeout, readPause);
+            caller_request request;
+            request.path = std::move(path);
+            request.timeLeft = kRequestTimeout;
+            request.readPause = random() % 8 == 0 ? kSlowReadPause : milliseconds(0);
+            const caller_result result = co_await m_site.call(entry, std::move(request));
             if (result.path == kLookupPath && (result.status == kOk || result.status == kNotFound) && process == processLabel(entry)) {
                 m_audit.recordLookup(process, sent, std::chrono::steady_clock::now(), result.status == kOk, steady);
             }
--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -27,6 +27,20 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
 }
 
+/// Returns the part of the prompt that crashes engines; empty when there is none.
+std::string poisonPartOf(const http_request &request)
+{
+    std::string_view rest = request.header("X-Prompt-Prefix");
+    for (auto comma = rest.find(','); comma != std::string_view::npos; comma = rest.find(',')) {
+        const std::string_view id = rest.substr(0, std::min(comma, rest.find(':')));
+        if (id.starts_with(kPoisonPartPrefix)) {
+            return std::string(id);
+        }
+        rest = rest.substr(comma + 1);
+    }
+    return {};
+}
+
 } // namespace
 
 site_upstream::site_upstream(asio::io_context &context, site_upstream_settings settings, site_store &store, upstream_log &log)
@@ -140,13 +154,18 @@
     if (request.target.find(kPoisonMarker) == std::string::npos) {
         return false;
     }
-    m_log.crashes.push_back({std::chrono::steady_clock::now(), request.target});
+    crashUnder(request, {});
+    return true;
+}
+
+void site_upstream::crashUnder(const http_request &request, std::string poisonPart)
+{
+    m_log.crashes.push_back({std::chrono::steady_clock::now(), request.target, std::move(poisonPart)});
     if (m_faults.silentCrashes) {
         crashSilently();
     } else {
         crash();
     }
-    return true;
 }
 
 void site_upstream::setFaults(const upstream_faults &faults)
@@ -221,7 +240,7 @@
     const std::string_view id = request.header("X-Attempt-Id");
     if (!id.empty()) {
         const bool isPrefill = request.header("X-Stage") == "prefill";
-        m_log.arrivals.push_back({std::chrono::steady_clock::now(), m_settings.service, std::string(id), request.target, isPrefill});
+        m_log.arrivals.push_back({std::chrono::steady_clock::now(), m_settings.service, std::string(id), request.target, isPrefill, poisonPartOf(request)});
     }
 }
 
@@ -397,9 +416,15 @@
     head.contentType = "text/event-stream";
     co_await responder.beginStream(std::move(head), streamFraming());
     const std::string id(request.header("X-Attempt-Id"));
+    const std::string poisonPart = poisonPartOf(request);
     for (std::uint32_t event = 1; event <= m_settings.events; ++event) {
         co_await sleepFor(m_settings.eventInterval);
         co_await waitWhileSilent(responder);
+        if (!poisonPart.empty() && event > kEventsBeforeCrash && !responder.isClosed()) {
+            crashUnder(request, poisonPart);
+            co_await waitWhileSilent(responder);
+            co_return;
+        }
         if (m_faults.breakStreams && event > m_settings.events / 2) {
             responder.abort();
             co_return;
--- a/tests/standins/site_upstream.h
+++ b/tests/standins/site_upstream.h
@@ -33,6 +33,9 @@
 
 /// A request whose target has this text crashes each upstream that begins to run it.
 inline constexpr const char *kPoisonMarker = "poison";
+/// A stream with a part of its prompt, other than the last, whose id begins with this crashes each engine that begins to write its answer.
+inline constexpr const char *kPoisonPartPrefix = "bad";
+constexpr std::uint32_t kEventsBeforeCrash = 2; ///< That such a stream still gets.
 
 /// The fault switches of a stand-in upstream.
 struct upstream_faults
@@ -63,6 +66,7 @@
     std::string id; ///< Of the request.
     std::string target;
     bool isPrefill = false; ///< Only the prompt was to be computed.
+    std::string poisonPart; ///< The part of its prompt that crashes engines, if there is one.
 };
 
 /// An upstream's crash under a request.
@@ -70,6 +74,7 @@
 {
     std::chrono::steady_clock::time_point at;
     std::string target; ///< Of the request.
+    std::string poisonPart; ///< The part of its prompt by which it crashed the engine; empty if its target was the reason.
 };
 
 /// An order to change its phase that an engine has accepted.
@@ -128,6 +133,7 @@
     void report();
     /// Whether @p request crashes this upstream, which it does when it begins to run.
     bool crashesOn(const net::http_request &request);
+    void crashUnder(const net::http_request &request, std::string poisonPart);
     boost::asio::awaitable<void> serve(net::http_request request, net::http_responder &responder);
     boost::asio::awaitable<void> dispatch(const net::http_request &request, net::http_responder &responder);
     boost::asio::awaitable<void> sendEndlessBody(const net::http_request &request, net::http_responder &responder);
--- a/tests/support/relay_site.cpp
+++ b/tests/support/relay_site.cpp
@@ -267,8 +267,19 @@
     co_return true;
 }
 
-asio::awaitable<caller_result> relay_site::call(std::size_t index, std::string path, milliseconds timeLeft, milliseconds readPause)
+asio::awaitable<caller_result> relay_site::call(std::size_t index, std::string path, milliseconds timeLeft)
 {
+    caller_request request;
+    request.path = std::move(path);
+    request.timeLeft = timeLeft;
+    co_return co_await call(index, std::move(request));
+}
+
+asio::awaitable<caller_result> relay_site::call(std::size_t index, caller_request request)
+{
+    const std::string path = request.path;
+    const milliseconds timeLeft = request.timeLeft;
+    const milliseconds readPause = request.readPause;
     caller_result outcome;
     outcome.id = "r" + std::to_string(++m_requests);
     outcome.path = path;
@@ -282,7 +293,7 @@
     if (streamed) {
         call.fields.push_back({"X-Model", "m"});
         call.fields.push_back({"X-Token-Count", "500,800"});
-        call.fields.push_back({"X-Prompt-Prefix", "ab:500"});
+        call.fields.push_back({"X-Prompt-Prefix", request.promptParts});
     }
     std::string body;
     const net::http_exchange::head_hook onHead = [](const http_answer &) -> asio::awaitable<bool> { co_return true; };
@@ -303,6 +314,9 @@
     outcome.status = answer.status;
     outcome.isComplete = true;
     const bool success = answer.status < net::status::kFirstRedirect;
+    if (answer.status == net::status::kUnavailable) {
+        outcome.refusal = answer.body;
+    }
     if (answer.header("X-Attempt-Id") != outcome.id) {
         outcome.fault = "the answer carries the id of another request";
     } else if (success && answer.header("X-Server-Seal").empty()) {
--- a/tests/support/relay_site.h
+++ b/tests/support/relay_site.h
@@ -35,6 +35,15 @@
     bool discardStandardError = true; ///< Discards the standard error of the entries. Their log goes to standard output and is always kept.
 };
 
+/// A caller's request.
+struct caller_request
+{
+    std::string path;
+    std::chrono::milliseconds timeLeft{}; ///< The request's deadline, relative to now.
+    std::chrono::milliseconds readPause{}; ///< Pause of the caller after each piece of the body that it reads.
+    std::string promptParts = "ab:500"; ///< Of a stream: all parts of its prompt, the last of them its own.
+};
+
 /// The result of a caller's request.
 struct caller_result
 {
@@ -42,6 +51,7 @@
     std::string path;
     unsigned status = 0; ///< 0 when the connection ended without a complete answer.
     bool isComplete = false; ///< Whether the answer is complete.
+    std::string refusal; ///< The reason in an answer of the router that refuses the request.
     std::string fault; ///< Which guarantee the answer, or its absence, violates; empty when it violates none.
 };
 
@@ -75,10 +85,10 @@
     }
     /// Whether entry @p index answers its readiness check with success.
     boost::asio::awaitable<bool> isReady(std::size_t index);
-    /// Sends a request for @p path to entry @p index and checks the answer. @p timeLeft is the request's deadline, relative to now.
-    /// The caller waits for @p readPause after each piece of the body that it reads.
-    boost::asio::awaitable<caller_result>
-    call(std::size_t index, std::string path, std::chrono::milliseconds timeLeft, std::chrono::milliseconds readPause = std::chrono::milliseconds(0));
+    /// Sends @p request to entry @p index and checks the answer.
+    boost::asio::awaitable<caller_result> call(std::size_t index, caller_request request);
+    /// As above, for a request without further options.
+    boost::asio::awaitable<caller_result> call(std::size_t index, std::string path, std::chrono::milliseconds timeLeft);
     /// Publishes a configuration with the next version, which routes `/look/` if @p lookups is set.
     void publish(bool lookups);
     /// The logs of all processes of entry @p index so far.
--- a/tests/support/soak_audit.cpp
+++ b/tests/support/soak_audit.cpp
@@ -116,7 +116,9 @@
 {
     std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> crashes;
     for (const standins::upstream_crash &crash : log.crashes) {
-        crashes[crash.target].push_back(crash.at);
+        if (crash.poisonPart.empty()) {
+            crashes[crash.target].push_back(crash.at);
+        }
     }
     for (const auto &[target, times] : crashes) {
         if (times.size() < kMaxPoisonCrashes) {
