An aborted response sends nothing more

Seen: a stand-in engine crashed under one of two streams, and the other one was answered completely all the same, by the engine that had ended.

Cause: abort() cancelled what was being written, but a handler that went on wrote the rest of its response. The product's own handlers return after abort(); the stand-in's didn't.

Now a response that was aborted sends nothing: send(), beginStream(), write() and endStream() return false. HttpServer.AbortedResponse... failed before: the second piece and the last chunk arrived.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -176,6 +176,9 @@
 
     asio::awaitable<bool> send(http_answer answer) override
     {
+        if (m_aborted) {
+            co_return false;
+        }
         http::response<http::string_body> message{static_cast<http::status>(answer.status), 11};
         setHead(message, answer);
         if (m_hasBody) {
@@ -199,6 +202,9 @@
 
     asio::awaitable<bool> beginStream(http_answer head, body_framing framing) override
     {
+        if (m_aborted) {
+            co_return false;
+        }
         m_framing = m_knowsChunks ? framing : body_framing::ConnectionClose;
         m_keepAlive = m_keepAlive && m_framing == body_framing::Chunks;
         setResetOnClose(m_framing == body_framing::ConnectionClose);
@@ -215,6 +221,9 @@
 
     asio::awaitable<bool> write(std::string data) override
     {
+        if (m_aborted) {
+            co_return false;
+        }
         if (data.empty() || !m_hasBody) {
             co_return !isClosed();
         }
@@ -230,6 +239,9 @@
 
     asio::awaitable<bool> endStream() override
     {
+        if (m_aborted) {
+            co_return false;
+        }
         if (m_framing == body_framing::ConnectionClose || !m_hasBody) {
             m_complete = !isClosed();
             setResetOnClose(!m_complete);
@@ -249,6 +261,7 @@
 
     void abort() override
     {
+        m_aborted = true;
         m_watch->markClosed();
         beast::error_code ignored;
         m_stream.socket().cancel(ignored);
@@ -320,6 +333,7 @@
     body_framing m_framing = body_framing::Length;
     bool m_sent = false;
     bool m_complete = false;
+    bool m_aborted = false;
 };
 
 /// Waits until the socket becomes readable and marks @p watch closed when the peer has closed the connection. When the peer has sent further
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -194,3 +194,39 @@
     EXPECT_EQ(answers.find("Content-Length: 0\r\n"), std::string::npos) << "the length of an unknown body";
     EXPECT_TRUE(answers.ends_with("\r\n\r\nwhole")) << answers;
 }
+
+// Regression test: a handler that went on after abort() sent the rest of its response, which then seemed complete.
+TEST(HttpServer, AbortedResponseSendsNothingMore)
+{
+    const auto handler = [](net::http_request request, net::http_responder &out) -> asio::awaitable<void> {
+        net::http_answer answer;
+        if (request.target == "/whole") {
+            out.abort();
+            const bool sent = co_await out.send(std::move(answer));
+            EXPECT_FALSE(sent);
+            co_return;
+        }
+        co_await out.beginStream(std::move(answer));
+        std::string first = "first";
+        co_await out.write(std::move(first));
+        out.abort();
+        std::string second = "second";
+        const bool written = co_await out.write(std::move(second));
+        EXPECT_FALSE(written);
+        const bool ended = co_await out.endStream();
+        EXPECT_FALSE(ended);
+    };
+    const threaded_server server({}, handler);
+    asio::io_context own;
+    for (const std::string_view target : {"/stream", "/whole"}) {
+        asio::ip::tcp::socket socket(own);
+        socket.connect(server.endpoint());
+        asio::write(socket, asio::buffer("GET " + std::string(target) + " HTTP/1.1\r\n\r\n"));
+        std::string answer;
+        boost::system::error_code error;
+        asio::read(socket, asio::dynamic_buffer(answer), error);
+        EXPECT_EQ(answer.find("second"), std::string::npos) << answer;
+        EXPECT_FALSE(answer.ends_with("0\r\n\r\n")) << answer;
+        EXPECT_EQ(answer.empty(), target == "/whole") << answer;
+    }
+}
