--- a/include/heatherroute/crash_gossip.h
+++ b/include/heatherroute/crash_gossip.h
@@ -24,6 +24,9 @@
 /// Returns messages with @p reports, as few as possible. Thread safe.
 std::vector<crash_reports> makeMessages(const std::vector<crash_report> &reports);
 std::vector<open_attempts> makeMessages(const std::vector<open_attempt> &reports);
+std::vector<completed_parts> makeMessages(const std::vector<completed_part> &reports);
+/// Returns messages with @p reports, those with parts in messages of their own. Thread safe.
+std::vector<crash_message> makeCrashMessages(const std::vector<crash_report> &reports);
 
 namespace detail
 {
@@ -38,6 +41,11 @@
     return a.fingerprint == b.fingerprint && a.instance == b.instance;
 }
 
+inline bool isSameSubject(const completed_part &a, const completed_part &b)
+{
+    return a.part == b.part;
+}
+
 /// Reports that are sent at once and a few times more. Not thread safe.
 template<typename Report>
 class resend_queue
@@ -104,6 +112,7 @@
     /// Adds a report of this entry. Its age is as of @p now.
     void add(instant now, const crash_report &report);
     void add(instant now, const open_attempt &report);
+    void add(instant now, const completed_part &report);
     /// Returns the messages to send to all other entries now, with the ages as of @p now; empty when none is due.
     std::vector<crash_message> dueMessages(instant now);
 
@@ -112,6 +121,7 @@
 
     detail::resend_queue<crash_report> m_reports;
     detail::resend_queue<open_attempt> m_openAttempts;
+    detail::resend_queue<completed_part> m_completedParts;
 };
 
 } // namespace heatherroute
--- a/include/heatherroute/crash_report.h
+++ b/include/heatherroute/crash_report.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "heatherroute/peer_serialize.h"
+#include "heatherroute/request_fingerprint.h"
 
 #include <compare>
 #include <cstdint>
@@ -29,6 +30,8 @@
 };
 
 inline constexpr std::size_t kMaxCrashReportsPerMessage = 8;
+inline constexpr std::size_t kMaxPartReportsPerMessage = 4; ///< Reports with the parts of prompts.
+inline constexpr std::size_t kMaxCompletedPartsPerMessage = 64;
 inline constexpr std::size_t kMaxInstanceIdBytes = 64;
 
 /// What an entry has observed about one request.
@@ -38,6 +41,8 @@
     upstream_instance instance; ///< The upstream that crashed with the request in flight; without an id in a report that clears the request.
     std::uint32_t ageMs = 0; ///< Time since the crash, or since the request was cleared.
     bool cleared = false; ///< An upstream has answered the request completely, so earlier crashes had other causes.
+    std::uint32_t ranMs = 0; ///< Time from the sending of the request to the crash.
+    std::vector<std::uint64_t> parts; ///< Fingerprints of the shared parts of the request's prompt, in order.
 
     auto operator<=>(const crash_report &) const = default;
 
@@ -49,22 +54,50 @@
         serializeText(archive, instance.id, kMaxInstanceIdBytes);
         cleared = isCleared != 0;
     }
+
+    /// As above, with the parts.
+    template<typename Archive>
+    void serializeWithParts(Archive &archive)
+    {
+        serialize(archive);
+        archive(ranMs);
+        serializeNumbers(archive, parts, kMaxSharedParts);
+    }
 };
 
-/// An attempt at an upstream that has stopped responding. If the upstream turns out to have ended, the attempt was in flight in its crash.
+/// An attempt at an upstream that has stopped responding, or of a suspect. If the upstream turns out to have ended, the attempt was in
+/// flight in its crash.
 struct open_attempt
 {
     std::uint64_t fingerprint = 0; ///< Of the request.
     upstream_instance instance;
     std::uint32_t ageMs = 0; ///< Time since the upstream was found silent.
+    std::uint32_t ranMs = 0; ///< Time from the sending of the request to then; 0 for an attempt that has just begun.
+    std::vector<std::uint64_t> parts; ///< Fingerprints of the shared parts of the request's prompt, in order.
 
     auto operator<=>(const open_attempt &) const = default;
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(fingerprint, instance.startedAt, ageMs);
+        archive(fingerprint, instance.startedAt, ageMs, ranMs);
         serializeText(archive, instance.id, kMaxInstanceIdBytes);
+        serializeNumbers(archive, parts, kMaxSharedParts);
+    }
+};
+
+/// A part of prompts that was in a request which an upstream answered completely.
+struct completed_part
+{
+    std::uint64_t part = 0;
+    std::uint32_t ageMs = 0; ///< Time since the end of the last such answer.
+
+    auto operator<=>(const completed_part &) const = default;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(part, ageMs);
     }
 };
 
@@ -88,6 +121,7 @@
     std::uint64_t fingerprint = 0;
     upstream_instance instance;
     bool isOpen = false;
+    std::vector<std::uint64_t> parts;
 
     auto operator<=>(const observation_key &) const = default;
 };
@@ -109,6 +143,24 @@
     }
 };
 
+/// A message with some reports on requests whose prompts have shared parts. None of them clears a request.
+struct part_crash_reports
+{
+    std::vector<crash_report> reports;
+
+    auto operator<=>(const part_crash_reports &) const = default;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        const std::size_t length = detail::serializeLength(archive, reports.size(), kMaxPartReportsPerMessage);
+        reports.resize(length);
+        for (crash_report &report : reports) {
+            report.serializeWithParts(archive);
+        }
+    }
+};
+
 /// A message with some open attempts.
 struct open_attempts
 {
@@ -119,11 +171,25 @@
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        serializeList(archive, reports, kMaxCrashReportsPerMessage);
+        serializeList(archive, reports, kMaxPartReportsPerMessage);
+    }
+};
+
+/// A message with some parts that were in complete answers.
+struct completed_parts
+{
+    std::vector<completed_part> reports;
+
+    auto operator<=>(const completed_parts &) const = default;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        serializeList(archive, reports, kMaxCompletedPartsPerMessage);
     }
 };
 
 /// Any message about crashes.
-using crash_message = std::variant<crash_reports, open_attempts>;
+using crash_message = std::variant<crash_reports, part_crash_reports, open_attempts, completed_parts>;
 
 } // namespace heatherroute
--- a/include/heatherroute/peer_message.h
+++ b/include/heatherroute/peer_message.h
@@ -37,7 +37,15 @@
                                store_update,
                                crash_reports,
                                store_update_of_era,
-                               open_attempts>;
+                               open_attempts,
+                               part_crash_reports,
+                               completed_parts>;
+
+/// Returns the message about crashes in @p body; empty when it is of another kind. Thread safe.
+std::optional<crash_message> crashMessageIn(const peer_body &body);
+
+/// Returns @p message as the body of a message between entries. Thread safe.
+peer_body bodyOf(const crash_message &message);
 
 /// Sender and sequence number of a message.
 struct peer_header
--- a/include/heatherroute/peer_serialize.h
+++ b/include/heatherroute/peer_serialize.h
@@ -70,6 +70,16 @@
     }
 }
 
+/// Reads or writes @p numbers. Precondition: @p limitItems is at most 65,535.
+template<typename Archive>
+void serializeNumbers(Archive &archive, std::vector<std::uint64_t> &numbers, std::size_t limitItems)
+{
+    numbers.resize(detail::serializeLength(archive, numbers.size(), limitItems));
+    for (std::uint64_t &number : numbers) {
+        archive(number);
+    }
+}
+
 /// Reads or writes an enumeration; throws on a value over @p last.
 template<typename Archive, typename Enum>
 void serializeEnum(Archive &archive, Enum &value, Enum last)
--- a/include/heatherroute/relay_request.h
+++ b/include/heatherroute/relay_request.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "heatherroute/request_fingerprint.h"
 #include "heatherroute/time.h"
 
 namespace heatherroute
@@ -21,8 +22,6 @@
     auto operator<=>(const prompt_facts &) const = default;
 };
 
-inline constexpr std::size_t kMaxSharedParts = 16;
-
 /**
  * The data of a request that routing needs; the request itself is forwarded as opaque bytes.
  *
--- a/include/heatherroute/request_fingerprint.h
+++ b/include/heatherroute/request_fingerprint.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -9,6 +10,8 @@
 namespace heatherroute
 {
 
+inline constexpr std::size_t kMaxSharedParts = 16;
+
 /// The parts of a request that stay the same when its caller sends it again, at any entry and under another request id.
 struct request_identity
 {
@@ -21,6 +24,15 @@
     auto operator<=>(const request_identity &) const = default;
 };
 
+/// By what a request is known again, whole or in part.
+struct request_fingerprints
+{
+    std::uint64_t fingerprint = 0; ///< Of the whole request.
+    std::vector<std::uint64_t> parts; ///< Of the parts of its prompt that other requests may share, in order; at most kMaxSharedParts.
+
+    auto operator<=>(const request_fingerprints &) const = default;
+};
+
 /// Returns a hash of @p identity, which is the same on all entries. It isn't cryptographic. Thread safe.
 std::uint64_t fingerprintOf(const request_identity &identity);
 
--- a/include/heatherroute/request_quarantine.h
+++ b/include/heatherroute/request_quarantine.h
@@ -9,6 +9,8 @@
 #include <vector>
 
 #include "heatherroute/crash_report.h"
+#include "heatherroute/known_crash.h"
+#include "heatherroute/request_fingerprint.h"
 #include "heatherroute/time.h"
 
 namespace heatherroute
@@ -61,13 +63,14 @@
 
     /// Records that @p instance ended an attempt of the request without a complete answer, though it may have run it. Returns the
     /// report for the other entries if the instance is known to have crashed; otherwise the interruption stays pending.
-    std::optional<crash_report> noteInterrupted(instant now, const upstream_instance &instance, std::uint64_t fingerprint);
+    /// @p ran: the time since the attempt was sent.
+    std::optional<crash_report> noteInterrupted(instant now, const upstream_instance &instance, const request_fingerprints &request, duration ran = {});
     /// Records that @p instance is silent, so that only the end of its registration will show a crash. Returns a report for each pending
     /// interruption there, from which the other entries can conclude if this one restarts.
     std::vector<open_attempt> noteSilent(instant now, const upstream_instance &instance);
     /// Records that an attempt of the request begins at @p instance. Returns the report for the other entries if earlier attempts of it met
     /// crashes or silent upstreams, so that this one should be known from the start.
-    std::optional<open_attempt> noteStarted(instant now, const upstream_instance &instance, std::uint64_t fingerprint);
+    std::optional<open_attempt> noteStarted(instant now, const upstream_instance &instance, const request_fingerprints &request);
     /// Records that @p instance has answered an attempt of the request, so the attempt is no longer in flight.
     void noteAnswered(const upstream_instance &instance, std::uint64_t fingerprint);
     /// Records that @p instance has crashed. Returns a report for each pending interruption that this explains.
@@ -100,6 +103,15 @@
     std::vector<crash_report> suspectReports(instant now, std::size_t limit) const;
     /// Returns the open attempts, for an entry that has missed them.
     std::vector<open_attempt> openAttempts(instant now) const;
+    /// Returns the known crashes.
+    const std::deque<known_crash> &crashes() const noexcept
+    {
+        return m_crashes;
+    }
+    /// Returns a crash for each upstream that is silent with attempts in flight. Some of these upstreams may be out of reach only.
+    std::deque<known_crash> presumedCrashes() const;
+    /// Sets the crashes that don't count against requests, since they are explained by parts of prompts.
+    void setExplainedByParts(const std::set<crash_identity> &explained);
     /// Returns the number of quarantined requests.
     std::size_t size() const noexcept
     {
@@ -112,18 +124,14 @@
         instant at{};
         upstream_instance instance;
         std::uint64_t fingerprint = 0;
-        bool observedHere = true;
+        crash_suspect suspect;
         bool isOpen = false; ///< The upstream was silent, and the other entries know of the attempt.
     };
-    struct known_crash
-    {
-        instant at{};
-        upstream_instance instance;
-        std::map<std::uint64_t, bool> suspects; ///< Fingerprints; true for requests that this entry had in flight.
-    };
 
     explicit request_quarantine(const quarantine_settings &settings);
     void expire(instant now);
+    static open_attempt openReport(instant now, const pending_interruption &interruption);
+    static crash_report reportOf(instant now, const known_crash &crash, std::uint64_t fingerprint, const crash_suspect &suspect);
     void addPending(const pending_interruption &interruption);
     bool isAnnounced(std::uint64_t fingerprint) const;
     bool isPending(const upstream_instance &instance, std::uint64_t fingerprint) const;
@@ -144,6 +152,7 @@
     quarantine_settings m_settings;
     std::deque<pending_interruption> m_pending; ///< In order of time.
     std::deque<known_crash> m_crashes;
+    std::set<crash_identity> m_explainedByParts;
     std::map<std::uint64_t, std::uint32_t> m_crashCounts; ///< Number of crashes by suspect.
     std::map<upstream_instance, instant> m_crashedInstances; ///< Crashes of the last moments, also those without a suspect.
     std::map<std::uint64_t, instant> m_clearedAt; ///< Crashes up to this time don't count against the request.
--- a/src/core/crash_handler.h
+++ b/src/core/crash_handler.h
@@ -6,8 +6,7 @@
 #include <string>
 
 #include "core/core_context.h"
-#include "heatherroute/crash_gossip.h"
-#include "heatherroute/request_quarantine.h"
+#include "heatherroute/crash_tracker.h"
 
 namespace heatherroute
 {
@@ -23,27 +22,32 @@
 public:
     explicit crash_handler(core_context &context);
 
-    /// Processes the failure of an attempt of the request at @p upstreamName.
-    void onAttemptFailed(const std::string &upstreamName, const std::string &address, std::uint64_t fingerprint, const attempt_failed &event);
+    /// Processes the failure of an attempt of the request at @p upstreamName, to which it was sent at @p sentAt.
+    void onAttemptFailed(
+        const std::string &upstreamName, const std::string &address, const request_fingerprints &request, instant sentAt, const attempt_failed &event);
     void onChecked(const upstream_checked &event);
     /// Records that an upstream answered the request completely.
-    void onCompleted(std::uint64_t fingerprint);
+    void onCompleted(const request_fingerprints &request);
     void onMessage(const peer_received &event);
     /// Tells a member that comes into reach about the known suspects.
     void onMember(const member_change &change);
     /// Sends due reports to all members in reach.
     void onTick();
 
-    /// Returns for how much longer the request must not be sent to an upstream; zero if it may be.
-    duration quarantinedFor(std::uint64_t fingerprint);
+    /// Decides on a new request. Returns for how much longer it must not be sent to an upstream; zero if it may be.
+    duration admit(const request_fingerprints &request);
+    /// Returns for how much longer a request that was admitted must not be sent to an upstream; zero if it may be.
+    duration quarantinedFor(const request_fingerprints &request);
 
 private:
-    void publish(const std::vector<crash_report> &reports);
+    void log(const std::vector<crash_report> &reports);
     void logStarted();
 
     core_context &m_context;
-    request_quarantine m_quarantine;
-    crash_gossip m_gossip;
+    /// Returns the number of members in reach that precede this entry by name.
+    std::size_t rank() const;
+
+    crash_tracker m_crashes;
     std::map<member_id, std::string> m_addresses; ///< Peer addresses of the members in reach.
     std::set<std::string> m_checking; ///< Names of upstreams with a check in progress.
 };
--- a/src/core/generation_handler.cpp
+++ b/src/core/generation_handler.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <sstream>
 
+#include "core/prompt_parts.h"
 #include "heatherroute/assert.h"
 #include "heatherroute/request_fingerprint.h"
 
@@ -61,13 +62,14 @@
         return;
     }
     const std::string maxTokens = std::to_string(request.maxTokens);
-    const std::uint64_t fingerprint = fingerprintOf({request.traits.team, "generate", request.model, maxTokens, request.prompt});
-    if (const duration left = m_crashes.quarantinedFor(fingerprint); left > duration::zero()) {
-        reject(caller, 503, "quarantined", "upstreams have crashed under this request", left);
+    request_fingerprints fingerprints{fingerprintOf({request.traits.team, "generate", request.model, maxTokens, request.prompt}),
+                                      promptPartsOf(request.model, request.prompt)};
+    if (const duration left = m_crashes.admit(fingerprints); left > duration::zero()) {
+        reject(caller, 503, "quarantined", "upstreams have crashed under this request, or under others with a part of its prompt", left);
         return;
     }
     generation work;
-    work.fingerprint = fingerprint;
+    work.fingerprints = std::move(fingerprints);
     work.deadline = m_context.now() + request.traits.deadline.value_or(m_context.options().defaultDeadline);
     work.request = std::move(request);
     if (!reserveEngines(work)) {
@@ -121,6 +123,7 @@
     work.phase = generation_phase::Prefilling;
     ++work.attempts;
     setAttempt(work);
+    work.sentAt = m_context.now();
     work.engineRequest = m_context.engineRequest(work.attempt);
     m_context.emit(start_prefill{work.attempt,
                                  work.prefillAddress,
@@ -155,6 +158,7 @@
     work.phase = generation_phase::Decoding;
     work.resumed = false;
     setAttempt(work);
+    work.sentAt = m_context.now();
     m_context.emit(start_decode{work.attempt,
                                 work.decodeAddress,
                                 work.engineRequest,
@@ -211,7 +215,7 @@
         }
         return;
     }
-    m_crashes.onCompleted(work->fingerprint);
+    m_crashes.onCompleted(work->fingerprints);
     m_engines.finished(work->decodeName, work->progress, event.tokens);
     m_context.log(log_level::Info,
                   "generation_finished",
@@ -237,7 +241,7 @@
     m_attempts.erase(event.attempt);
     const bool isDecoding = work->phase == generation_phase::Decoding;
     const std::string &engine = isDecoding ? work->decodeName : work->prefillName;
-    m_crashes.onAttemptFailed(engine, isDecoding ? work->decodeAddress : work->prefillAddress, work->fingerprint, event);
+    m_crashes.onAttemptFailed(engine, isDecoding ? work->decodeAddress : work->prefillAddress, work->fingerprints, work->sentAt, event);
     m_context.log(log_level::Warning,
                   "attempt_failed",
                   {requestIdField(work->request.traits.requestName), upstreamField(engine), {"reason", event.reason}, verdictField(event.outcome)});
@@ -286,7 +290,7 @@
 
 bool generation_handler::isQuarantined(const generation &work)
 {
-    return m_crashes.quarantinedFor(work.fingerprint) > duration::zero();
+    return m_crashes.quarantinedFor(work.fingerprints) > duration::zero();
 }
 
 void generation_handler::resumeDecode(generation &work)
@@ -433,7 +437,7 @@
     markInFlightMayHaveRun(work);
     m_context.log(log_level::Warning, "generation_failed", {requestIdField(work.request.traits.requestName), {"code", code}, verdictField(work.outcome)});
     const bool isRetryable = status >= kFirstServerError;
-    const duration wait = std::max(m_engines.retryAfter(), m_crashes.quarantinedFor(work.fingerprint));
+    const duration wait = std::max(m_engines.retryAfter(), m_crashes.quarantinedFor(work.fingerprints));
     const auto retryAfter = isRetryable ? std::optional<duration>(wait) : std::nullopt;
     m_context.emit(fail_caller{work.request.caller, status, code, message, work.outcome, retryAfter});
     finish(work);
--- a/src/core/generation_handler.h
+++ b/src/core/generation_handler.h
@@ -52,7 +52,8 @@
     struct generation
     {
         generation_requested request;
-        std::uint64_t fingerprint = 0;
+        request_fingerprints fingerprints;
+        instant sentAt{}; ///< When the current engine got its work.
         instant deadline;
         generation_phase phase = generation_phase::Prefilling;
         attempt_id attempt;
--- a/src/core/request_quarantine.cpp
+++ b/src/core/request_quarantine.cpp
@@ -19,10 +19,10 @@
 {
     std::set<observation_key> keys;
     for (const crash_report &report : evidence.crashes) {
-        keys.insert({report.fingerprint, report.instance, false});
+        keys.insert({report.fingerprint, report.instance, false, report.parts});
     }
     for (const open_attempt &open : evidence.open) {
-        keys.insert({open.fingerprint, open.instance, true});
+        keys.insert({open.fingerprint, open.instance, true, open.parts});
     }
     return keys;
 }
@@ -36,17 +36,19 @@
     : m_settings(settings)
 { }
 
-std::optional<crash_report> request_quarantine::noteInterrupted(instant now, const upstream_instance &instance, std::uint64_t fingerprint)
+std::optional<crash_report>
+request_quarantine::noteInterrupted(instant now, const upstream_instance &instance, const request_fingerprints &request, duration ran)
 {
+    const pending_interruption interruption{now, instance, request.fingerprint, {request.parts, millisecondsBetween({}, instant(ran)), true}, false};
     expire(now);
     const auto crashed = m_crashedInstances.find(instance);
     // If its start isn't known, an interruption long after the crash belongs to the next instance.
     if (crashed != m_crashedInstances.end() && (instance.startedAt != 0 || now - crashed->second < m_settings.sameCrashWindow)) {
-        crash_report report = addSuspect(now, {now, instance, fingerprint});
+        crash_report report = addSuspect(now, interruption);
         updateQuarantine();
         return report;
     }
-    addPending({now, instance, fingerprint});
+    addPending(interruption);
     return std::nullopt;
 }
 
@@ -57,20 +59,21 @@
     for (pending_interruption &interruption : m_pending) {
         if (interruption.instance == instance && !interruption.isOpen) {
             interruption.isOpen = true;
-            reports.push_back({interruption.fingerprint, instance, millisecondsBetween(interruption.at, now)});
+            reports.push_back(openReport(now, interruption));
         }
     }
     return reports;
 }
 
-std::optional<open_attempt> request_quarantine::noteStarted(instant now, const upstream_instance &instance, std::uint64_t fingerprint)
+std::optional<open_attempt> request_quarantine::noteStarted(instant now, const upstream_instance &instance, const request_fingerprints &request)
 {
     expire(now);
-    if (!isAnnounced(fingerprint) || m_crashedInstances.contains(instance) || isPending(instance, fingerprint)) {
+    if (!isAnnounced(request.fingerprint) || m_crashedInstances.contains(instance) || isPending(instance, request.fingerprint)) {
         return std::nullopt;
     }
-    addPending({now, instance, fingerprint, true, true});
-    return open_attempt{fingerprint, instance, 0};
+    const pending_interruption started{now, instance, request.fingerprint, {request.parts, 0, true}, true};
+    addPending(started);
+    return openReport(now, started);
 }
 
 void request_quarantine::noteAnswered(const upstream_instance &instance, std::uint64_t fingerprint)
@@ -91,7 +94,7 @@
     std::erase_if(m_pending, [&added](const pending_interruption &known) {
         const bool isSame = known.instance == added.instance && known.fingerprint == added.fingerprint;
         added.isOpen = added.isOpen || (isSame && known.isOpen);
-        added.observedHere = added.observedHere || (isSame && known.observedHere);
+        added.suspect.observedHere = added.suspect.observedHere || (isSame && known.suspect.observedHere);
         return isSame;
     });
     if (m_pending.size() >= m_settings.maxPending) {
@@ -161,7 +164,7 @@
     if (report.cleared) {
         clear(at, report.fingerprint);
     } else if (now - at <= m_settings.retention) {
-        addSuspect(now, {at, report.instance, report.fingerprint, false});
+        addSuspect(now, {at, report.instance, report.fingerprint, {report.parts, report.ranMs, false}, false});
         updateQuarantine();
     }
 }
@@ -172,7 +175,7 @@
     const instant at = now - std::chrono::milliseconds(report.ageMs);
     const auto cleared = m_clearedAt.find(report.fingerprint);
     const bool isCleared = cleared != m_clearedAt.end() && at <= cleared->second;
-    const crash_report inCrash{report.fingerprint, report.instance, report.ageMs, false};
+    const crash_report inCrash{report.fingerprint, report.instance, report.ageMs, false, report.ranMs, report.parts};
     if (isCleared || now - at > m_settings.retention) {
         return;
     }
@@ -180,7 +183,7 @@
         // The sender may restart before it comes to the same conclusion.
         onReport(now, inCrash);
     } else {
-        addPending({at, report.instance, report.fingerprint, false, true});
+        addPending({at, report.instance, report.fingerprint, {report.parts, report.ranMs, false}, true});
     }
 }
 
@@ -195,17 +198,52 @@
     return {instances.begin(), instances.end()};
 }
 
+std::deque<known_crash> request_quarantine::presumedCrashes() const
+{
+    std::deque<known_crash> crashes;
+    for (const pending_interruption &interruption : m_pending) {
+        if (!interruption.isOpen || interruption.suspect.ranMs == 0) {
+            continue;
+        }
+        auto crash = std::find_if(
+            crashes.begin(), crashes.end(), [&interruption](const known_crash &known) { return known.identity.instance == interruption.instance; });
+        if (crash == crashes.end()) {
+            crash = crashes.insert(crash, known_crash{{interruption.at, interruption.instance}, {}});
+        }
+        crash->suspects.emplace(interruption.fingerprint, interruption.suspect);
+    }
+    return crashes;
+}
+
 std::vector<open_attempt> request_quarantine::openAttempts(instant now) const
 {
     std::vector<open_attempt> reports;
     for (const pending_interruption &interruption : m_pending) {
         if (interruption.isOpen) {
-            reports.push_back({interruption.fingerprint, interruption.instance, millisecondsBetween(interruption.at, now)});
+            reports.push_back(openReport(now, interruption));
         }
     }
     return reports;
 }
 
+open_attempt request_quarantine::openReport(instant now, const pending_interruption &interruption)
+{
+    return {interruption.fingerprint, interruption.instance, millisecondsBetween(interruption.at, now), interruption.suspect.ranMs, interruption.suspect.parts};
+}
+
+crash_report request_quarantine::reportOf(instant now, const known_crash &crash, std::uint64_t fingerprint, const crash_suspect &suspect)
+{
+    return {fingerprint, crash.identity.instance, millisecondsBetween(crash.identity.at, now), false, suspect.ranMs, suspect.parts};
+}
+
+void request_quarantine::setExplainedByParts(const std::set<crash_identity> &explained)
+{
+    if (explained != m_explainedByParts) {
+        m_explainedByParts = explained;
+        updateQuarantine();
+    }
+}
+
 std::vector<started_quarantine> request_quarantine::takeStarted()
 {
     std::erase_if(m_taken, [this](std::uint64_t fingerprint) { return !m_quarantined.contains(fingerprint); });
@@ -214,7 +252,7 @@
         if (m_taken.insert(fingerprint).second) {
             const bool observedHere = std::any_of(m_crashes.begin(), m_crashes.end(), [fingerprint = fingerprint](const known_crash &crash) {
                 const auto suspect = crash.suspects.find(fingerprint);
-                return suspect != crash.suspects.end() && suspect->second;
+                return suspect != crash.suspects.end() && suspect->second.observedHere;
             });
             started.push_back({fingerprint, observedHere});
         }
@@ -226,16 +264,16 @@
 {
     crash_evidence observed;
     for (const pending_interruption &interruption : m_pending) {
-        if (interruption.isOpen && interruption.observedHere && observed.open.size() < limit) {
-            observed.open.push_back({interruption.fingerprint, interruption.instance, millisecondsBetween(interruption.at, now)});
+        if (interruption.isOpen && interruption.suspect.observedHere && observed.open.size() < limit) {
+            observed.open.push_back(openReport(now, interruption));
         }
     }
     std::vector<const known_crash *> newestFirst = crashesByTime();
     std::reverse(newestFirst.begin(), newestFirst.end());
     for (const known_crash *crash : newestFirst) {
-        for (const auto &[fingerprint, observedHere] : crash->suspects) {
-            if (observedHere && observed.open.size() + observed.crashes.size() < limit) {
-                observed.crashes.push_back({fingerprint, crash->instance, millisecondsBetween(crash->at, now), false});
+        for (const auto &[fingerprint, suspect] : crash->suspects) {
+            if (suspect.observedHere && observed.open.size() + observed.crashes.size() < limit) {
+                observed.crashes.push_back(reportOf(now, *crash, fingerprint, suspect));
             }
         }
     }
@@ -247,11 +285,12 @@
     expire(now);
     for (const crash_report &report : recorded.crashes) {
         if (std::chrono::milliseconds(report.ageMs) <= m_settings.retention) {
-            addSuspect(now, {now - std::chrono::milliseconds(report.ageMs), report.instance, report.fingerprint});
+            const instant at = now - std::chrono::milliseconds(report.ageMs);
+            addSuspect(now, {at, report.instance, report.fingerprint, {report.parts, report.ranMs, true}, false});
         }
     }
     for (const open_attempt &open : recorded.open) {
-        addPending({now - std::chrono::milliseconds(open.ageMs), open.instance, open.fingerprint, true, true});
+        addPending({now - std::chrono::milliseconds(open.ageMs), open.instance, open.fingerprint, {open.parts, open.ranMs, true}, true});
     }
     updateQuarantine();
 }
@@ -283,31 +322,31 @@
     std::reverse(newestFirst.begin(), newestFirst.end());
     std::vector<crash_report> reports;
     for (const known_crash *crash : newestFirst) {
-        for (const auto &[fingerprint, observedHere] : crash->suspects) {
+        for (const auto &[fingerprint, suspect] : crash->suspects) {
             if (reports.size() == limit) {
                 return reports;
             }
-            reports.push_back({fingerprint, crash->instance, millisecondsBetween(crash->at, now), false});
+            reports.push_back(reportOf(now, *crash, fingerprint, suspect));
         }
     }
     return reports;
 }
 
-std::vector<const request_quarantine::known_crash *> request_quarantine::crashesByTime() const
+std::vector<const known_crash *> request_quarantine::crashesByTime() const
 {
     std::vector<const known_crash *> ordered;
     for (const known_crash &crash : m_crashes) {
         ordered.push_back(&crash);
     }
-    std::stable_sort(ordered.begin(), ordered.end(), [](const known_crash *a, const known_crash *b) { return a->at < b->at; });
+    std::stable_sort(ordered.begin(), ordered.end(), [](const known_crash *a, const known_crash *b) { return a->identity.at < b->identity.at; });
     return ordered;
 }
 
-request_quarantine::known_crash *request_quarantine::findCrash(instant at, const upstream_instance &instance)
+known_crash *request_quarantine::findCrash(instant at, const upstream_instance &instance)
 {
     const auto found = std::find_if(m_crashes.begin(), m_crashes.end(), [&](const known_crash &crash) {
-        const duration apart = crash.at < at ? at - crash.at : crash.at - at;
-        return crash.instance == instance && (instance.startedAt != 0 || apart < m_settings.sameCrashWindow);
+        const duration apart = crash.identity.at < at ? at - crash.identity.at : crash.identity.at - at;
+        return crash.identity.instance == instance && (instance.startedAt != 0 || apart < m_settings.sameCrashWindow);
     });
     return found == m_crashes.end() ? nullptr : &*found;
 }
@@ -315,7 +354,8 @@
 crash_report request_quarantine::addSuspect(instant now, const pending_interruption &interruption)
 {
     const std::uint64_t fingerprint = interruption.fingerprint;
-    crash_report report{fingerprint, interruption.instance, millisecondsBetween(interruption.at, now), false};
+    crash_report report{
+        fingerprint, interruption.instance, millisecondsBetween(interruption.at, now), false, interruption.suspect.ranMs, interruption.suspect.parts};
     const auto cleared = m_clearedAt.find(fingerprint);
     if (cleared != m_clearedAt.end() && interruption.at <= cleared->second) {
         return report;
@@ -323,16 +363,17 @@
     known_crash *crash = findCrash(interruption.at, interruption.instance);
     if (crash == nullptr) {
         if (m_crashes.size() >= m_settings.maxCrashesKept) {
-            const auto oldest = std::min_element(m_crashes.begin(), m_crashes.end(), [](const known_crash &a, const known_crash &b) { return a.at < b.at; });
+            const auto oldest =
+                std::min_element(m_crashes.begin(), m_crashes.end(), [](const known_crash &a, const known_crash &b) { return a.identity.at < b.identity.at; });
             forgetCrash(static_cast<std::size_t>(oldest - m_crashes.begin()));
         }
-        crash = &m_crashes.emplace_back(known_crash{interruption.at, interruption.instance, {}});
+        crash = &m_crashes.emplace_back(known_crash{{interruption.at, interruption.instance}, {}});
     }
     const auto known = crash->suspects.find(fingerprint);
     if (known != crash->suspects.end()) {
-        known->second = known->second || interruption.observedHere;
+        known->second.observedHere = known->second.observedHere || interruption.suspect.observedHere;
     } else if (crash->suspects.size() < m_settings.maxSuspectsPerCrash) {
-        crash->suspects.emplace(fingerprint, interruption.observedHere);
+        crash->suspects.emplace(fingerprint, interruption.suspect);
         ++m_crashCounts[fingerprint];
     }
     return report;
@@ -362,7 +403,7 @@
     clearedAt = std::max(clearedAt, at);
     std::erase_if(m_pending, [&](const pending_interruption &interruption) { return interruption.fingerprint == fingerprint && interruption.at <= at; });
     for (known_crash &crash : m_crashes) {
-        if (crash.at <= at && crash.suspects.contains(fingerprint)) {
+        if (crash.identity.at <= at && crash.suspects.contains(fingerprint)) {
             removeSuspect(crash, fingerprint);
         }
     }
@@ -378,7 +419,7 @@
     std::erase_if(m_clearedAt, [&](const auto &entry) { return now - entry.second > m_settings.retention; });
     bool forgot = false;
     for (std::size_t index = m_crashes.size(); index > 0; --index) {
-        if (now - m_crashes[index - 1].at > m_settings.retention) {
+        if (now - m_crashes[index - 1].identity.at > m_settings.retention) {
             forgetCrash(index - 1);
             forgot = true;
         }
@@ -402,7 +443,10 @@
     std::set<const known_crash *> explained;
     for (const known_crash *crash : crashesByTime()) {
         std::map<std::size_t, std::vector<std::uint64_t>, std::greater<>> byCount;
-        for (const auto &[fingerprint, observedHere] : crash->suspects) {
+        if (m_explainedByParts.contains(crash->identity)) {
+            explained.insert(crash);
+        }
+        for (const auto &[fingerprint, suspect] : crash->suspects) {
             if (isCandidate(fingerprint)) {
                 std::vector<const known_crash *> &crashes = crashesOfRequest[fingerprint];
                 crashes.push_back(crash);
@@ -418,7 +462,7 @@
     }
     for (auto &[fingerprint, lapsesAt] : m_quarantined) {
         const std::vector<const known_crash *> &crashes = crashesOfRequest[fingerprint];
-        lapsesAt = crashes[crashes.size() - m_settings.maxCrashes]->at + m_settings.retention;
+        lapsesAt = crashes[crashes.size() - m_settings.maxCrashes]->identity.at + m_settings.retention;
     }
 }
 
--- a/src/core/service_handler.cpp
+++ b/src/core/service_handler.cpp
@@ -30,13 +30,13 @@
         m_context.emit(fail_caller{caller, 404, "unknown_service", "no upstream serves this service", verdict::NotRun, std::nullopt});
         return;
     }
-    const std::uint64_t fingerprint = fingerprintOf({request.traits.team, request.method, request.service, request.path, request.body});
-    if (const duration left = m_crashes.quarantinedFor(fingerprint); left > duration::zero()) {
+    const request_fingerprints fingerprints{fingerprintOf({request.traits.team, request.method, request.service, request.path, request.body}), {}};
+    if (const duration left = m_crashes.admit(fingerprints); left > duration::zero()) {
         m_context.emit(fail_caller{caller, 503, "quarantined", "upstreams have crashed under this request", verdict::NotRun, left});
         return;
     }
     call work;
-    work.fingerprint = fingerprint;
+    work.fingerprints = fingerprints;
     work.deadline = m_context.now() + request.traits.deadline.value_or(m_context.options().defaultDeadline);
     work.idempotent = m_isIdempotent(request);
     work.request = std::move(request);
@@ -122,6 +122,7 @@
 
 void service_handler::start(call &work, const upstream_table::entry &target)
 {
+    work.sentAt = m_context.now();
     ++work.attempts;
     work.upstreamName = target.config.name;
     m_upstreams.reserve(work.upstreamName, 0);
@@ -149,7 +150,7 @@
                    upstreamField(work->upstreamName),
                    {"status", std::to_string(event.status)},
                    verdictField(verdict::Ran)});
-    m_crashes.onCompleted(work->fingerprint);
+    m_crashes.onCompleted(work->fingerprints);
     if (work->key) {
         m_keys.recordAnswer(m_context.now(), *work->key, {event.status, event.contentType, event.body});
         work->key.reset();
@@ -167,9 +168,9 @@
     work->outcome = combine(work->outcome, event.outcome);
     work->excludedUpstreams.push_back(work->upstreamName);
     const upstream_table::entry *failed = m_upstreams.find(work->upstreamName);
-    m_crashes.onAttemptFailed(work->upstreamName, failed != nullptr ? failed->config.address : std::string(), work->fingerprint, event);
+    m_crashes.onAttemptFailed(work->upstreamName, failed != nullptr ? failed->config.address : std::string(), work->fingerprints, work->sentAt, event);
     const bool inTime = m_context.now() < work->deadline;
-    const bool isQuarantined = m_crashes.quarantinedFor(work->fingerprint) > duration::zero();
+    const bool isQuarantined = m_crashes.quarantinedFor(work->fingerprints) > duration::zero();
     const bool mayRetry = (work->outcome == verdict::NotRun || work->idempotent) && !isQuarantined;
     const upstream_table::entry *target = mayRetry && inTime && work->attempts < kAttemptLimit ? chooseUpstream(*work) : nullptr;
     if (target == nullptr) {
@@ -208,7 +209,7 @@
                   {requestIdField(work.request.traits.requestName), upstreamField(work.upstreamName), {"code", code}, verdictField(work.outcome)});
     // A call that is not idempotent and may have run gets no Retry-After, which would invite the caller to repeat it.
     const bool mayRetry = work.outcome == verdict::NotRun || work.idempotent;
-    const duration wait = std::max(kRetryAfter, m_crashes.quarantinedFor(work.fingerprint));
+    const duration wait = std::max(kRetryAfter, m_crashes.quarantinedFor(work.fingerprints));
     const auto retryAfter = mayRetry ? std::optional<duration>(wait) : std::nullopt;
     m_context.emit(fail_caller{work.request.caller, status, code, message, work.outcome, retryAfter});
     finish(work);
--- a/src/core/service_handler.h
+++ b/src/core/service_handler.h
@@ -47,7 +47,8 @@
         service_requested request;
         instant deadline;
         attempt_id attempt;
-        std::uint64_t fingerprint = 0;
+        request_fingerprints fingerprints;
+        instant sentAt{}; ///< When the current upstream got the call.
         std::string upstreamName;
         std::vector<std::string> excludedUpstreams;
         unsigned attempts = 0;
--- a/src/node/crash_monitor.cpp
+++ b/src/node/crash_monitor.cpp
@@ -15,7 +15,6 @@
 namespace
 {
 
-constexpr std::size_t kMaxIntroducedReports = 256;
 constexpr std::size_t kMaxRecordedReports = 512;
 /// Between two records of this entry, since many requests may be interrupted and answered one after the other.
 constexpr std::chrono::seconds kRecordInterval{1};
@@ -36,16 +35,14 @@
 crash_monitor::crash_monitor(asio::any_io_executor executor, crash_monitor_hooks hooks)
     : m_executor(std::move(executor))
     , m_hooks(std::move(hooks))
-    , m_quarantine(request_quarantine::make({}))
-    , m_gossip(crash_gossip::make({}))
+    , m_crashes(crash_tracker::make())
 { }
 
-std::uint64_t crash_monitor::beginAttempt(const registration &run, std::uint64_t fingerprint)
+std::uint64_t crash_monitor::beginAttempt(const registration &run, const request_fingerprints &request)
 {
-    m_attempts.emplace(++m_lastAttempt, running_attempt{run, fingerprint, coreNow()});
-    if (const auto report = m_quarantine.noteStarted(coreNow(), instanceOf(run), fingerprint)) {
-        m_gossip.add(coreNow(), *report);
-    }
+    const instant now = coreNow();
+    m_attempts.emplace(++m_lastAttempt, running_attempt{run, request, now, now});
+    m_crashes.noteStarted(now, instanceOf(run), request);
     return m_lastAttempt;
 }
 
@@ -66,14 +63,16 @@
     m_attempts.erase(found);
     const upstream_instance instance = instanceOf(ended.run);
     if (result.answer || result.failure.outcome == verdict::NotRun) {
-        m_quarantine.noteAnswered(instance, ended.fingerprint);
+        m_crashes.noteAnswered(instance, ended.request);
         return;
     }
     if (endedHere) {
         return;
     }
-    if (const auto report = m_quarantine.noteInterrupted(coreNow(), instance, ended.fingerprint)) {
-        publish({*report});
+    const instant now = coreNow();
+    const std::vector<crash_report> reports = m_crashes.noteInterrupted(now, instance, ended.request, now - ended.sentAt);
+    if (!reports.empty()) {
+        log(reports);
     } else if (result.timedOut) {
         checkIfDue(ended.run);
     } else if (m_checking.insert(instance).second) {
@@ -92,10 +91,10 @@
             checkIfDue(attempt.run);
         }
     }
-    for (const upstream_instance &instance : m_quarantine.silentInstances()) {
+    for (const upstream_instance &instance : m_crashes.silentInstances()) {
         if (m_hooks.isGone(instance)) {
             interruptStalled(instance);
-            publish(m_quarantine.noteCrashed(now, instance));
+            log(m_crashes.noteCrashed(now, instance));
         }
     }
     recordObservations();
@@ -107,7 +106,7 @@
     if (now - m_recordedAt < kRecordInterval) {
         return;
     }
-    crash_evidence evidence = m_quarantine.observations(now, kMaxRecordedReports);
+    crash_evidence evidence = m_crashes.observations(now, kMaxRecordedReports);
     if (std::set<observation_key> keys = keysOf(evidence); keys != m_recorded) {
         m_recorded = std::move(keys);
         m_recordedAt = now;
@@ -127,62 +126,42 @@
 void crash_monitor::interruptStalled(const upstream_instance &instance)
 {
     const instant now = coreNow();
-    std::vector<crash_report> reports;
     for (const auto &[number, attempt] : m_attempts) {
         if (instanceOf(attempt.run) == instance && now - attempt.lastProgress >= kStallTime) {
-            const auto report = m_quarantine.noteInterrupted(now, instance, attempt.fingerprint);
-            if (report) {
-                reports.push_back(*report);
-            }
+            log(m_crashes.noteInterrupted(now, instance, attempt.request, now - attempt.sentAt));
         }
     }
-    publish(reports);
 }
 
 void crash_monitor::noteRefused(const registration &run)
 {
-    publish(m_quarantine.noteCrashed(coreNow(), instanceOf(run)));
+    log(m_crashes.noteCrashed(coreNow(), instanceOf(run)));
 }
 
-void crash_monitor::noteCompleted(std::uint64_t fingerprint)
+void crash_monitor::noteCompleted(const request_fingerprints &request)
 {
-    if (const auto report = m_quarantine.noteCompleted(coreNow(), fingerprint)) {
-        m_gossip.add(coreNow(), *report);
-    }
+    m_crashes.noteCompleted(coreNow(), request);
 }
 
 void crash_monitor::onUpstreamChange(const registration &run, upstream_change change)
 {
     if (change == upstream_change::Restarted) {
-        publish(m_quarantine.noteRestarted(coreNow(), instanceOf(run)));
+        log(m_crashes.noteRestarted(coreNow(), instanceOf(run)));
     } else if (change == upstream_change::Displaced || (change == upstream_change::Removed && !run.draining)) {
-        publish(m_quarantine.noteCrashed(coreNow(), instanceOf(run)));
+        log(m_crashes.noteCrashed(coreNow(), instanceOf(run)));
     }
 }
 
 void crash_monitor::onMessage(const crash_message &message)
 {
-    if (const auto *crashes = std::get_if<crash_reports>(&message)) {
-        for (const crash_report &report : crashes->reports) {
-            m_quarantine.onReport(coreNow(), report);
-        }
-    } else {
-        for (const open_attempt &report : std::get<open_attempts>(message).reports) {
-            m_quarantine.onOpenAttempt(coreNow(), report);
-        }
-    }
+    m_crashes.onMessage(coreNow(), message);
     announceChanges();
 }
 
 void crash_monitor::onRecord(const crash_evidence &evidence, bool isOwn)
 {
-    if (isOwn) {
-        m_quarantine.restore(coreNow(), evidence);
-        announceChanges();
-    } else {
-        onMessage(crash_reports{evidence.crashes});
-        onMessage(open_attempts{evidence.open});
-    }
+    m_crashes.onRecord(coreNow(), evidence, isOwn);
+    announceChanges();
 }
 
 void crash_monitor::recordAgain()
@@ -192,29 +171,32 @@
 
 std::vector<crash_message> crash_monitor::dueMessages()
 {
-    return m_gossip.dueMessages(coreNow());
+    return m_crashes.dueMessages(coreNow());
 }
 
 std::vector<crash_message> crash_monitor::introduction() const
 {
-    std::vector<crash_message> messages;
-    for (crash_reports &message : makeMessages(m_quarantine.suspectReports(coreNow(), kMaxIntroducedReports))) {
-        messages.emplace_back(std::move(message));
-    }
-    for (open_attempts &message : makeMessages(m_quarantine.openAttempts(coreNow()))) {
-        messages.emplace_back(std::move(message));
-    }
-    return messages;
+    return m_crashes.introduction(coreNow());
+}
+
+void crash_monitor::setRank(std::size_t rank) noexcept
+{
+    m_crashes.setRank(rank);
 }
 
-duration crash_monitor::quarantinedFor(std::uint64_t fingerprint)
+duration crash_monitor::admit(const request_fingerprints &request)
 {
-    return m_quarantine.quarantinedFor(coreNow(), fingerprint);
+    return m_crashes.admit(coreNow(), request);
+}
+
+duration crash_monitor::quarantinedFor(const request_fingerprints &request)
+{
+    return m_crashes.quarantinedFor(coreNow(), request);
 }
 
 asio::awaitable<void> crash_monitor::checkBeforeRetry(registration run, std::uint64_t fingerprint)
 {
-    if (m_quarantine.crashesOf(fingerprint) > 0) {
+    if (m_crashes.crashesOf(fingerprint) > 0) {
         co_await check(std::move(run));
     }
 }
@@ -238,44 +220,51 @@
     const instant startedAt = coreNow();
     const net::port_state state = co_await net::checkPort(*endpoint, kCheckTimeout);
     if (state == net::port_state::Open) {
-        m_quarantine.noteAlive(startedAt, instanceOf(run));
+        m_crashes.noteAlive(startedAt, instanceOf(run));
     } else {
         interruptStalled(instanceOf(run));
         if (state == net::port_state::Refused) {
             noteRefused(run);
         } else {
-            for (const open_attempt &report : m_quarantine.noteSilent(coreNow(), instanceOf(run))) {
-                m_gossip.add(coreNow(), report);
-            }
+            m_crashes.noteSilent(coreNow(), instanceOf(run));
         }
     }
     m_hooks.log(log_level::Info, "interrupting_upstream_checked", {upstreamField(run.id), {"port", toString(state)}});
 }
 
-void crash_monitor::publish(const std::vector<crash_report> &reports)
+void crash_monitor::log(const std::vector<crash_report> &reports)
 {
     for (const crash_report &report : reports) {
-        m_gossip.add(coreNow(), report);
         m_hooks.log(log_level::Warning,
                     "upstream_crashed_under_request",
                     {{"fingerprint", fingerprintText(report.fingerprint)},
+                     {"prompt_parts", fingerprintsText(report.parts)},
                      upstreamField(report.instance.id),
                      {"instance_started_at", std::to_string(report.instance.startedAt)},
-                     {"crashes", std::to_string(m_quarantine.crashesOf(report.fingerprint))}});
+                     {"ran_ms", std::to_string(report.ranMs)},
+                     {"crashes", std::to_string(m_crashes.crashesOf(report.fingerprint))}});
     }
     announceChanges();
 }
 
 void crash_monitor::announceChanges()
 {
-    for (const started_quarantine &started : m_quarantine.takeStarted()) {
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(quarantinedFor(started.fingerprint));
+    const auto milliseconds = [](duration time) { return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()); };
+    for (const started_quarantine &started : m_crashes.takeStarted(coreNow())) {
         m_hooks.log(log_level::Warning,
                     "request_quarantined",
                     {{"fingerprint", fingerprintText(started.fingerprint)},
-                     {"crashes", std::to_string(m_quarantine.crashesOf(started.fingerprint))},
+                     {"crashes", std::to_string(m_crashes.crashesOf(started.fingerprint))},
                      {"observed_here", started.observedHere ? "true" : "false"},
-                     {"for_ms", std::to_string(left.count())}});
+                     {"for_ms", milliseconds(quarantinedFor({started.fingerprint, {}}))}});
+    }
+    for (const started_part_quarantine &started : m_crashes.takeStartedParts(coreNow())) {
+        m_hooks.log(log_level::Warning,
+                    "prompt_part_quarantined",
+                    {{"prompt_part", fingerprintText(started.part)},
+                     {"crashes", std::to_string(started.crashes)},
+                     {"only_before_others", started.onlyInside ? "true" : "false"},
+                     {"for_ms", milliseconds(started.until - coreNow())}});
     }
 }
 
--- a/src/node/crash_monitor.h
+++ b/src/node/crash_monitor.h
@@ -9,10 +9,9 @@
 #include <set>
 #include <vector>
 
-#include "heatherroute/crash_gossip.h"
+#include "heatherroute/crash_tracker.h"
 #include "heatherroute/log_line.h"
 #include "heatherroute/registration.h"
-#include "heatherroute/request_quarantine.h"
 #include "net/http_client.h"
 #include "relay/upstream_registry.h"
 
@@ -30,7 +29,7 @@
 };
 
 /**
- * Finds out which upstreams crashed with which requests in flight, and quarantines requests with the other entries.
+ * Finds out which upstreams crashed with which requests in flight, and has requests quarantined together with the other entries.
  *
  * An upstream whose connection ends early, or that sends nothing for a while, is checked by a connection to its port, at most one at a time
  * for each instance; the registry's changes show the other crashes. Attempts at upstreams that don't answer this check are reported to the
@@ -43,7 +42,7 @@
     crash_monitor(boost::asio::any_io_executor executor, crash_monitor_hooks hooks);
 
     /// Records that an attempt passes the request on to @p run, and returns the attempt's number.
-    std::uint64_t beginAttempt(const registration &run, std::uint64_t fingerprint);
+    std::uint64_t beginAttempt(const registration &run, const request_fingerprints &request);
     /// Records that the upstream has sent something for an attempt.
     void noteProgress(std::uint64_t attempt);
     /// Records how an attempt ended. @p endedHere: the caller or this entry ended it, which says nothing about the upstream.
@@ -53,7 +52,7 @@
     /// Records that @p run refused a connection.
     void noteRefused(const registration &run);
     /// Records that an upstream answered the request completely.
-    void noteCompleted(std::uint64_t fingerprint);
+    void noteCompleted(const request_fingerprints &request);
     /// Processes a change of the registry.
     void onUpstreamChange(const registration &run, upstream_change change);
     /// Processes the reports of another entry.
@@ -67,8 +66,12 @@
     /// Returns the messages that tell an entry about the suspects that it doesn't know.
     std::vector<crash_message> introduction() const;
 
-    /// Returns for how much longer the request must not be sent to an upstream; zero if it may be.
-    duration quarantinedFor(std::uint64_t fingerprint);
+    /// Sets the number of live entries that precede this one by name.
+    void setRank(std::size_t rank) noexcept;
+    /// Decides on a new request. Returns for how much longer it must not be sent to an upstream; zero if it may be.
+    duration admit(const request_fingerprints &request);
+    /// Returns for how much longer a request that was admitted must not be sent to an upstream; zero if it may be.
+    duration quarantinedFor(const request_fingerprints &request);
     /// Finds out whether @p run has crashed, if the request is already a suspect. To be awaited before its next attempt.
     boost::asio::awaitable<void> checkBeforeRetry(registration run, std::uint64_t fingerprint);
 
@@ -77,7 +80,8 @@
     struct running_attempt
     {
         registration run;
-        std::uint64_t fingerprint = 0;
+        request_fingerprints request;
+        instant sentAt{};
         instant lastProgress{};
     };
 
@@ -86,15 +90,14 @@
     void interruptStalled(const upstream_instance &instance);
     boost::asio::awaitable<void> check(registration run);
     boost::asio::awaitable<void> checkDetached(registration run);
-    void publish(const std::vector<crash_report> &reports);
+    void log(const std::vector<crash_report> &reports);
     /// Logs the quarantines that have begun.
     void announceChanges();
     void recordObservations();
 
     boost::asio::any_io_executor m_executor;
     crash_monitor_hooks m_hooks;
-    request_quarantine m_quarantine;
-    crash_gossip m_gossip;
+    crash_tracker m_crashes;
     std::map<std::uint64_t, running_attempt> m_attempts; ///< By number.
     std::uint64_t m_lastAttempt = 0;
     std::map<upstream_instance, instant> m_silenceChecks; ///< When an upstream was last checked because it sent nothing.
--- a/src/node/member_duty.cpp
+++ b/src/node/member_duty.cpp
@@ -37,12 +37,8 @@
                 forwardToRelay(store_update_received{std::move(updateOfEra->update), updateOfEra->era});
                 return;
             }
-            if (auto *reports = std::get_if<crash_reports>(&message.body)) {
-                forwardToRelay(crash_reports_received{std::move(*reports)});
-                return;
-            }
-            if (auto *open = std::get_if<open_attempts>(&message.body)) {
-                forwardToRelay(crash_reports_received{std::move(*open)});
+            if (auto crashes = crashMessageIn(message.body)) {
+                forwardToRelay(crash_reports_received{std::move(*crashes)});
                 return;
             }
             processEvent(membership_received{from, std::move(message.header.sender), std::move(message.body)});
@@ -81,7 +77,7 @@
                 broadcast(broadcastEvent->update);
             }
         } else if (auto *crashEvent = std::get_if<crash_reports_to_send>(&event)) {
-            const peer_body body = std::visit([](const auto &message) { return peer_body(message); }, crashEvent->message);
+            const peer_body body = bodyOf(crashEvent->message);
             if (crashEvent->peerAddress) {
                 m_transport->sendDatagram(*crashEvent->peerAddress, body);
             } else {
--- a/src/node/plain_relay.cpp
+++ b/src/node/plain_relay.cpp
@@ -62,7 +62,7 @@
     {
         const plain_retry_policy policy;
         while (true) {
-            if (m_state.crashes.quarantinedFor(m_call.fingerprint()) > duration::zero()) {
+            if (m_state.crashes.quarantinedFor(m_call.fingerprints()) > duration::zero()) {
                 m_state.countQuarantineRefusal(m_service);
                 co_return kQuarantinedReason;
             }
@@ -90,7 +90,7 @@
                 co_return m_lastReason;
             }
             if (result.execution == verdict::MayHaveRun) {
-                co_await m_state.crashes.checkBeforeRetry(tried, m_call.fingerprint());
+                co_await m_state.crashes.checkBeforeRetry(tried, m_call.fingerprints().fingerprint);
             }
         }
     }
@@ -150,7 +150,7 @@
             m_call.noteFailedAttempt(run, "plain", fault, verdict::MayHaveRun);
             return {verdict::MayHaveRun, std::nullopt, fault};
         }
-        m_state.crashes.noteCompleted(m_call.fingerprint());
+        m_state.crashes.noteCompleted(m_call.fingerprints());
         if (result.answer->status >= net::status::kFirstServerError) {
             m_state.health.noteFailure(now, run.id);
             m_call.noteFailedAttempt(run, "plain", "status_" + std::to_string(result.answer->status), verdict::Ran);
@@ -166,7 +166,7 @@
         const verdict execution = overallExecution();
         if (execution == verdict::NotRun && !m_call.isTimedOut()) {
             const duration noUpstreamWait = m_triedIds.empty() ? kNoUpstreamRetryAfter : duration::zero();
-            const duration wait = std::max(noUpstreamWait, m_state.crashes.quarantinedFor(m_call.fingerprint()));
+            const duration wait = std::max(noUpstreamWait, m_state.crashes.quarantinedFor(m_call.fingerprints()));
             co_await m_call.sendError(
                 net::status::kUnavailable, reason, retryAfterDelay(m_state.retryAfterSettings, wait, m_call.timeLeft(), m_state.sampleUniform()));
             m_call.finish({"refused", net::status::kUnavailable, reason, execution, m_upstream});
--- a/src/node/relay_call.cpp
+++ b/src/node/relay_call.cpp
@@ -44,8 +44,8 @@
     : m_state(state)
     , m_request(std::move(request))
     , m_facts(state.dialect.readRequest(m_request))
-    , m_fingerprint(fingerprintOf({m_request.remoteAddress, m_request.method, m_facts.host, m_request.target, m_request.body}))
-    , m_parts(fingerprintsOf(m_facts.model, m_facts.sharedParts))
+    , m_fingerprints{fingerprintOf({m_request.remoteAddress, m_request.method, m_facts.host, m_request.target, m_request.body}),
+                     fingerprintsOf(m_facts.model, m_facts.sharedParts)}
     , m_responder(responder)
     , m_routes(state.routes)
     , m_startedAt(coreNow())
@@ -175,7 +175,7 @@
 
 void relay_call::beginAttempt(const registration &run)
 {
-    m_attempt = m_state.crashes.beginAttempt(run, m_fingerprint);
+    m_attempt = m_state.crashes.beginAttempt(run, m_fingerprints);
 }
 
 void relay_call::noteProgress()
@@ -193,8 +193,8 @@
     m_state.log(log_level::Warning,
                 "attempt_failed",
                 {requestIdField(m_facts.id),
-                 {"fingerprint", fingerprintText(m_fingerprint)},
-                 {"prompt_parts", fingerprintsText(m_parts)},
+                 {"fingerprint", fingerprintText(m_fingerprints.fingerprint)},
+                 {"prompt_parts", fingerprintsText(m_fingerprints.parts)},
                  upstreamField(run.id),
                  {"stage", stage},
                  {"reason", reason},
@@ -217,7 +217,7 @@
     m_state.metrics.histogram("heatherroute_request_seconds", "Time from a request's arrival to its end.", exponentialBounds(0.005, 2.0, 12), {{"kind", kind}})
         .observe(seconds);
     std::vector<log_field> fields = {requestIdField(m_facts.id),
-                                     {"fingerprint", fingerprintText(m_fingerprint)},
+                                     {"fingerprint", fingerprintText(m_fingerprints.fingerprint)},
                                      {"caller", m_request.remoteAddress},
                                      {"kind", kind},
                                      {"route", m_route == nullptr ? m_facts.path : m_route->name},
@@ -229,8 +229,8 @@
                                      upstreamField(result.upstream),
                                      {"took_ms", std::to_string(toMilliseconds(age()).count())},
                                      {"time_left_ms", std::to_string(toMilliseconds(timeLeft()).count())}};
-    if (!m_parts.empty()) {
-        fields.push_back({"prompt_parts", fingerprintsText(m_parts)});
+    if (!m_fingerprints.parts.empty()) {
+        fields.push_back({"prompt_parts", fingerprintsText(m_fingerprints.parts)});
     }
     fields.insert(fields.end(), m_extraLogFields.begin(), m_extraLogFields.end());
     m_state.log(result.outcome == "answered" ? log_level::Info : log_level::Warning, "request_ended", std::move(fields));
--- a/src/node/relay_call.h
+++ b/src/node/relay_call.h
@@ -57,15 +57,10 @@
     {
         return m_facts;
     }
-    /// Identifies the request over all attempts of its caller, at any entry.
-    std::uint64_t fingerprint() const noexcept
+    /// Identify the request over all attempts of its caller, at any entry, and the shared parts of its prompt.
+    const request_fingerprints &fingerprints() const noexcept
     {
-        return m_fingerprint;
-    }
-    /// Identify the shared parts of its prompt, in order.
-    const std::vector<std::uint64_t> &parts() const noexcept
-    {
-        return m_parts;
+        return m_fingerprints;
     }
     /// Precondition: begin() was called.
     const route &matchedRoute() const noexcept
@@ -140,8 +135,7 @@
     relay_state &m_state;
     net::http_request m_request;
     relay_request m_facts;
-    std::uint64_t m_fingerprint;
-    std::vector<std::uint64_t> m_parts;
+    request_fingerprints m_fingerprints;
     std::uint64_t m_attempt = 0; ///< The number of the current attempt.
     net::http_responder &m_responder;
     std::shared_ptr<const route_table> m_routes; ///< Keeps the route valid when the configuration changes.
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -406,6 +406,7 @@
             rank += other.state == member_state::Alive && other.id.name < m_settings.entryName ? 1 : 0;
         }
         m_rank = rank;
+        m_state.crashes.setRank(rank);
         m_state.gossip.setRank(m_stoppingSince ? m_otherEntries.size() : rank);
         m_leaseCandidate.setRank(rank);
     }
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -88,7 +88,8 @@
         m_state.retryBudget.noteRequest(coreNow(), m_service);
         std::uint32_t decodes = 0;
         bool retryGranted = true; // The first attempt needs no retry budget.
-        while (decodes < kMaxDecodes && !endIfQuarantined()) {
+        const bool admitted = !endIf(m_state.crashes.admit(m_call.fingerprints()));
+        while (admitted && decodes < kMaxDecodes && !endIfQuarantined()) {
             // Checked before another prefill, which would be wasted without the budget for the decode.
             if (!retryGranted && !m_state.tryRetry(m_service)) {
                 m_reason = "retry_budget_used_up";
@@ -121,9 +122,15 @@
     /// Whether the request must not be sent to an engine, since it crashes them.
     bool endIfQuarantined()
     {
-        if (m_state.crashes.quarantinedFor(m_call.fingerprint()) <= duration::zero()) {
+        return endIf(m_state.crashes.quarantinedFor(m_call.fingerprints()));
+    }
+
+    bool endIf(duration quarantined)
+    {
+        if (quarantined <= duration::zero()) {
             return false;
         }
+        m_quarantined = quarantined;
         m_state.countQuarantineRefusal(m_service);
         m_reason = kQuarantinedReason;
         return true;
@@ -286,7 +293,7 @@
             if (computed) {
                 co_return true;
             }
-            co_await m_state.crashes.checkBeforeRetry(run, m_call.fingerprint());
+            co_await m_state.crashes.checkBeforeRetry(run, m_call.fingerprints().fingerprint);
         }
         m_reason = "prefill_failed";
         co_return false;
@@ -407,7 +414,7 @@
             }
             m_streamComplete = result.answer.has_value();
             if (m_streamComplete) {
-                m_state.crashes.noteCompleted(m_call.fingerprint());
+                m_state.crashes.noteCompleted(m_call.fingerprints());
                 co_await m_call.responder().endStream();
             } else if (!m_call.isEnded()) {
                 m_state.health.noteFailure(coreNow(), run.id);
@@ -458,7 +465,7 @@
             m_reason = "decode_refused";
             co_return decode_outcome::NotRun;
         }
-        m_state.crashes.noteCompleted(m_call.fingerprint());
+        m_state.crashes.noteCompleted(m_call.fingerprints());
         m_state.health.noteFailure(coreNow(), run.id);
         m_execution = verdict::MayHaveRun;
         m_reason = "decode_answer_unusable";
@@ -520,7 +527,7 @@
     asio::awaitable<void> sendUnavailable()
     {
         const duration engineWait = m_reason == "no_engine" ? kNoEngineRetryAfter : kFullRetryAfter;
-        const duration wait = std::max<duration>(engineWait, m_state.crashes.quarantinedFor(m_call.fingerprint()));
+        const duration wait = std::max<duration>(engineWait, m_quarantined);
         const auto retryAfter = retryAfterDelay(m_state.retryAfterSettings, wait, m_call.timeLeft(), m_state.sampleUniform());
         co_await m_call.sendError(net::status::kUnavailable, m_reason, retryAfter);
         m_call.finish({"refused", net::status::kUnavailable, m_reason, verdict::NotRun, m_upstream});
@@ -569,6 +576,7 @@
     std::optional<instant> m_firstAt;
     instant m_reservedAt{};
     duration m_reservedAfter{}; ///< Age of the request when the memory was reserved.
+    duration m_quarantined{}; ///< For how long the request is quarantined, if that ended it.
     duration m_prefillTook{};
     duration m_decodeTook{};
     std::optional<unsigned> m_forwardedStatus; ///< Status of an upstream's error answer that was sent to the caller.
--- a/src/relay/quarantine_record.cpp
+++ b/src/relay/quarantine_record.cpp
@@ -26,6 +26,8 @@
     std::uint64_t fingerprint = 0;
     upstream_instance instance;
     std::uint32_t ageMs = 0;
+    std::uint32_t ranMs = 0;
+    std::vector<std::uint64_t> parts;
 };
 
 std::optional<std::uint64_t> parseHex(std::string_view text)
@@ -35,6 +37,32 @@
     return error == std::errc{} && rest == text.data() + text.size() ? std::optional(value) : std::nullopt;
 }
 
+std::uint32_t clampedMilliseconds(std::int64_t value)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(value, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+/// Returns the parts of a prompt; empty when the list is invalid. An attempt without the list has none.
+std::optional<std::vector<std::uint64_t>> partsIn(const json::object &fields)
+{
+    std::vector<std::uint64_t> parts;
+    const json::value *list = fields.if_contains("parts");
+    if (list == nullptr) {
+        return parts;
+    }
+    if (!list->is_array() || list->get_array().size() > kMaxSharedParts) {
+        return std::nullopt;
+    }
+    for (const json::value &value : list->get_array()) {
+        const auto part = value.is_string() ? parseHex(value.get_string()) : std::nullopt;
+        if (!part) {
+            return std::nullopt;
+        }
+        parts.push_back(*part);
+    }
+    return parts;
+}
+
 std::optional<recorded_attempt> attemptIn(const json::value &value, std::int64_t unixMs)
 {
     const json::object *fields = value.if_object();
@@ -51,12 +79,18 @@
         return std::nullopt;
     }
     const auto fingerprint = parseHex(request->get_string());
-    if (!fingerprint) {
+    auto parts = partsIn(*fields);
+    if (!fingerprint || !parts) {
         return std::nullopt;
     }
-    const std::int64_t age = std::clamp<std::int64_t>(unixMs - at->get_int64(), 0, std::numeric_limits<std::uint32_t>::max());
-    return recorded_attempt{
-        *fingerprint, {std::string(instance->get_string()), static_cast<std::uint64_t>(startedAt->get_int64())}, static_cast<std::uint32_t>(age)};
+    const json::value *ran = fields->if_contains("ran_ms");
+    recorded_attempt attempt;
+    attempt.fingerprint = *fingerprint;
+    attempt.instance = {std::string(instance->get_string()), static_cast<std::uint64_t>(startedAt->get_int64())};
+    attempt.ageMs = clampedMilliseconds(unixMs - at->get_int64());
+    attempt.ranMs = ran != nullptr && ran->is_int64() ? clampedMilliseconds(ran->get_int64()) : 0;
+    attempt.parts = std::move(*parts);
+    return attempt;
 }
 
 /// Returns the attempts in the list @p name; empty when there is no such list, or one of its attempts is invalid.
@@ -82,10 +116,16 @@
 {
     json::array list;
     for (const Report &report : reports) {
+        json::array parts;
+        for (const std::uint64_t part : report.parts) {
+            parts.emplace_back(fingerprintText(part));
+        }
         list.push_back(json::object{{"request", fingerprintText(report.fingerprint)},
                                     {"instance", report.instance.id},
                                     {"started_at", static_cast<std::int64_t>(report.instance.startedAt)},
-                                    {"at", unixMs - static_cast<std::int64_t>(report.ageMs)}});
+                                    {"at", unixMs - static_cast<std::int64_t>(report.ageMs)},
+                                    {"ran_ms", report.ranMs},
+                                    {"parts", std::move(parts)}});
     }
     return list;
 }
@@ -123,10 +163,10 @@
     }
     crash_evidence evidence;
     for (const recorded_attempt &attempt : *crashes) {
-        evidence.crashes.push_back({attempt.fingerprint, attempt.instance, attempt.ageMs, false});
+        evidence.crashes.push_back({attempt.fingerprint, attempt.instance, attempt.ageMs, false, attempt.ranMs, attempt.parts});
     }
     for (const recorded_attempt &attempt : *open) {
-        evidence.open.push_back({attempt.fingerprint, attempt.instance, attempt.ageMs});
+        evidence.open.push_back({attempt.fingerprint, attempt.instance, attempt.ageMs, attempt.ranMs, attempt.parts});
     }
     return evidence;
 }
--- a/tests/crash_handler_test.cpp
+++ b/tests/crash_handler_test.cpp
@@ -57,7 +57,7 @@
     {
         entry &one = *m_entries.at(index);
         one.context.begin(now());
-        one.handler.onAttemptFailed(upstream, "address", kPoison, {attempt_id{1}, attempt_failure::ConnectionLost, verdict::MayHaveRun, "lost"});
+        one.handler.onAttemptFailed(upstream, "address", {kPoison, {}}, now(), {attempt_id{1}, attempt_failure::ConnectionLost, verdict::MayHaveRun, "lost"});
         const auto actions = one.context.takeActions();
         EXPECT_TRUE(std::any_of(actions.begin(), actions.end(), [](const core_action &action) { return std::holds_alternative<check_upstream>(action); }));
         one.context.begin(now());
@@ -94,7 +94,7 @@
     duration quarantinedFor(std::size_t index)
     {
         m_entries.at(index)->context.begin(now());
-        return m_entries.at(index)->handler.quarantinedFor(kPoison);
+        return m_entries.at(index)->handler.quarantinedFor({kPoison, {}});
     }
 
 private:
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -54,7 +54,9 @@
                                            sync_page{false, {"d", 4}, {update}},
                                            sampleStoreGossip(),
                                            crash_reports{{{7, {"i-1", 1'000}, 250, false}, {8, {}, 10, true}}},
-                                           open_attempts{{{7, {"i-1", 1'000}, 250}}},
+                                           open_attempts{{{7, {"i-1", 1'000}, 250, 30, {1, 2}}}},
+                                           part_crash_reports{{{7, {"i-1", 1'000}, 250, false, 30, {1, 2}}}},
+                                           completed_parts{{{1, 20}, {2, 30}}},
                                            store_update_of_era{5, sampleStoreGossip()}};
     for (const peer_body &body : bodies) {
         const peer_message message{sampleMessage().header, body};
--- a/tests/process_poison_own_test.cpp
+++ b/tests/process_poison_own_test.cpp
@@ -16,6 +16,7 @@
 constexpr std::chrono::seconds kLimit{20};
 constexpr std::size_t kDecodeEngines = 7;
 constexpr std::size_t kMaxCrashes = 3;
+constexpr std::size_t kMaxPartCrashes = 5; ///< By different requests whose prompts have a part in common.
 
 class process_poison_own : public testing::Test
 {
@@ -79,3 +80,29 @@
         EXPECT_EQ(complete(entry, "a sound prompt").status, 200U) << entry;
     }
 }
+
+// Load pattern: generations that are all different, but begin with the same text, crash the engines that decode them.
+TEST_F(process_poison_own, generationsWithAPartThatCrashesEnginesAreNotSentToFurtherOnes)
+{
+    std::string shared;
+    for (int i = 0; i < 130; ++i) {
+        shared += (i == 100 ? "poison" : "word" + std::to_string(i)) + " ";
+    }
+    http_reply last;
+    for (int i = 0; i < 8; ++i) {
+        last = complete(i % 2 == 0 ? "entry-1" : "entry-2", shared + "question " + std::to_string(i));
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    }
+    EXPECT_LE(crashedEngines(), kMaxPartCrashes);
+    EXPECT_EQ(last.status, 503U) << last.body;
+    EXPECT_NE(last.body.find("quarantined"), std::string::npos) << last.body;
+    EXPECT_NE(last.body.find("not_run"), std::string::npos) << last.body;
+    for (const char *entry : {"entry-1", "entry-2"}) {
+        EXPECT_EQ(complete(entry, "another prompt").status, 200U) << entry;
+        std::string sameBeginning;
+        for (int i = 0; i < 70; ++i) {
+            sameBeginning += "word" + std::to_string(i) + " ";
+        }
+        EXPECT_EQ(complete(entry, sameBeginning + "other question").status, 200U) << entry;
+    }
+}
--- a/tests/process_poison_part_test.cpp
+++ b/tests/process_poison_part_test.cpp
@@ -44,12 +44,14 @@
     std::chrono::steady_clock::time_point countFrom = std::chrono::steady_clock::time_point::max();
 };
 
-caller_request streamWith(std::string path, std::string parts)
+/// Returns a stream that differs from all with another @p number, with the shared @p parts in its prompt.
+caller_request streamWith(const std::string &number, std::string parts)
 {
     caller_request request;
-    request.path = std::move(path);
+    request.path = "/gen/" + number;
     request.timeLeft = kRequestDeadline;
     request.promptParts = std::move(parts);
+    request.promptParts.append(",c").append(number).append(":300");
     return request;
 }
 
@@ -60,7 +62,7 @@
     while (!all.stopping) {
         const std::string number = std::to_string(++all.requests);
         const std::size_t entry = all.requests % site.entryCount();
-        caller_request request = streamWith("/gen/" + number, parts + ",c" + number + ":300");
+        caller_request request = streamWith(number, parts);
         const caller_result result = co_await site.call(entry, std::move(request));
         EXPECT_EQ(result.fault, "");
         if (result.status == 503) {
@@ -78,7 +80,7 @@
     while (!all.stopping) {
         const std::string number = std::to_string(++all.requests);
         const bool counted = std::chrono::steady_clock::now() > all.countFrom;
-        caller_request request = streamWith(kStreamPath, parts + ",d" + number + ":300");
+        caller_request request = streamWith(number, parts);
         const std::size_t entry = all.requests % site.entryCount();
         const caller_result result = co_await site.call(entry, std::move(request));
         EXPECT_EQ(result.refusal.find("quarantined"), std::string::npos) << parts;
--- a/tests/quarantine_state_test.cpp
+++ b/tests/quarantine_state_test.cpp
@@ -147,7 +147,7 @@
         entry &one = m_entries[static_cast<std::size_t>(below(m_entries.size()))];
         const std::uint64_t fingerprint = kFirstSound + static_cast<std::uint64_t>(below(20));
         if (below(100) < lostAnswersPerCent) {
-            one.quarantine.noteInterrupted(now(), instanceOf(static_cast<std::size_t>(upstream)), fingerprint);
+            one.quarantine.noteInterrupted(now(), instanceOf(static_cast<std::size_t>(upstream)), {fingerprint, {}});
             one.quarantine.noteAlive(now(), instanceOf(static_cast<std::size_t>(upstream)));
             return;
         }
@@ -167,7 +167,7 @@
             m_steadyLateArrivals += m_step > one.startedAt + kLearningSteps ? 1 : 0;
         }
         const auto index = static_cast<std::size_t>(upstream);
-        if (const auto open = one.quarantine.noteStarted(now(), instanceOf(index), kPoison)) {
+        if (const auto open = one.quarantine.noteStarted(now(), instanceOf(index), {kPoison, {}})) {
             one.gossip.add(now(), *open);
         }
         if (silentPerCent > 0 && below(100) < silentPerCent) {
@@ -198,7 +198,7 @@
         for (const silent_crash &crash : m_silentCrashes) {
             const bool senderLives = crash.sender->starts == crash.senderStarts;
             if (senderLives && (m_step == crash.step + kStallSteps || m_step == crash.step + kSilenceSteps)) {
-                crash.sender->quarantine.noteInterrupted(now(), crash.instance, kPoison);
+                crash.sender->quarantine.noteInterrupted(now(), crash.instance, {kPoison, {}});
                 for (const open_attempt &open : crash.sender->quarantine.noteSilent(now(), crash.instance)) {
                     crash.sender->gossip.add(now(), open);
                 }
@@ -215,7 +215,7 @@
 
     void interrupt(entry &one, std::size_t upstream, std::uint64_t fingerprint)
     {
-        if (const auto known = one.quarantine.noteInterrupted(now(), instanceOf(upstream), fingerprint)) {
+        if (const auto known = one.quarantine.noteInterrupted(now(), instanceOf(upstream), {fingerprint, {}})) {
             one.gossip.add(now(), *known);
         }
         for (const crash_report &report : one.quarantine.noteCrashed(now(), instanceOf(upstream))) {
--- a/tests/request_quarantine_test.cpp
+++ b/tests/request_quarantine_test.cpp
@@ -26,7 +26,7 @@
 void crash(request_quarantine &quarantine, int number, duration time, const std::vector<std::uint64_t> &requests)
 {
     for (const std::uint64_t request : requests) {
-        quarantine.noteInterrupted(at(time), instanceOf(number), request);
+        quarantine.noteInterrupted(at(time), instanceOf(number), {request, {}});
     }
     quarantine.noteCrashed(at(time), instanceOf(number));
 }
@@ -62,7 +62,7 @@
 {
     auto quarantine = request_quarantine::make({});
     for (int i = 0; i < 20; ++i) {
-        quarantine.noteInterrupted(at(seconds(i)), instanceOf(i), kSound);
+        quarantine.noteInterrupted(at(seconds(i)), instanceOf(i), {kSound, {}});
         quarantine.noteAlive(at(seconds(i)), instanceOf(i));
         EXPECT_TRUE(quarantine.noteCrashed(at(seconds(i)), instanceOf(i)).empty());
     }
@@ -72,7 +72,7 @@
 TEST(RequestQuarantine, CrashThatIsNoticedLongAfterTheInterruptionDoesNotExplainIt)
 {
     auto quarantine = request_quarantine::make({});
-    quarantine.noteInterrupted(at(seconds(0)), instanceOf(1), kSound);
+    quarantine.noteInterrupted(at(seconds(0)), instanceOf(1), {kSound, {}});
     EXPECT_TRUE(quarantine.noteCrashed(at(seconds(11)), instanceOf(1)).empty());
 }
 
@@ -80,13 +80,13 @@
 {
     auto quarantine = request_quarantine::make({});
     quarantine.noteCrashed(at(seconds(0)), instanceOf(1));
-    EXPECT_TRUE(quarantine.noteInterrupted(at(milliseconds(5)), instanceOf(1), kPoison));
+    EXPECT_TRUE(quarantine.noteInterrupted(at(milliseconds(5)), instanceOf(1), {kPoison, {}}));
 }
 
 TEST(RequestQuarantine, RestartUnderTheSameIdIsACrashOfTheInstanceBefore)
 {
     auto quarantine = request_quarantine::make({});
-    quarantine.noteInterrupted(at(seconds(0)), {"i-1", 1'000}, kPoison);
+    quarantine.noteInterrupted(at(seconds(0)), {"i-1", 1'000}, {kPoison, {}});
     EXPECT_TRUE(quarantine.noteRestarted(at(seconds(1)), {"i-1", 1'000}).empty());
     EXPECT_EQ(quarantine.noteRestarted(at(seconds(2)), {"i-1", 2'000}).size(), 1U);
 }
@@ -145,7 +145,7 @@
     for (int i = 0; i < 3; ++i) {
         request_quarantine &seer = i % 2 == 0 ? one : other;
         request_quarantine &told = i % 2 == 0 ? other : one;
-        seer.noteInterrupted(at(seconds(i)), instanceOf(i), kPoison);
+        seer.noteInterrupted(at(seconds(i)), instanceOf(i), {kPoison, {}});
         for (const crash_report &report : seer.noteCrashed(at(seconds(i)), instanceOf(i))) {
             told.onReport(at(seconds(i)), report);
         }
@@ -164,7 +164,7 @@
 {
     auto sender = request_quarantine::make({});
     auto other = request_quarantine::make({});
-    sender.noteInterrupted(at(seconds(0)), instanceOf(1), kPoison);
+    sender.noteInterrupted(at(seconds(0)), instanceOf(1), {kPoison, {}});
     const auto open = sender.noteSilent(at(seconds(1)), instanceOf(1));
     ASSERT_EQ(open.size(), 1U);
     EXPECT_EQ(open.front().ageMs, 1'000U);
@@ -179,12 +179,12 @@
 TEST(RequestQuarantine, NextAttemptsAreReportedFromTheStartOnceAnUpstreamFellSilent)
 {
     auto quarantine = request_quarantine::make({});
-    EXPECT_FALSE(quarantine.noteStarted(at(seconds(0)), instanceOf(1), kPoison));
-    quarantine.noteInterrupted(at(seconds(0)), instanceOf(1), kPoison);
-    EXPECT_FALSE(quarantine.noteStarted(at(seconds(0)), instanceOf(2), kPoison));
+    EXPECT_FALSE(quarantine.noteStarted(at(seconds(0)), instanceOf(1), {kPoison, {}}));
+    quarantine.noteInterrupted(at(seconds(0)), instanceOf(1), {kPoison, {}});
+    EXPECT_FALSE(quarantine.noteStarted(at(seconds(0)), instanceOf(2), {kPoison, {}}));
     quarantine.noteSilent(at(seconds(1)), instanceOf(1));
-    EXPECT_TRUE(quarantine.noteStarted(at(seconds(1)), instanceOf(2), kPoison));
-    EXPECT_FALSE(quarantine.noteStarted(at(seconds(1)), instanceOf(2), kPoison));
+    EXPECT_TRUE(quarantine.noteStarted(at(seconds(1)), instanceOf(2), {kPoison, {}}));
+    EXPECT_FALSE(quarantine.noteStarted(at(seconds(1)), instanceOf(2), {kPoison, {}}));
     EXPECT_EQ(quarantine.silentInstances().size(), 2U);
     quarantine.noteAnswered(instanceOf(2), kPoison);
     EXPECT_EQ(quarantine.silentInstances().size(), 1U);
@@ -195,7 +195,7 @@
     auto quarantine = request_quarantine::make({});
     crash(quarantine, 1, seconds(0), {kPoison, kSound});
     quarantine.onReport(at(seconds(0)), {kPoison, instanceOf(2), 0, false});
-    quarantine.noteInterrupted(at(seconds(1)), instanceOf(3), kPoison);
+    quarantine.noteInterrupted(at(seconds(1)), instanceOf(3), {kPoison, {}});
     quarantine.noteSilent(at(seconds(1)), instanceOf(3));
     quarantine.noteCompleted(at(seconds(1)), kSound);
     const crash_evidence observed = quarantine.observations(at(seconds(2)), 100);
@@ -212,7 +212,7 @@
 {
     auto quarantine = request_quarantine::make({});
     auto other = request_quarantine::make({});
-    quarantine.noteInterrupted(at(seconds(0)), instanceOf(1), kSound);
+    quarantine.noteInterrupted(at(seconds(0)), instanceOf(1), {kSound, {}});
     for (const open_attempt &open : quarantine.noteSilent(at(seconds(1)), instanceOf(1))) {
         other.onOpenAttempt(at(seconds(1)), open);
     }
@@ -240,7 +240,7 @@
     auto quarantine = request_quarantine::make({});
     const upstream_instance upstream{"engine-1", 0};
     for (const int time : {0, 1, 10, 20}) {
-        quarantine.noteInterrupted(at(seconds(time)), upstream, kPoison);
+        quarantine.noteInterrupted(at(seconds(time)), upstream, {kPoison, {}});
         quarantine.noteCrashed(at(seconds(time)), upstream);
     }
     EXPECT_EQ(quarantine.crashesOf(kPoison), 3U);
