Soak: parts of prompts that crash engines, and silent crashes

Upstreams may fall silent as they crash. Audits: late arrivals of such requests, and sound streams that are refused as quarantined.

--- a/bench/heatherbench_soak.cpp
+++ b/bench/heatherbench_soak.cpp
@@ -31,6 +31,7 @@
 constexpr milliseconds kRequestPause{15}; ///< Between two requests of one caller.
 constexpr milliseconds kSlowReadPause{300}; ///< Between two pieces of an answer that a slow caller reads.
 constexpr milliseconds kPoisonPause{50}; ///< Between two attempts of the caller whose request crashes upstreams.
+constexpr milliseconds kPoisonPartPause{120}; ///< Between two requests with a part that crashes engines.
 constexpr milliseconds kMaxPoisonDelay{2'000}; ///< From the start of the callers until its first attempt.
 constexpr milliseconds kMaxFaultInterval{350};
 constexpr milliseconds kMaxFaultDuration{2'500};
@@ -83,6 +84,10 @@
             asio::co_spawn(m_context, runCaller(m_options.seed + caller), asio::detached);
         }
         asio::co_spawn(m_context, runPoisonCaller(), asio::detached);
+        // With every other seed some requests share a part of their prompts that crashes engines, with some of these there are two such parts.
+        for (std::uint64_t part = 0; part < m_options.seed % 4; part += 2) {
+            asio::co_spawn(m_context, runPoisonPartCaller("a1:100,bad" + std::to_string(part) + ":40"), asio::detached);
+        }
         const auto start = std::chrono::steady_clock::now();
         m_faultsFrom = start;
         const auto until = start + m_options.duration;
@@ -147,7 +152,15 @@
             request.path = std::move(path);
             request.timeLeft = kRequestTimeout;
             request.readPause = random() % 8 == 0 ? kSlowReadPause : milliseconds(0);
+            request.promptParts = "a1:100,";
+            if (random() % 2 == 0) {
+                request.promptParts.append("b").append(std::to_string(random() % 3)).append(":40,");
+            }
+            request.promptParts.append("d").append(std::to_string(random())).append(":360");
             const caller_result result = co_await m_site.call(entry, std::move(request));
+            if (result.path == kStreamPath) {
+                m_audit.recordSoundStream(result, sent);
+            }
             if (result.path == kLookupPath && (result.status == kOk || result.status == kNotFound) && process == processLabel(entry)) {
                 m_audit.recordLookup(process, sent, std::chrono::steady_clock::now(), result.status == kOk, steady);
             }
@@ -179,6 +192,26 @@
         --m_activeTasks;
     }
 
+    /// Sends streams that are all different but for the shared @p parts of their prompts, one of which crashes engines.
+    asio::awaitable<void> runPoisonPartCaller(std::string parts)
+    {
+        ++m_activeTasks;
+        co_await pause(milliseconds(randomBelow(kMaxPoisonDelay.count())));
+        std::mt19937_64 random(m_options.seed);
+        while (!m_stopping) {
+            const std::string number = std::to_string(++m_poisonPartRequests);
+            caller_request request;
+            request.path = "/gen/" + number;
+            request.timeLeft = kRequestTimeout;
+            request.promptParts = parts;
+            request.promptParts.append(",c").append(number).append(":360");
+            const caller_result result = co_await m_site.call(random() % m_site.entryCount(), std::move(request));
+            m_audit.recordResult(result, true);
+            co_await pause(kPoisonPartPause);
+        }
+        --m_activeTasks;
+    }
+
     asio::awaitable<void> injectFault()
     {
         ++m_activeTasks;
@@ -270,7 +303,10 @@
     {
         standins::site_upstream &upstream = *m_site.upstreams()[static_cast<std::size_t>(randomBelow(static_cast<std::int64_t>(m_site.upstreams().size())))];
         standins::upstream_faults faults;
-        switch (randomBelow(12)) {
+        switch (randomBelow(13)) {
+        case 12:
+            faults.silentCrashes = true;
+            break;
         case 6:
             faults.endlessAnswers = true;
             break;
@@ -376,6 +412,7 @@
     std::chrono::steady_clock::time_point m_storeCalmSince = std::chrono::steady_clock::now();
     std::vector<std::chrono::steady_clock::time_point> m_entryCalmSince;
     std::size_t m_activeTasks = 0;
+    std::uint64_t m_poisonPartRequests = 0;
     bool m_lookups = true; ///< Whether the newest configuration routes lookups.
     bool m_stopping = false;
 };
--- a/tests/soak_audit_test.cpp
+++ b/tests/soak_audit_test.cpp
@@ -70,6 +70,37 @@
     EXPECT_EQ(audit.violations().size(), 2U);
 }
 
+TEST(SoakAudit, FindsPartsThatGoOnCrashingEnginesAndRefusedSoundStreams)
+{
+    const auto at = [](int ms) { return std::chrono::steady_clock::time_point(std::chrono::milliseconds(ms)); };
+    standins::upstream_log log;
+    for (int i = 0; i < 5; ++i) {
+        log.crashes.push_back({at(100 * i), "/gen/1", "bad1"});
+    }
+    const auto violationsOf = [&log, &at](int arrivals, int refused) {
+        soak_audit audit;
+        for (int i = 0; i < arrivals; ++i) {
+            // The prefill and the decode of one request count once.
+            log.arrivals.push_back({at(3'500), "llm", "r" + std::to_string(i), "/gen/1", true, "bad1"});
+            log.arrivals.push_back({at(3'600), "llm", "r" + std::to_string(i), "/gen/1", false, "bad1"});
+        }
+        log.arrivals.push_back({at(3'000), "llm", "early", "/gen/1", false, "bad1"});
+        log.arrivals.push_back({at(3'500), "llm", "other", "/gen/1", false, ""});
+        caller_result result = resultOf(kStreamPath, 503);
+        result.refusal = "quarantined";
+        for (int i = 0; i < 20; ++i) {
+            audit.recordSoundStream(i < refused ? result : resultOf(kStreamPath, 200), at(6'500));
+            audit.recordSoundStream(result, at(6'000));
+        }
+        audit.checkArrivals(log);
+        log.arrivals.clear();
+        return audit.violations().size();
+    };
+    EXPECT_EQ(violationsOf(3, 10), 0U);
+    EXPECT_EQ(violationsOf(4, 10), 1U);
+    EXPECT_EQ(violationsOf(3, 11), 1U);
+}
+
 TEST(SoakAudit, FindsRequestsThatGoOnCrashingUpstreams)
 {
     const auto at = [](int ms) { return std::chrono::steady_clock::time_point(std::chrono::milliseconds(ms)); };
--- a/tests/support/soak_audit.cpp
+++ b/tests/support/soak_audit.cpp
@@ -1,6 +1,7 @@
 #include "support/soak_audit.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 namespace heatherroute::support
@@ -106,9 +107,15 @@
     }
 }
 
+void soak_audit::recordSoundStream(const caller_result &result, std::chrono::steady_clock::time_point sent)
+{
+    m_soundStreams.push_back({sent, result.refusal.find("quarantined") != std::string::npos});
+}
+
 void soak_audit::checkArrivals(const standins::upstream_log &log)
 {
     checkPoisonArrivals(log);
+    checkPoisonPartArrivals(log);
     checkRetries(log);
 }
 
@@ -135,6 +142,50 @@
     }
 }
 
+void soak_audit::checkPoisonPartArrivals(const standins::upstream_log &log)
+{
+    std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> crashes;
+    for (const standins::upstream_crash &crash : log.crashes) {
+        if (!crash.poisonPart.empty()) {
+            crashes[crash.poisonPart].push_back(crash.at);
+        }
+    }
+    std::optional<std::chrono::steady_clock::time_point> lastDecisiveCrash;
+    for (const auto &[part, times] : crashes) {
+        const auto decisive = times[std::min(times.size(), kMaxPoisonPartCrashes) - 1];
+        lastDecisiveCrash = std::max(lastDecisiveCrash.value_or(decisive), decisive);
+        if (times.size() < kMaxPoisonPartCrashes) {
+            continue;
+        }
+        std::set<std::string> late;
+        for (const standins::upstream_arrival &arrival : log.arrivals) {
+            if (arrival.poisonPart == part && arrival.at > decisive + kPoisonLearningTime) {
+                late.insert(arrival.id);
+            }
+        }
+        if (late.size() > kMaxArrivalsOfPoison) {
+            m_violations.push_back("few requests with a part that crashes engines: " + std::to_string(late.size()) + " with part " + part
+                                   + " arrived after its fifth crash, with " + std::to_string(times.size()) + " crashes in all");
+        }
+    }
+    if (lastDecisiveCrash) {
+        checkSoundStreams(*lastDecisiveCrash + 2 * kPoisonLearningTime);
+    }
+}
+
+void soak_audit::checkSoundStreams(std::chrono::steady_clock::time_point from)
+{
+    std::size_t sent = 0;
+    std::size_t refused = 0;
+    for (const sound_stream &stream : m_soundStreams) {
+        sent += stream.sent > from ? 1 : 0;
+        refused += stream.sent > from && stream.isQuarantined ? 1 : 0;
+    }
+    if (sent >= kFewSoundStreams && 2 * refused > sent) {
+        m_violations.push_back("sound streams are served: " + std::to_string(refused) + " of " + std::to_string(sent) + " were refused as quarantined");
+    }
+}
+
 void soak_audit::checkRetries(const standins::upstream_log &log)
 {
     std::map<std::string, std::vector<std::chrono::steady_clock::time_point>> firsts;
--- a/tests/support/soak_audit.h
+++ b/tests/support/soak_audit.h
@@ -14,6 +14,8 @@
 inline constexpr std::size_t kMaxPoisonCrashes = 3;
 inline constexpr std::size_t kMaxArrivalsOfPoison = 3; ///< Counted from the learning time after the last allowed crash on.
 inline constexpr std::chrono::seconds kPoisonLearningTime{3};
+inline constexpr std::size_t kMaxPoisonPartCrashes = 5; ///< Of engines, under requests that share a part of their prompts.
+inline constexpr std::size_t kFewSoundStreams = 20; ///< Fewer aren't judged.
 inline constexpr std::chrono::seconds kRetryWindow{10};
 inline constexpr std::chrono::seconds kConfigBound{2}; ///< From the store's answer to a configuration until all steady entries apply it.
 inline constexpr std::chrono::seconds kStabilityWindow{3};
@@ -42,8 +44,10 @@
     recordLookup(const std::string &process, std::chrono::steady_clock::time_point sent, std::chrono::steady_clock::time_point ended, bool routed, bool steady);
     /// Records that a draining upstream started @p runs requests after its grace time. Zero is no violation.
     void recordRunsAfterDrain(const std::string &upstream, int runs);
-    /// Checks that requests that crash upstreams reached few of them after the third crash, and that retries stayed within the fleet's retry
-    /// budget.
+    /// Records the end of a stream that crashes no engine and was sent at @p sent.
+    void recordSoundStream(const caller_result &result, std::chrono::steady_clock::time_point sent);
+    /// Checks that requests that crash upstreams reached few of them after the third crash, and requests with a part that crashes engines
+    /// after the fifth; that sound streams were not refused for it; and that retries stayed within the fleet's retry budget.
     void checkArrivals(const standins::upstream_log &log);
     /// Checks that no two holders have ordered with the same fencing token.
     void checkOrders(const std::vector<standins::accepted_order> &orders);
@@ -84,11 +88,20 @@
     };
 
     void checkPoisonArrivals(const standins::upstream_log &log);
+    void checkPoisonPartArrivals(const standins::upstream_log &log);
+    void checkSoundStreams(std::chrono::steady_clock::time_point from);
     void checkRetries(const standins::upstream_log &log);
     bool isExplainedFrom(std::size_t index, std::chrono::steady_clock::time_point ended, bool routed) const;
     void addViolation(const std::string &rule, const caller_result &result, const std::string &what);
 
+    struct sound_stream
+    {
+        std::chrono::steady_clock::time_point sent;
+        bool isQuarantined = false; ///< It was refused as quarantined.
+    };
+
     std::vector<caller_result> m_results;
+    std::vector<sound_stream> m_soundStreams;
     std::map<unsigned, std::size_t> m_byStatus;
     std::vector<std::string> m_violations;
     std::vector<published_configuration> m_publications;
