--- a/tests/process_framing_test.cpp
+++ b/tests/process_framing_test.cpp
@@ -1,6 +1,8 @@
 // Runs entries before upstreams and a store whose answers are framed by the end of their connection, whole and broken off.
 #include <gtest/gtest.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/write.hpp>
@@ -186,3 +188,37 @@
         }
     });
 }
+
+// Regression test: a caller that reads slowly had no deadline and kept reading an endless answer for minutes.
+TEST(RelaySite, SlowCallerLeavesAtItsDeadline)
+{
+    runOnSite({}, [](relay_site &site) -> asio::awaitable<void> {
+        standins::upstream_faults hang;
+        hang.hang = true;
+        setFaultsOfAll(site, hang);
+        bool ended = false;
+        const auto start = std::chrono::steady_clock::now();
+        const auto caller = [&]() -> asio::awaitable<void> {
+            caller_request request;
+            request.path = kStreamPath;
+            request.timeLeft = seconds(2);
+            request.readPause = milliseconds(300);
+            const caller_result result = co_await site.call(0, std::move(request));
+            EXPECT_EQ(result.fault, "");
+            ended = true;
+        };
+        asio::co_spawn(co_await asio::this_coro::executor, caller, asio::detached);
+        // The prefill waits by now, after the decode engine has reserved memory. The decode then gets an answer without end.
+        co_await pauseFor(milliseconds(300));
+        for (const auto &upstream : site.upstreams()) {
+            standins::upstream_faults faults;
+            faults.endlessAnswers = upstream->id().find("decode") != std::string::npos;
+            upstream->setFaults(faults);
+        }
+        while (!ended && std::chrono::steady_clock::now() - start < seconds(30)) {
+            co_await pauseFor(milliseconds(20));
+        }
+        EXPECT_LT(std::chrono::steady_clock::now() - start, seconds(4));
+        setFaultsOfAll(site, {});
+    });
+}
