Changes that a reader may not send yet wait until it may

Cause: a change is sent for two seconds from when it was read. After an outage or a restore a reader's list is uncertain for two seconds, in which it sends nothing, so what it read at once was never sent.

Change: a change is sent for two seconds from its first message on. A reader keeps what it can't send for 15 s, the others drop it after two seconds as before. An entry reads the registrations itself once after a restore before it relies on others.

--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -254,6 +254,7 @@
         if (event.isSnapshot) {
             m_state.registry.onSnapshot(now, ids);
         }
+        m_missedChanges = false;
         announceReadiness();
     }
 
@@ -322,6 +323,7 @@
             const instant now = coreNow();
             m_state.metrics.counter("heatherroute_store_restores_total", "Times that the store came back from an older copy.").value += 1;
             m_state.gossip.onRestored();
+            m_missedChanges = true;
             // Registrations that the copy lacks are given the same time to come back as after an outage.
             m_state.registry.onStoreLost(now);
             m_state.registry.onStoreBack(now);
@@ -377,7 +379,7 @@
     /// Decides whether this entry reads the store frequently or relies on updates from other entries, and sends the updates that are due.
     void exchangeGossip(instant now)
     {
-        const bool frequent = m_state.gossip.shouldRead(now) || !m_state.routes || !m_state.registry.isComplete();
+        const bool frequent = m_state.gossip.shouldRead(now) || !m_state.routes || !m_state.registry.isComplete() || m_missedChanges;
         if (frequent != m_pollsFrequently) {
             m_pollsFrequently = frequent;
             post(m_toStore, store_event(store_polling_changed{frequent}));
@@ -584,6 +586,7 @@
     bool m_holdsLease = false;
     std::uint64_t m_storeEra = 0; ///< 0 when the store sends none, or none is known yet.
     bool m_pollsFrequently = true;
+    bool m_missedChanges = false; ///< This entry hasn't read the registrations since the store came back from an older copy.
 };
 
 std::unique_ptr<relay_duty> relay_duty::make(asio::io_context &context,
--- a/src/relay/store_gossip.cpp
+++ b/src/relay/store_gossip.cpp
@@ -39,8 +39,11 @@
 
 void store_gossip::noteChange(instant now, upstream_update change)
 {
-    std::erase_if(m_changes, [&change](const auto &entry) { return entry.second.run.id == change.run.id; });
-    m_changes.emplace_back(now, std::move(change));
+    std::erase_if(m_changes, [&change](const noted_change &known) { return known.change.run.id == change.run.id; });
+    m_changes.push_back({now, std::nullopt, std::move(change)});
+    if (m_changes.size() > m_settings.maxChanges) {
+        m_changes.pop_front();
+    }
 }
 
 void store_gossip::noteUrgentChange(instant now, upstream_update change)
@@ -64,9 +67,11 @@
 
 std::vector<store_update> store_gossip::dueMessages(instant now, std::uint64_t configVersion)
 {
-    while (!m_changes.empty() && now - m_changes.front().first > m_settings.resendFor) {
-        m_changes.pop_front();
-    }
+    std::erase_if(m_changes, [&](const noted_change &known) {
+        // A reader that isn't sure of its list yet, after an outage, keeps them until it may send them.
+        const duration maxWait = m_rank < m_settings.readers ? m_settings.maxUnsentTime : m_settings.resendFor;
+        return known.sentSince ? now - *known.sentSince > m_settings.resendFor : now - known.notedAt > maxWait;
+    });
     const bool fresh = m_readAt && now - *m_readAt <= m_settings.maxOwnReadAge;
     const bool isDue = !m_sentAt || now - *m_sentAt >= m_settings.interval;
     const bool reads = m_rank < m_settings.readers && fresh;
@@ -75,11 +80,14 @@
     }
     m_sentAt = now;
     std::vector<store_update> messages(1);
-    for (const auto &[at, change] : m_changes) {
+    for (noted_change &known : m_changes) {
         if (messages.back().changes.size() == kMaxChangesPerMessage) {
             messages.emplace_back();
         }
-        messages.back().changes.push_back(change);
+        messages.back().changes.push_back(known.change);
+        if (!known.sentSince) {
+            known.sentSince = now;
+        }
     }
     for (store_update &message : messages) {
         message.configVersion = configVersion;
--- a/src/relay/store_gossip.h
+++ b/src/relay/store_gossip.h
@@ -21,6 +21,8 @@
     std::size_t readers = 3; ///< Entries that read for all; more than are expected to fail at once.
     duration interval = std::chrono::milliseconds(500); ///< Interval between two messages.
     duration resendFor = std::chrono::seconds(2); ///< How long a change is sent again; three readers send it twelve times.
+    duration maxUnsentTime = std::chrono::seconds(15); ///< How long a reader keeps a change that it can't send.
+    std::size_t maxChanges = 4096; ///< The oldest change is dropped beyond this number.
     duration maxOwnReadAge = std::chrono::milliseconds(1'600); ///< Maximum age of a reader's last read; beyond it, the reader sends no updates.
     /// Maximum age of the last read reported by another entry before this entry reads the store itself. A reader reads every
     /// 0.9 s and sends every 0.5 s, and the platform allows 2 s until a leaving upstream must get no more requests.
@@ -63,6 +65,13 @@
     std::vector<store_update> dueMessages(instant now, std::uint64_t configVersion);
 
 private:
+    struct noted_change
+    {
+        instant notedAt{};
+        std::optional<instant> sentSince; ///< The first message with it.
+        upstream_update change;
+    };
+
     explicit store_gossip(const store_gossip_settings &settings);
 
     store_gossip_settings m_settings;
@@ -71,7 +80,7 @@
     std::optional<instant> m_readAt;
     std::optional<instant> m_peerReadAt; ///< Time of the newest read by another entry.
     std::optional<instant> m_sentAt;
-    std::deque<std::pair<instant, upstream_update>> m_changes;
+    std::deque<noted_change> m_changes;
 };
 
 } // namespace heatherroute
--- a/tests/store_gossip_test.cpp
+++ b/tests/store_gossip_test.cpp
@@ -44,6 +44,37 @@
     EXPECT_TRUE(gossip.shouldRead(instant{} + seconds(2)));
 }
 
+// Load pattern: a reader's list is uncertain for two seconds after an outage of the store, and others rely on it afterwards.
+TEST(StoreGossip, ChangesThatAReaderCannotSendYetAreSentOnceItCan)
+{
+    store_gossip gossip = store_gossip::make({});
+    int sent = 0;
+    gossip.noteChange(instant{}, updateOf("a"));
+    for (instant now{}; now < instant{} + seconds(10); now += milliseconds(100)) {
+        if (now > instant{} + milliseconds(2'500)) {
+            gossip.noteRead(now);
+        }
+        for (const store_update &update : gossip.dueMessages(now, 7)) {
+            sent += static_cast<int>(update.changes.size());
+        }
+    }
+    EXPECT_GE(sent, 4);
+    EXPECT_LE(sent, 10);
+}
+
+TEST(StoreGossip, EntryThatIsNoReaderForgetsChanges)
+{
+    store_gossip gossip = store_gossip::make({});
+    gossip.setRank(50);
+    gossip.noteChange(instant{}, updateOf("a"));
+    EXPECT_TRUE(gossip.dueMessages(instant{} + seconds(3), 7).empty());
+    gossip.setRank(0);
+    gossip.noteRead(instant{} + seconds(3));
+    for (const store_update &update : gossip.dueMessages(instant{} + seconds(3), 7)) {
+        EXPECT_TRUE(update.changes.empty());
+    }
+}
+
 TEST(StoreGossip, ChangesAreSentAgainForSomeSeconds)
 {
     store_gossip gossip = store_gossip::make({});
