Crashes of a part stay explained after its quarantine has lapsed

A crash before the lapse stays explained by the part. Old complete answers are looked for once a second only, since up to 16,384 are kept. PartQuarantine.CrashesOfAPartDoNotCount... failed before.

--- a/include/heatherroute/part_quarantine.h
+++ b/include/heatherroute/part_quarantine.h
@@ -55,15 +55,16 @@
  * begins to answer one crashes, and interrupts the requests that run beside it. These share the other parts of the prompt, and
  * while engines crash, hardly any request is answered completely.
  *
- * A part is blamed for crashes that follow one another, each under a request sent after the one before, with no complete answer
+ * A part is blamed for crashes that follow one another, each under a request sent after the crash before, with no complete answer
  * in between; engines that crash at the same moment for another reason count once. If one request was in flight in all of them, that
  * request is blamed instead (see request_quarantine). Of several suspects, those without a complete answer in the last minutes come
- * first, then those with more crashes, then those that end a prompt's shared parts, then those whose requests had all been sent shortly
- * before the crash; requests that only ran beside have often run for a while. A part isn't blamed while one that follows it in the same
- * prompts may explain half of its crashes. The crashes of a part that is blamed don't count against others. All entries exchange what they observe and judge
- * all of it anew each time, so that a wrong verdict is revised by the next crash or complete answer.
+ * first, then those with more crashes, then those that end a prompt's shared parts, then those whose requests had all been sent
+ * shortly before the crash; requests that only ran beside have often run for a while. A part isn't blamed while one that follows it
+ * in the same prompts may explain half of its crashes. The crashes of a part that is blamed don't count against others.
  *
- * When a quarantine lapses, one entry after the other admits one request at a time until an answer is complete or another engine crashes.
+ * All entries exchange what they observe and judge all of it anew each time, so that a wrong verdict is revised by the next crash or
+ * complete answer. When a quarantine lapses, one entry after the other admits one request at a time until an answer is complete or
+ * another engine crashes.
  *
  * Pure; not thread safe. Instants must not decrease.
  */
@@ -159,6 +160,7 @@
     void addKnownCauses(cause_list &causes, const crash_list &crashes) const;
     static void removeRedundant(cause_list &causes);
     bool explains(const suspect &cause, const known_crash &crash) const;
+    bool isExplainedByLapsed(const known_crash &crash) const;
 
     part_quarantine_settings m_settings;
     std::map<std::uint64_t, instant> m_completed; ///< The last complete answer to a request with the part.
@@ -169,6 +171,7 @@
     std::set<crash_identity> m_explained;
     std::set<suspect> m_taken; ///< Whose quarantine takeStarted() has returned.
     duration m_trialDelay{};
+    instant m_expiredAt{}; ///< When old complete answers were last forgotten.
 };
 
 } // namespace heatherroute
--- a/src/core/part_quarantine.cpp
+++ b/src/core/part_quarantine.cpp
@@ -12,6 +12,7 @@
 
 /// How long another entry's word about a complete answer isn't repeated.
 constexpr duration kToldTime = std::chrono::seconds(30);
+constexpr duration kExpiryInterval = std::chrono::seconds(1);
 constexpr std::uint32_t kMaxDoublings = 6; ///< Of the time of a quarantine.
 
 std::uint32_t millisecondsBetween(instant from, instant to)
@@ -167,8 +168,11 @@
         }
     }
     std::erase_if(m_probation, [&](const auto &known) { return now - known.second.since > m_settings.probationTime; });
-    std::erase_if(m_completed, [&](const auto &known) { return now - known.second > m_settings.soundTime; });
-    std::erase_if(m_told, [&](const auto &known) { return now - known.second > kToldTime; });
+    if (now - m_expiredAt >= kExpiryInterval) {
+        m_expiredAt = now;
+        std::erase_if(m_completed, [&](const auto &known) { return now - known.second > m_settings.soundTime; });
+        std::erase_if(m_told, [&](const auto &known) { return now - known.second > kToldTime; });
+    }
 }
 
 void part_quarantine::judge(instant now, const std::deque<known_crash> &crashes, const std::deque<known_crash> &presumed)
@@ -188,10 +192,17 @@
         }
     }
     std::stable_sort(inOrder.begin(), inOrder.end(), [](const known_crash *a, const known_crash *b) { return a->identity.at < b->identity.at; });
+    m_explained.clear();
+    std::erase_if(inOrder, [this](const known_crash *crash) {
+        const bool isExplained = isExplainedByLapsed(*crash);
+        if (isExplained) {
+            m_explained.insert(crash->identity);
+        }
+        return isExplained;
+    });
     cause_list causes = findCauses(inOrder);
     addKnownCauses(causes, inOrder);
     removeRedundant(causes);
-    m_explained.clear();
     std::set<suspect> blamed;
     for (const auto &[cause, charged] : causes) {
         blamed.insert(cause);
@@ -253,6 +264,14 @@
     });
 }
 
+/// Whether the crash is explained by a part whose quarantine has lapsed since.
+bool part_quarantine::isExplainedByLapsed(const known_crash &crash) const
+{
+    return std::any_of(m_probation.begin(), m_probation.end(), [&](const auto &lapsed) {
+        return crash.identity.at < lapsed.second.since && (explains({lapsed.first, false}, crash) || explains({lapsed.first, true}, crash));
+    });
+}
+
 /// Goes through the suspects from the likeliest cause on. The crashes that a cause explains don't count against the others.
 part_quarantine::cause_list part_quarantine::findCauses(crash_list crashes) const
 {
--- a/src/node/crash_monitor.h
+++ b/src/node/crash_monitor.h
@@ -33,8 +33,8 @@
  *
  * An upstream whose connection ends early, or that sends nothing for a while, is checked by a connection to its port, at most one at a time
  * for each instance; the registry's changes show the other crashes. Attempts at upstreams that don't answer this check are reported to the
- * other entries and recorded, since this entry may restart before their crash shows. Belongs to the relay's thread and must outlive the coroutines on its
- * executor.
+ * other entries and recorded, since this entry may restart before their crash shows. Belongs to the relay's thread and must outlive the
+ * coroutines on its executor.
  */
 class crash_monitor
 {
--- a/tests/part_quarantine_test.cpp
+++ b/tests/part_quarantine_test.cpp
@@ -245,6 +245,23 @@
     EXPECT_TRUE(admit(minutes(6) + seconds(34)));
 }
 
+TEST(PartQuarantine, CrashesOfAPartDoNotCountAgainstOthersAfterItsQuarantine)
+{
+    tracked_entry entry;
+    for (int i = 0; i < 3; ++i) {
+        const upstream_instance instance{"l-" + std::to_string(i), 1};
+        entry.tracker.noteInterrupted(entry.at(seconds(i)), instance, entry.requestWith({kPoison}), milliseconds(100));
+        entry.tracker.noteInterrupted(entry.at(seconds(i)), instance, entry.requestWith({kOther}), milliseconds(500));
+        entry.tracker.noteCrashed(entry.at(seconds(i)), instance);
+    }
+    EXPECT_TRUE(entry.isRefused(minutes(1), {kPoison}));
+    EXPECT_FALSE(entry.isRefused(minutes(1), {kOther}));
+    EXPECT_FALSE(entry.isRefused(minutes(3), {kPoison}));
+    entry.tracker.setRank(3);
+    entry.crash(minutes(3), {entry.requestWith({99})});
+    EXPECT_EQ(entry.tracker.admit(entry.at(minutes(3) + seconds(1)), entry.requestWith({kOther})), duration::zero());
+}
+
 TEST(PartQuarantine, EntriesAndRestartedOnesJudgeByWhatAllOfThemSaw)
 {
     tracked_entry one;
