--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -4,6 +4,7 @@
 #include <boost/json.hpp>
 
 #include <charconv>
+#include <cmath>
 
 namespace heatherroute::standins
 {
@@ -21,12 +22,22 @@
 constexpr milliseconds kReportInterval{300};
 constexpr std::size_t kLongHeadBytes = std::size_t{2} * 1024 * 1024;
 constexpr std::size_t kLongFieldBytes = 60'000; ///< Beast throws at fields of 64 KiB and more.
+constexpr const char *kLimitField = "Server-Limit";
 
 std::uint64_t unixMilliseconds()
 {
     return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
 }
 
+/// Returns the requests a second that @p text names; empty when it is no such number.
+std::optional<double> limitIn(const std::string &text)
+{
+    double value = 0.0;
+    const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool good = status == std::errc{} && end == text.data() + text.size() && std::isfinite(value) && value >= 0.0;
+    return good ? std::optional(value) : std::nullopt;
+}
+
 /// Returns the part of the prompt that crashes engines; empty when there is none.
 std::string poisonPartOf(const http_request &request)
 {
@@ -242,15 +253,27 @@
     answer.status = status;
     const std::string id = m_faults.mismatchedAnswers ? "another" : std::string(request.header("X-Attempt-Id"));
     answer.fields = {{"X-Attempt-Id", id}, {"X-Server-Seal", m_settings.id + "." + id}};
+    nameLimit(answer);
     return answer;
 }
 
+void site_upstream::nameLimit(http_answer &answer) const
+{
+    if (!m_faults.namedLimit.empty() && answer.header(kLimitField).empty()) {
+        answer.fields.push_back({kLimitField, m_faults.namedLimit});
+    }
+}
+
 void site_upstream::recordArrival(const http_request &request)
 {
     const std::string_view id = request.header("X-Attempt-Id");
     if (!id.empty()) {
         const bool isPrefill = request.header("X-Stage") == "prefill";
-        m_log.arrivals.push_back({std::chrono::steady_clock::now(), m_settings.service, std::string(id), request.target, isPrefill, poisonPartOf(request)});
+        m_log.arrivals.push_back(
+            {std::chrono::steady_clock::now(), m_settings.service, std::string(id), request.target, isPrefill, poisonPartOf(request), m_settings.id});
+    }
+    if (const auto limit = limitIn(m_faults.namedLimit)) {
+        m_log.limitedCalls.push_back({std::chrono::steady_clock::now(), m_settings.id, std::string(id), *limit});
     }
 }
 
@@ -339,6 +362,7 @@
 
 asio::awaitable<void> site_upstream::sendAnswer(http_answer answer, http_responder &responder, body_end end)
 {
+    nameLimit(answer);
     if (!m_faults.unframed && end == body_end::Whole) {
         co_await responder.send(std::move(answer));
         co_return;
@@ -404,6 +428,7 @@
     if (m_settings.phase != "decode") {
         http_answer answer;
         answer.status = 421;
+        nameLimit(answer);
         co_await responder.send(std::move(answer));
         co_return;
     }
@@ -411,6 +436,7 @@
         http_answer answer;
         answer.status = 503;
         answer.fields = {{"X-Not-Executed", "1"}};
+        nameLimit(answer);
         co_await responder.send(std::move(answer));
         co_return;
     }
--- a/tests/standins/site_upstream.h
+++ b/tests/standins/site_upstream.h
@@ -56,6 +56,7 @@
     bool cutCallAnswers = false; ///< Ends the bodies of answers to calls of the router itself in order, but in the middle.
     bool silentCrashes = false; ///< After a crash, open connections stay open, and new ones aren't answered, until the next instance starts.
     bool unframed = false; ///< The bodies of all answers have neither a length nor chunks and end with their connection.
+    std::string namedLimit; ///< All answers name this as the requests a second that the upstream takes, whether it is a number or not; none if empty.
 };
 
 /// A request that arrived at an upstream, whether it was executed or rejected. Reservations, reports and orders don't count.
@@ -67,6 +68,16 @@
     std::string target;
     bool isPrefill = false; ///< Only the prompt was to be computed.
     std::string poisonPart; ///< The part of its prompt that crashes engines, if there is one.
+    std::string instance; ///< Id of the upstream.
+};
+
+/// A call of any kind, health checks included, that arrived at an upstream while it named a limit.
+struct limited_call
+{
+    std::chrono::steady_clock::time_point at;
+    std::string instance; ///< Id of the upstream.
+    std::string id; ///< Of the caller's request; empty for a call of the router itself.
+    double perSecond = 0.0; ///< The limit that the upstream named.
 };
 
 /// An upstream's crash under a request.
@@ -93,6 +104,7 @@
     std::map<std::string, int> runs; ///< The number of executions by request id.
     std::vector<upstream_arrival> arrivals; ///< In order.
     std::vector<upstream_crash> crashes; ///< In order.
+    std::vector<limited_call> limitedCalls; ///< In order.
 };
 
 /**
@@ -154,6 +166,8 @@
     net::http_answer order(const net::http_request &request);
     net::http_answer makeAnswer(const net::http_request &request, unsigned status) const;
     void recordArrival(const net::http_request &request);
+    /// Adds what all answers of this upstream name.
+    void nameLimit(net::http_answer &answer) const;
     void recordRun(const net::http_request &request);
     /// Waits until the crash of this upstream shows, if it was a silent one.
     boost::asio::awaitable<void> waitWhileSilent(net::http_responder &responder);
