Entries keep the limits that upstreams name, all of them together

Cause: nothing read the limit. Load, weights and retry budgets are per entry, or shares that are set once; none of them bounds what all entries send to one upstream together. Class: a bound on a shared resource that each node can't keep by itself.

One entry per limited upstream, by rendezvous hashing, issues permits to all from one token bucket, for every call: attempts, retries, both stages, reservations, health checks, reports and orders. Entries that can't reach it use a fraction of the limit at random times.

--- a/include/heatherroute/crash_report.h
+++ b/include/heatherroute/crash_report.h
@@ -2,6 +2,7 @@
 
 #include "heatherroute/peer_serialize.h"
 #include "heatherroute/request_fingerprint.h"
+#include "heatherroute/upstream_instance.h"
 
 #include <compare>
 #include <cstdint>
@@ -20,15 +21,6 @@
 namespace heatherroute
 {
 
-/// One run of an upstream, from its start to its end.
-struct upstream_instance
-{
-    std::string id;
-    std::uint64_t startedAt = 0; ///< Unix time in milliseconds; 0 when unknown.
-
-    auto operator<=>(const upstream_instance &) const = default;
-};
-
 inline constexpr std::size_t kMaxCrashReportsPerMessage = 8;
 inline constexpr std::size_t kMaxPartReportsPerMessage = 4; ///< Reports with the parts of prompts.
 inline constexpr std::size_t kMaxCompletedPartsPerMessage = 64;
--- a/include/heatherroute/peer_message.h
+++ b/include/heatherroute/peer_message.h
@@ -4,6 +4,7 @@
 #include "heatherroute/crash_report.h"
 #include "heatherroute/last_reason.h"
 #include "heatherroute/membership_message.h"
+#include "heatherroute/rate_limit_message.h"
 #include "heatherroute/store_update.h"
 
 #include <cstddef>
@@ -39,13 +40,32 @@
                                store_update_of_era,
                                open_attempts,
                                part_crash_reports,
-                               completed_parts>;
-
-/// Returns the message about crashes in @p body; empty when it is of another kind. Thread safe.
-std::optional<crash_message> crashMessageIn(const peer_body &body);
-
-/// Returns @p message as the body of a message between entries. Thread safe.
-peer_body bodyOf(const crash_message &message);
+                               completed_parts,
+                               limit_reports,
+                               permit_request,
+                               permit_reply>;
+
+/// Returns the message of one subject, such as crash_message, in @p body; empty when it is of another kind. Thread safe.
+template<typename Message>
+std::optional<Message> messageIn(const peer_body &body)
+{
+    return std::visit(
+        [](const auto &message) -> std::optional<Message> {
+            if constexpr (std::is_constructible_v<Message, decltype(message)>) {
+                return message;
+            } else {
+                return std::nullopt;
+            }
+        },
+        body);
+}
+
+/// Returns the @p message of one subject as the body of a message between entries. Thread safe.
+template<typename Message>
+peer_body bodyOf(const Message &message)
+{
+    return std::visit([](const auto &body) { return peer_body(body); }, message);
+}
 
 /// Sender and sequence number of a message.
 struct peer_header
--- a/src/core/crash_handler.cpp
+++ b/src/core/crash_handler.cpp
@@ -57,7 +57,7 @@
 
 void crash_handler::onMessage(const peer_received &event)
 {
-    if (const auto message = crashMessageIn(event.body)) {
+    if (const auto message = messageIn<crash_message>(event.body)) {
         m_crashes.onMessage(m_context.now(), *message);
         logStarted();
     }
--- a/src/core/peer_codec.cpp
+++ b/src/core/peer_codec.cpp
@@ -119,24 +119,6 @@
 
 } // namespace
 
-std::optional<crash_message> crashMessageIn(const peer_body &body)
-{
-    return std::visit(
-        [](const auto &message) -> std::optional<crash_message> {
-            if constexpr (std::is_constructible_v<crash_message, decltype(message)>) {
-                return message;
-            } else {
-                return std::nullopt;
-            }
-        },
-        body);
-}
-
-peer_body bodyOf(const crash_message &message)
-{
-    return std::visit([](const auto &body) { return peer_body(body); }, message);
-}
-
 const char *toString(peer_drop reason) noexcept
 {
     switch (reason) {
--- a/src/node/member_duty.cpp
+++ b/src/node/member_duty.cpp
@@ -37,10 +37,14 @@
                 forwardToRelay(store_update_received{std::move(updateOfEra->update), updateOfEra->era});
                 return;
             }
-            if (auto crashes = crashMessageIn(message.body)) {
+            if (auto crashes = messageIn<crash_message>(message.body)) {
                 forwardToRelay(crash_reports_received{std::move(*crashes)});
                 return;
             }
+            if (auto limits = messageIn<rate_limit_message>(message.body)) {
+                forwardToRelay(rate_limit_received{from, std::move(*limits)});
+                return;
+            }
             processEvent(membership_received{from, std::move(message.header.sender), std::move(message.body)});
         };
         m_transport = net::peer_transport::make(m_context, m_settings.transport, std::move(hooks), reason);
@@ -76,12 +80,11 @@
             } else {
                 broadcast(broadcastEvent->update);
             }
-        } else if (auto *crashEvent = std::get_if<crash_reports_to_send>(&event)) {
-            const peer_body body = bodyOf(crashEvent->message);
-            if (crashEvent->peerAddress) {
-                m_transport->sendDatagram(*crashEvent->peerAddress, body);
+        } else if (auto *message = std::get_if<message_to_send>(&event)) {
+            if (message->peerAddress) {
+                m_transport->sendDatagram(*message->peerAddress, message->body);
             } else {
-                broadcast(body);
+                broadcast(message->body);
             }
         } else {
             processEvent(membership_leave{});
--- a/src/node/phase_orders.cpp
+++ b/src/node/phase_orders.cpp
@@ -75,10 +75,17 @@
         asio::steady_timer timer(m_state.executor, kAnnounceDelay);
         co_await timer.async_wait(asio::use_awaitable);
     }
-    net::http_call reportCall = prepareCall(m_state, run, m_state.dialect.makeReportCall(run.id), m_state.timing.engineCallTimeout);
-    const net::http_result reportResult = co_await net::performCall(std::move(reportCall));
-    const auto report = reportResult.answer ? m_state.dialect.readReport(*reportResult.answer) : std::nullopt;
-    std::string outcome = "no_report";
+    constexpr std::uint32_t kCalls = 2; // The report and the order.
+    const bool permitted = co_await m_state.permits.acquire(run, kCalls);
+    std::optional<engine_report> report;
+    if (permitted) {
+        const instant sentAt = coreNow();
+        net::http_call reportCall = prepareCall(m_state, run, m_state.dialect.makeReportCall(run.id), m_state.timing.engineCallTimeout);
+        const net::http_result reportResult = co_await net::performCall(std::move(reportCall));
+        m_state.noteLimit(run, sentAt, reportResult);
+        report = reportResult.answer ? m_state.dialect.readReport(*reportResult.answer) : std::nullopt;
+    }
+    std::string outcome = permitted ? "no_report" : kAtLimitReason;
     bool mayBeAccepted = false;
     const std::uint64_t token = m_lease.fencingToken;
     // The lease is checked again because it may have expired while the report was fetched.
--- a/src/node/plain_relay.cpp
+++ b/src/node/plain_relay.cpp
@@ -66,16 +66,20 @@
                 m_state.countQuarantineRefusal(m_service);
                 co_return kQuarantinedReason;
             }
-            const registration *run = chooseUpstream();
-            if (run == nullptr) {
+            const std::optional<registration> chosen = co_await chooseUpstream();
+            if (!chosen) {
+                if (!m_limited.empty()) {
+                    co_return kAtLimitReason;
+                }
                 co_return m_triedIds.empty() ? "no_upstream" : "no_other_upstream";
             }
+            const registration tried = *chosen;
             if (!m_triedIds.empty() && !m_state.tryRetry(m_service)) {
+                m_state.permits.giveBack(tried, 1);
                 co_return "retry_budget_used_up";
             }
-            m_triedIds.insert(run->id);
-            m_upstream = run->id;
-            const registration tried = *run;
+            m_triedIds.insert(tried.id);
+            m_upstream = tried.id;
             attempt_result result = co_await runAttempt(tried, attemptTimeout(policy, m_call.matchedRoute(), progress()));
             m_lastReason = result.reason;
             (result.execution == verdict::NotRun ? m_notRunCount : m_mayHaveRunCount) += 1;
@@ -95,12 +99,27 @@
         }
     }
 
-    const registration *chooseUpstream()
+    /// Returns the next upstream to try, with a permit if it has a limit; empty when there is none.
+    asio::awaitable<std::optional<registration>> chooseUpstream()
     {
-        std::vector<const registration *> runs = m_state.registry.usable(m_service);
-        std::erase_if(runs, [this](const registration *run) { return m_triedIds.count(run->id) > 0; });
-        const auto order = orderCandidates(m_state.candidates(runs), m_state.random);
-        return order.empty() ? nullptr : order.front();
+        while (!m_call.isEnded()) {
+            std::vector<const registration *> runs = m_state.registry.usable(m_service);
+            std::erase_if(runs, [this](const registration *run) { return m_triedIds.count(run->id) > 0; });
+            const auto order = orderCandidates(m_state.candidates(runs), m_state.random);
+            if (order.empty()) {
+                m_limited = m_state.atLimit(runs);
+                break;
+            }
+            const registration chosen = *order.front();
+            const bool permitted = co_await m_state.permits.acquire(chosen, 1);
+            if (permitted && !m_call.isEnded() && m_state.registry.isUsable(chosen.id)) {
+                co_return chosen;
+            }
+            if (permitted) {
+                m_state.permits.giveBack(chosen, 1);
+            }
+        }
+        co_return std::nullopt;
     }
 
     asio::awaitable<attempt_result> runAttempt(registration run, std::optional<duration> limit)
@@ -119,12 +138,13 @@
         if (--m_state.inFlight[run.id] == 0) {
             m_state.inFlight.erase(run.id);
         }
-        co_return evaluate(run, std::move(result), coreNow() - sentAt);
+        co_return evaluate(run, std::move(result), sentAt);
     }
 
-    attempt_result evaluate(const registration &run, http_result result, duration took)
+    attempt_result evaluate(const registration &run, http_result result, instant sentAt)
     {
         const instant now = coreNow();
+        const duration took = now - sentAt;
         m_call.endAttempt(result);
         if (!result.answer) {
             if (!m_call.isEnded()) {
@@ -134,6 +154,7 @@
             return {result.failure.outcome, std::nullopt, result.failure.reason};
         }
         const answer_facts facts = m_state.dialect.readAnswer(*result.answer, run.id);
+        m_call.noteLimit(run, sentAt, facts);
         if (facts.wrongInstance) {
             m_state.registry.onDisplaced(run.id);
         }
@@ -166,7 +187,10 @@
         const verdict execution = overallExecution();
         if (execution == verdict::NotRun && !m_call.isTimedOut()) {
             const duration noUpstreamWait = m_triedIds.empty() ? kNoUpstreamRetryAfter : duration::zero();
-            const duration wait = std::max(noUpstreamWait, m_state.crashes.quarantinedFor(m_call.fingerprints()));
+            duration wait = std::max(noUpstreamWait, m_state.crashes.quarantinedFor(m_call.fingerprints()));
+            if (!m_limited.empty()) {
+                wait = std::max(wait, m_state.permits.nextReturn(m_service, m_limited));
+            }
             co_await m_call.sendError(
                 net::status::kUnavailable, reason, retryAfterDelay(m_state.retryAfterSettings, wait, m_call.timeLeft(), m_state.sampleUniform()));
             m_call.finish({"refused", net::status::kUnavailable, reason, execution, m_upstream});
@@ -191,6 +215,7 @@
     relay_state &m_state;
     std::string m_service;
     std::set<std::string> m_triedIds;
+    std::vector<registration> m_limited; ///< The upstreams that were left, if all of them were at their limits.
     std::string m_upstream;
     std::string m_lastReason;
     std::optional<http_answer> m_lastAnswer;
--- a/src/node/relay_call.cpp
+++ b/src/node/relay_call.cpp
@@ -173,6 +173,12 @@
     return {};
 }
 
+void relay_call::noteLimit(const registration &run, instant sentAt, const answer_facts &facts) const
+{
+    const bool mayEnd = !facts.requestId.empty() && facts.requestId == m_facts.id;
+    m_state.permits.noteAnswer(run, sentAt, facts, mayEnd);
+}
+
 void relay_call::beginAttempt(const registration &run)
 {
     m_attempt = m_state.crashes.beginAttempt(run, m_fingerprints);
--- a/src/node/relay_call.h
+++ b/src/node/relay_call.h
@@ -27,6 +27,9 @@
     std::string upstream; ///< The upstream that received the request last; empty when none did.
 };
 
+/// Why a request was refused whose upstreams all are at the limits that they name.
+inline constexpr const char *kAtLimitReason = "upstreams_at_limit";
+
 /**
  * A caller's request in progress, with its deadline, its caller connection and the current exchange with an upstream.
  *
@@ -108,6 +111,8 @@
     boost::asio::awaitable<void> forwardAnswer(net::http_answer answer);
     /// Returns why @p answer can't be the upstream's own answer to this request; empty when it is valid.
     std::string validateAnswer(const answer_facts &facts, const net::http_answer &answer) const;
+    /// Records what the head of an answer of @p run to this request says about the upstream's limit.
+    void noteLimit(const registration &run, instant sentAt, const answer_facts &facts) const;
     /// Records that an attempt passes the request on to @p run. To be followed by perform() and endAttempt().
     void beginAttempt(const registration &run);
     /// Records that the upstream has sent something for the current attempt.
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -75,7 +75,7 @@
          std::function<void(log_line)> log)
         : m_context(context)
         , m_settings(std::move(settings))
-        , m_state(context.get_executor(), std::move(dialect), m_settings.retries, m_settings.seed)
+        , m_state(context.get_executor(), std::move(dialect), m_settings.retries, m_settings.entryName, m_settings.seed)
         , m_orders(m_state, m_settings.takeoverDelay)
         , m_leaseCandidate(lease_candidate::make({}, coreNow()))
         , m_toMembers(toMembers)
@@ -85,7 +85,9 @@
     {
         m_state.writeLog = std::move(log);
         m_state.recordCrashes = [this](crash_evidence evidence) { post(m_toStore, store_event(crashes_to_record{std::move(evidence)})); };
-        m_state.entryName = m_settings.entryName;
+        m_state.sendToEntries = [this](peer_body body, std::optional<std::string> peerAddress) {
+            post(m_toMembers, member_event(message_to_send{std::move(body), std::move(peerAddress)}));
+        };
     }
 
     bool open(last_reason *reason)
@@ -125,6 +127,7 @@
         m_state.log(log_level::Info, "stopping", {{"in_flight", std::to_string(m_callsInFlight.size())}});
         post(m_toMembers, member_event(leave_membership{}));
         post(m_toStore, store_event(store_stop{}));
+        m_state.permits.stop();
         advanceStop();
     }
 
@@ -278,6 +281,7 @@
     {
         m_otherEntries = std::move(event.others);
         m_state.retryBudget.setFleetSize(coreNow(), m_otherEntries.size() + 1);
+        m_state.permits.setMembers(m_otherEntries);
         updateRank();
         updateLeaseCandidacy();
         introduceEntries();
@@ -337,6 +341,11 @@
         m_state.crashes.onMessage(event.message);
     }
 
+    void on(rate_limit_received &event)
+    {
+        m_state.permits.onMessage(event.from, event.message);
+    }
+
     void on(recorded_crashes_read &event)
     {
         m_state.crashes.onRecord(event.evidence, event.isOwn);
@@ -366,8 +375,9 @@
             if (m_knownEntries.contains(other.id) || (m_rank >= kIntroducingEntries && !wasAlone)) {
                 continue;
             }
-            for (crash_message &message : m_state.crashes.introduction()) {
-                post(m_toMembers, member_event(crash_reports_to_send{std::move(message), other.peerAddress}));
+            m_state.permits.introduceTo(other.peerAddress);
+            for (const crash_message &message : m_state.crashes.introduction()) {
+                post(m_toMembers, member_event(message_to_send{bodyOf(message), other.peerAddress}));
             }
         }
         m_knownEntries = std::move(present);
@@ -387,9 +397,10 @@
         for (store_update &message : m_state.gossip.dueMessages(now, m_state.routes ? m_state.routes->version() : 0)) {
             post(m_toMembers, member_event(store_update_broadcast{std::move(message), m_storeEra}));
         }
-        for (crash_message &message : m_state.crashes.dueMessages()) {
-            post(m_toMembers, member_event(crash_reports_to_send{std::move(message), std::nullopt}));
+        for (const crash_message &message : m_state.crashes.dueMessages()) {
+            post(m_toMembers, member_event(message_to_send{bodyOf(message), std::nullopt}));
         }
+        m_state.permits.advance();
     }
 
     void announceLease(bool holds)
@@ -489,8 +500,14 @@
 
     asio::awaitable<void> queryState(registration run)
     {
+        const bool permitted = co_await m_state.permits.acquire(run, 1);
+        if (!permitted) {
+            co_return;
+        }
+        const instant sentAt = coreNow();
         net::http_call call = prepareCall(m_state, run, m_state.dialect.makeReportCall(run.id), kProbeTimeout);
         const net::http_result result = co_await net::performCall(std::move(call));
+        m_state.noteLimit(run, sentAt, result);
         const auto report = result.answer ? m_state.dialect.readReport(*result.answer) : std::nullopt;
         if (!report) {
             m_state.noteFailedCall(run, result);
@@ -504,12 +521,19 @@
     /// Sends a health check to an ejected upstream.
     asio::awaitable<void> probe(registration run)
     {
+        const bool permitted = co_await m_state.permits.acquire(run, 1);
+        if (!permitted) {
+            m_state.health.noteProbe(coreNow(), run.id, false);
+            co_return;
+        }
+        const instant sentAt = coreNow();
         const service_spec *spec = m_state.routes ? m_state.routes->service(run.service) : nullptr;
         net::http_call call;
         call.method = "GET";
         call.target = spec != nullptr ? spec->healthPath : "/";
         call = prepareCall(m_state, run, std::move(call), kProbeTimeout);
         const net::http_result result = co_await net::performCall(std::move(call));
+        m_state.noteLimit(run, sentAt, result);
         const bool succeeded = result.answer && result.answer->status == net::status::kOk && m_state.dialect.readInstance(*result.answer) == run.id;
         m_state.health.noteProbe(coreNow(), run.id, succeeded);
         m_state.log(log_level::Info,
--- a/src/node/relay_event.h
+++ b/src/node/relay_event.h
@@ -9,6 +9,7 @@
 
 #include "heatherroute/crash_report.h"
 #include "heatherroute/member.h"
+#include "heatherroute/peer_message.h"
 #include "heatherroute/registration.h"
 #include "heatherroute/route_table.h"
 #include "heatherroute/store_update.h"
@@ -71,6 +72,13 @@
     crash_message message;
 };
 
+/// A message about limits was received from another entry.
+struct rate_limit_received
+{
+    std::string from; ///< The sender's peer address.
+    rate_limit_message message;
+};
+
 /// An event for the relay's thread from the other duties.
 using relay_event = std::variant<routes_read,
                                  upstreams_reported,
@@ -80,7 +88,8 @@
                                  store_update_received,
                                  crash_reports_received,
                                  recorded_crashes_read,
-                                 store_era_changed>;
+                                 store_era_changed,
+                                 rate_limit_received>;
 
 /// The peer addresses of entries that are recorded in the store.
 struct entry_addresses
@@ -105,15 +114,15 @@
     std::uint64_t era = 0; ///< 0 when unknown.
 };
 
-/// Reports of crashes to send to other entries.
-struct crash_reports_to_send
+/// A message to send to other entries in a datagram.
+struct message_to_send
 {
-    crash_message message;
+    peer_body body;
     std::optional<std::string> peerAddress; ///< The only receiver; all other entries if empty.
 };
 
 /// An event for the membership's thread from the other duties.
-using member_event = std::variant<entry_addresses, own_summary, leave_membership, store_update_broadcast, crash_reports_to_send>;
+using member_event = std::variant<entry_addresses, own_summary, leave_membership, store_update_broadcast, message_to_send>;
 
 /// Whether this entry should acquire or keep the lease, which grants the right to send orders to engines.
 struct lease_wanted
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -15,9 +15,10 @@
 
 } // namespace
 
-relay_state::relay_state(boost::asio::any_io_executor relayExecutor, platform_dialect relayDialect, retry_limit limit, std::uint64_t seed)
+relay_state::relay_state(boost::asio::any_io_executor relayExecutor, platform_dialect relayDialect, retry_limit limit, std::string name, std::uint64_t seed)
     : executor(std::move(relayExecutor))
     , dialect(std::move(relayDialect))
+    , entryName(std::move(name))
     , random(seed)
     , gossip(store_gossip::make({}))
     , health(upstream_health_tracker::make({}))
@@ -26,8 +27,24 @@
     , scheduler(engine_scheduler::make({}))
     , bodyMemory(net::body_memory::make(kBodyMemoryBytes))
     , crashes(executor, crashHooks())
+    , permits(executor, permitHooks(), entryName, seed)
 { }
 
+upstream_permits_hooks relay_state::permitHooks()
+{
+    upstream_permits_hooks hooks;
+    hooks.log = [this](log_level level, std::string event, std::vector<log_field> fields) { log(level, std::move(event), std::move(fields)); };
+    hooks.send = [this](const rate_limit_message &message, std::optional<std::string> peerAddress) {
+        if (sendToEntries) {
+            sendToEntries(bodyOf(message), std::move(peerAddress));
+        }
+    };
+    hooks.count = [this](const std::string &outcome) {
+        metrics.counter("heatherroute_permits_total", "Permits asked for calls to upstreams with a limit, by outcome.", {{"outcome", outcome}}).value += 1;
+    };
+    return hooks;
+}
+
 crash_monitor_hooks relay_state::crashHooks()
 {
     crash_monitor_hooks hooks;
@@ -48,8 +65,10 @@
 void relay_state::onUpstreamChange(const registration &run, upstream_change change)
 {
     crashes.onUpstreamChange(run, change);
+    permits.noteInstance(run);
     if (change == upstream_change::Removed) {
         health.remove(run.id);
+        permits.remove(run.id);
     } else if (change == upstream_change::Added || change == upstream_change::Restarted || change == upstream_change::Phase) {
         health.add(run);
     }
@@ -96,7 +115,7 @@
     result.reserve(runs.size());
     const instant now = coreNow();
     for (const registration *run : runs) {
-        if (!health.isReachable(now, run->id)) {
+        if (!health.isReachable(now, run->id) || permits.isAtLimit(*run)) {
             continue;
         }
         const auto found = inFlight.find(run->id);
@@ -105,6 +124,25 @@
     return result;
 }
 
+std::vector<registration> relay_state::atLimit(const std::vector<const registration *> &runs) const
+{
+    std::vector<registration> result;
+    const instant now = coreNow();
+    for (const registration *run : runs) {
+        if (health.isReachable(now, run->id) && permits.isAtLimit(*run)) {
+            result.push_back(*run);
+        }
+    }
+    return result;
+}
+
+void relay_state::noteLimit(const registration &run, instant sentAt, const net::http_result &result)
+{
+    if (result.answer) {
+        permits.noteAnswer(run, sentAt, dialect.readAnswer(*result.answer, run.id), false);
+    }
+}
+
 void relay_state::noteFailedCall(const registration &run, const net::http_result &result)
 {
     if (result.refused) {
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -11,9 +11,11 @@
 #include <vector>
 
 #include "heatherroute/log_line.h"
+#include "heatherroute/peer_message.h"
 #include "heatherroute/route_table.h"
 #include "node/core_time.h"
 #include "node/crash_monitor.h"
+#include "node/upstream_permits.h"
 #include "relay/engine_scheduler.h"
 #include "relay/fleet_retry_budget.h"
 #include "relay/phase_planner.h"
@@ -45,10 +47,15 @@
  */
 struct relay_state
 {
-    relay_state(boost::asio::any_io_executor relayExecutor, platform_dialect relayDialect, retry_limit limit, std::uint64_t seed);
+    relay_state(boost::asio::any_io_executor relayExecutor, platform_dialect relayDialect, retry_limit limit, std::string name, std::uint64_t seed);
 
-    /// Returns the upstreams of @p runs that aren't in backoff after a failed connection, with their weights and loads.
+    /// Returns the upstreams of @p runs that are neither in backoff after a failed connection nor at their limits, with their weights and
+    /// loads.
     std::vector<upstream_candidate> candidates(const std::vector<const registration *> &runs) const;
+    /// Returns the upstreams of @p runs that would be candidates if they weren't at their limits.
+    std::vector<registration> atLimit(const std::vector<const registration *> &runs) const;
+    /// Records what the answer to a call of the router itself says about the limit of @p run.
+    void noteLimit(const registration &run, instant sentAt, const net::http_result &result);
     /// Records a call to @p run that ended without an answer. It counts as a failed connection if nothing was sent, otherwise as
     /// a failed request.
     void noteFailedCall(const registration &run, const net::http_result &result);
@@ -75,11 +82,14 @@
 
     boost::asio::any_io_executor executor;
     platform_dialect dialect;
+    std::string entryName;
     relay_timing timing;
     retry_after_settings retryAfterSettings;
     std::function<void(log_line)> writeLog;
     /// Records what this entry has observed of crashes in the platform's store; deletes the record when there is nothing.
     std::function<void(crash_evidence)> recordCrashes;
+    /// Sends a message to the entry with the peer address, or to all other entries if it is empty.
+    std::function<void(peer_body, std::optional<std::string> peerAddress)> sendToEntries;
     std::shared_ptr<const route_table> routes; ///< Null before the first configuration.
     std::mt19937_64 random;
     store_gossip gossip;
@@ -93,10 +103,11 @@
     std::map<std::string, std::size_t> inFlight; ///< Number of this entry's plain requests in flight, by upstream id.
     metrics_registry metrics;
     crash_monitor crashes;
-    std::string entryName;
+    upstream_permits permits;
 
 private:
     crash_monitor_hooks crashHooks();
+    upstream_permits_hooks permitHooks();
 };
 
 } // namespace heatherroute::node
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -58,9 +58,16 @@
     Ended, ///< The request has ended and must not be retried.
 };
 
-asio::awaitable<void> fireAndForget(http_call call)
+/// Permits for a reservation and for the decode, or the release, that follows it.
+constexpr std::uint32_t kPermitsPerDecode = 2;
+
+/// Without a permit the call is not made: what it would release expires by itself.
+asio::awaitable<void> fireAndForget(relay_state &state, registration run, http_call call)
 {
-    co_await net::performCall(std::move(call));
+    const bool permitted = co_await state.permits.acquire(run, 1);
+    if (permitted) {
+        co_await net::performCall(std::move(call));
+    }
 }
 
 class stream_relay
@@ -149,23 +156,35 @@
         }
         const instant giveUpAt = coreNow() + m_state.scheduler.settings().maxMemoryWait;
         while (!m_call.isEnded()) {
-            if (enginesIn(engine_phase::Decode).empty()) {
-                m_reason = "no_engine";
+            const bool hasEngines = !enginesIn(engine_phase::Decode).empty();
+            if (!hasEngines && !awaitsPermit(engine_phase::Decode, giveUpAt)) {
                 co_return false;
             }
-            const bool reserved = co_await runReservationRound();
+            bool reserved = false;
+            if (hasEngines) {
+                reserved = co_await runReservationRound();
+            }
             if (reserved) {
                 co_return true;
             }
             if (coreNow() >= giveUpAt) {
-                m_reason = "engines_full";
+                m_reason = hasEngines ? "engines_full" : kAtLimitReason;
                 co_return false;
             }
-            co_await m_call.wait(std::chrono::duration_cast<std::chrono::milliseconds>(m_state.scheduler.settings().reservationRetryInterval));
+            co_await waitForNextRound();
         }
         co_return false;
     }
 
+    /// Whether engines in @p phase are left out only because of their limits, and one of them may have a permit before @p giveUpAt. Sets the
+    /// reason otherwise.
+    bool awaitsPermit(engine_phase phase, instant giveUpAt)
+    {
+        const std::vector<registration> limited = m_state.atLimit(m_state.registry.usable(m_service, phase));
+        m_reason = limited.empty() ? "no_engine" : kAtLimitReason;
+        return !limited.empty() && coreNow() + m_state.permits.waitFor(limited) < giveUpAt;
+    }
+
     /// Whether the reservation is still valid. It may have expired, or its engine may have become unusable, during a long prefill.
     bool holdsUsableReservation() const
     {
@@ -198,8 +217,13 @@
     asio::awaitable<bool> tryReserveAt(registration run)
     {
         const std::uint32_t tokens = m_state.scheduler.reservedTokens(m_prompt);
+        const bool permitted = co_await m_state.permits.acquire(run, kPermitsPerDecode);
+        if (!permitted) {
+            co_return false;
+        }
         const auto id = co_await reserveAt(run, tokens);
         if (!id) {
+            m_state.permits.giveBack(run, kPermitsPerDecode - 1);
             m_refusedReservations += 1;
             co_return false;
         }
@@ -216,7 +240,9 @@
     {
         http_call call = m_state.dialect.makeReservation(run.id, tokens, reservationLifetime());
         call = prepareCall(m_state, run, std::move(call), m_state.timing.engineCallTimeout);
+        const instant sentAt = coreNow();
         const http_result result = co_await m_call.perform(std::move(call));
+        m_state.noteLimit(run, sentAt, result);
         if (!result.answer) {
             if (!m_call.isEnded()) {
                 m_state.noteFailedCall(run, result);
@@ -263,7 +289,15 @@
             }
             std::vector<upstream_candidate> engines = enginesIn(engine_phase::Prefill);
             if (engines.empty()) {
-                co_return true;
+                const bool awaits = awaitsPermit(engine_phase::Prefill, giveUpAt);
+                if (!awaits && m_reason != kAtLimitReason) {
+                    co_return true;
+                }
+                if (!awaits) {
+                    co_return false;
+                }
+                co_await waitForNextRound();
+                continue;
             }
             std::erase_if(engines, [&tried](const upstream_candidate &engine) { return tried.count(engine.run->id) > 0; });
             const auto order = m_state.scheduler.prefillOrder(coreNow(), engines, m_state.random);
@@ -272,7 +306,7 @@
                 if (coreNow() >= giveUpAt) {
                     co_return false;
                 }
-                co_await m_call.wait(std::chrono::duration_cast<std::chrono::milliseconds>(m_state.scheduler.settings().reservationRetryInterval));
+                co_await waitForNextRound();
                 continue;
             }
             if (!retryGranted && !m_state.tryRetry(m_service)) {
@@ -281,15 +315,25 @@
             }
             retryGranted = true;
             const registration run = *order.front();
-            const std::uint32_t tokens = m_state.scheduler.prefillReservation(m_prompt, static_cast<std::uint32_t>(memoryTokensOf(run.service)));
-            const auto reservationId = co_await reserveAt(run, tokens);
-            if (!reservationId) {
+            const bool permitted = co_await m_state.permits.acquire(run, 1);
+            if (!permitted) {
                 continue;
             }
+            // A limit keeps the engine's queue short by itself, and a reservation would take a permit of its own.
+            std::optional<std::string> reservationId;
+            if (!m_state.permits.isLimited(run)) {
+                const std::uint32_t tokens = m_state.scheduler.prefillReservation(m_prompt, static_cast<std::uint32_t>(memoryTokensOf(run.service)));
+                reservationId = co_await reserveAt(run, tokens);
+                if (!reservationId) {
+                    continue;
+                }
+            }
             tried.insert(run.id);
             const bool computed = co_await prefillAt(run);
             retryGranted = false;
-            sendDetached(run, m_state.dialect.releaseReservation(run.id, *reservationId));
+            if (reservationId) {
+                sendDetached(run, m_state.dialect.releaseReservation(run.id, *reservationId));
+            }
             if (computed) {
                 co_return true;
             }
@@ -299,6 +343,11 @@
         co_return false;
     }
 
+    asio::awaitable<void> waitForNextRound()
+    {
+        co_await m_call.wait(std::chrono::duration_cast<std::chrono::milliseconds>(m_state.scheduler.settings().reservationRetryInterval));
+    }
+
     asio::awaitable<bool> prefillAt(registration run)
     {
         m_prefillCount += 1;
@@ -325,6 +374,7 @@
             co_return false;
         }
         const answer_facts facts = m_state.dialect.readAnswer(*result.answer, run.id);
+        m_call.noteLimit(run, sentAt, facts);
         if (facts.wrongInstance) {
             m_state.registry.onDisplaced(run.id);
         }
@@ -363,7 +413,10 @@
         m_sentAt = coreNow();
         m_reservationSent = true;
         m_call.beginAttempt(run);
-        auto onHead = [this](const http_answer &head) { return beginStream(head); };
+        auto onHead = [this, run](const http_answer &head) {
+            m_call.noteLimit(run, m_sentAt, m_state.dialect.readAnswer(head, run.id));
+            return beginStream(head);
+        };
         auto onBody = [this](std::string_view piece) { return forwardPiece(piece); };
         http_result result = co_await m_call.perform(std::move(call), onHead, onBody);
         co_return co_await finishDecode(run, std::move(result));
@@ -526,8 +579,10 @@
 
     asio::awaitable<void> sendUnavailable()
     {
-        const duration engineWait = m_reason == "no_engine" ? kNoEngineRetryAfter : kFullRetryAfter;
-        const duration wait = std::max<duration>(engineWait, m_quarantined);
+        duration wait = std::max<duration>(m_reason == "no_engine" ? kNoEngineRetryAfter : kFullRetryAfter, m_quarantined);
+        if (m_reason == kAtLimitReason) {
+            wait = std::max(wait, m_state.permits.nextReturn(m_service, m_state.atLimit(m_state.registry.usable(m_service))));
+        }
         const auto retryAfter = retryAfterDelay(m_state.retryAfterSettings, wait, m_call.timeLeft(), m_state.sampleUniform());
         co_await m_call.sendError(net::status::kUnavailable, m_reason, retryAfter);
         m_call.finish({"refused", net::status::kUnavailable, m_reason, verdict::NotRun, m_upstream});
@@ -541,6 +596,7 @@
         }
         m_state.scheduler.removeDecode(m_reserved->run.id, m_reserved->tokens);
         if (!m_reservationSent && !m_reserved->id.empty()) {
+            m_state.permits.giveBack(m_reserved->run, kPermitsPerDecode - 1);
             sendDetached(m_reserved->run, m_state.dialect.releaseReservation(m_reserved->run.id, m_reserved->id));
         }
         m_reserved.reset();
@@ -559,7 +615,7 @@
     void sendDetached(const registration &run, http_call call)
     {
         call = prepareCall(m_state, run, std::move(call), m_state.timing.engineCallTimeout);
-        asio::co_spawn(m_state.executor, fireAndForget(std::move(call)), asio::detached);
+        asio::co_spawn(m_state.executor, fireAndForget(m_state, run, std::move(call)), asio::detached);
     }
 
     relay_call &m_call;
--- a/src/relay/platform_dialect.h
+++ b/src/relay/platform_dialect.h
@@ -51,6 +51,8 @@
     bool sealed = false; ///< The answer carries the upstream's seal.
     bool altered = false; ///< An intermediary encoded the body, so its bytes aren't the upstream's.
     std::string requestId; ///< The answered request; empty when the answer doesn't name it.
+    std::optional<double> limitPerSecond; ///< Requests a second that the upstream takes from all entries together; at least 0 and finite.
+    std::optional<std::string> malformedLimit; ///< The limit as the upstream named it, if it is no such number.
     auto operator<=>(const answer_facts &) const = default;
 };
 
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -57,7 +57,10 @@
                                            open_attempts{{{7, {"i-1", 1'000}, 250, 30, {1, 2}}}},
                                            part_crash_reports{{{7, {"i-1", 1'000}, 250, false, 30, {1, 2}}}},
                                            completed_parts{{{1, 20}, {2, 30}}},
-                                           store_update_of_era{5, sampleStoreGossip()}};
+                                           store_update_of_era{5, sampleStoreGossip()},
+                                           limit_reports{{{{"i-1", 1'000}, true, 3.8, 250}, {{"i-2", 2'000}, false, 0, 10}}},
+                                           permit_request{7, 2, {{"i-1", 1'000}, true, 3.8, 250}},
+                                           permit_reply{7, 2, 30, {{"i-1", 1'000}, true, 3.8, 250}}};
     for (const peer_body &body : bodies) {
         const peer_message message{sampleMessage().header, body};
         const auto bytes = encodePeerMessage(message, kMaxDatagramBytes, nullptr);
--- a/tests/platform_dialect_test.cpp
+++ b/tests/platform_dialect_test.cpp
@@ -169,3 +169,20 @@
     EXPECT_FALSE(dialect().readReport(answer));
     EXPECT_FALSE(dialect().readPrefill(answer));
 }
+
+TEST(PlatformDialect, LimitOfAnUpstreamIsANumberOrMalformed)
+{
+    const auto readLimit = [](const char *value) {
+        net::http_answer answer;
+        answer.fields = {{"Server-Limit", value}};
+        return platform::makeDialect().readAnswer(answer, "i-1");
+    };
+    EXPECT_EQ(readLimit("3.8").limitPerSecond, 3.8);
+    EXPECT_EQ(readLimit("0").limitPerSecond, 0.0);
+    EXPECT_EQ(readLimit("1e300").limitPerSecond, 1e300);
+    for (const char *value : {"", "-1", "nan", "inf", "1e999", "abc", "3 a second", "0x10"}) {
+        EXPECT_EQ(readLimit(value).limitPerSecond, std::nullopt) << value;
+        EXPECT_EQ(readLimit(value).malformedLimit, value);
+    }
+    EXPECT_EQ(platform::makeDialect().readAnswer({}, "i-1").malformedLimit, std::nullopt);
+}
