Test, red: streams go on at another software version than the one that began them

Stand-in engines have a software version and record which ones wrote events of a stream; callers take up streams at another entry, naming the attempt that brought the first event.

--- /dev/null
+++ b/tests/process_stream_version_test.cpp
@@ -0,0 +1,172 @@
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <csignal>
+
+#include "support/relay_site.h"
+#include "support/site_run.h"
+#include "support/stream_caller.h"
+
+using namespace heatherroute;
+using namespace heatherroute::support;
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+/// A site whose decode engines run two versions of their software, in turn.
+relay_site_settings releaseSite()
+{
+    relay_site_settings settings;
+    settings.entries = 10;
+    settings.prefillEngines = 2;
+    settings.decodeEngines = 6;
+    settings.services = 0;
+    settings.decodeVersions = {"v1", "v1.1"};
+    settings.eventInterval = milliseconds(100);
+    return settings;
+}
+
+void killGroup(relay_site &site, std::size_t first, std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        site.entry((first + i) % site.entryCount()).signal(SIGKILL);
+    }
+}
+
+asio::awaitable<void> restartGroup(relay_site &site, std::size_t first, std::size_t count)
+{
+    co_await pauseFor(milliseconds(500));
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::size_t entry = (first + i) % site.entryCount();
+        site.entry(entry).waitForEnd(seconds(5));
+        last_reason reason;
+        EXPECT_TRUE(site.restart(entry, &reason)) << reason.text();
+    }
+}
+
+void setDecodeFaults(relay_site &site, const standins::upstream_faults &faults)
+{
+    for (const auto &upstream : site.upstreams()) {
+        if (upstream->id().find("decode") != std::string::npos) {
+            upstream->setFaults(faults);
+        }
+    }
+}
+
+} // namespace
+
+// Load pattern: a release runs, entries are killed in groups, and callers come back elsewhere with streams that were broken off.
+TEST(ProcessStreamVersion, StreamsGoOnAtTheVersionThatBeganThemWhileEntriesAreKilled)
+{
+    runOnSite(releaseSite(), [](relay_site &site) -> asio::awaitable<void> {
+        stream_callers callers(site, 12, milliseconds(40));
+        callers.start(co_await asio::this_coro::executor);
+        constexpr std::size_t kGroup = 4;
+        for (std::size_t round = 0; round < 4; ++round) {
+            co_await pauseFor(seconds(3));
+            killGroup(site, round * kGroup, kGroup);
+            co_await restartGroup(site, round * kGroup, kGroup);
+        }
+        co_await pauseFor(seconds(3));
+        co_await callers.stop();
+        EXPECT_EQ(mixedStreams(site.upstreamLog()), 0);
+        EXPECT_GE(callers.resumes(), 20U);
+        EXPECT_GE(callers.goneOn() * 2, callers.resumes()) << callers.resumes() << " resumes, refused as " << callers.lastRefusal();
+        EXPECT_EQ(callers.fault(), "");
+    });
+}
+
+// Load pattern: as above, but engines break off streams, and all entries live.
+TEST(ProcessStreamVersion, StreamsThatEnginesBreakOffGoOnAtTheirVersion)
+{
+    runOnSite(releaseSite(), [](relay_site &site) -> asio::awaitable<void> {
+        stream_callers callers(site, 12, milliseconds(40));
+        callers.start(co_await asio::this_coro::executor);
+        // Callers come back after each of these times, so a stream that goes on isn't broken off at once.
+        for (int round = 0; round < 8; ++round) {
+            co_await pauseFor(seconds(1));
+            standins::upstream_faults faults;
+            faults.breakStreams = true;
+            setDecodeFaults(site, faults);
+            co_await pauseFor(milliseconds(200));
+            setDecodeFaults(site, {});
+        }
+        co_await pauseFor(seconds(3));
+        co_await callers.stop();
+        EXPECT_EQ(mixedStreams(site.upstreamLog()), 0);
+        EXPECT_GE(callers.resumes(), 20U);
+        EXPECT_GE(callers.goneOn() * 10, callers.resumes() * 9) << callers.resumes() << " resumes, refused as " << callers.lastRefusal();
+        EXPECT_EQ(callers.fault(), "");
+    });
+}
+
+// Load pattern: a caller comes back with a stream that no entry knows, and with one whose version isn't served any more.
+TEST(ProcessStreamVersion, StreamsWhoseVersionIsUnknownOrGoneAreRefusedAtOnce)
+{
+    runOnSite(releaseSite(), [](relay_site &site) -> asio::awaitable<void> {
+        caller_request unknown;
+        unknown.path = kStreamPath;
+        unknown.timeLeft = seconds(4);
+        unknown.resumes = "nobody-knows-this";
+        unknown.lastEvent = 3;
+        const auto sent = std::chrono::steady_clock::now();
+        const caller_result first = co_await site.call(0, std::move(unknown));
+        EXPECT_EQ(first.status, 503U);
+        EXPECT_NE(first.refusal.find("stream_origin_unknown"), std::string::npos) << first.refusal;
+        EXPECT_EQ(site.runCountOf(first.id), 0);
+        EXPECT_LE(std::chrono::steady_clock::now() - sent, milliseconds(700));
+
+        standins::upstream_faults faults;
+        faults.breakStreams = true;
+        setDecodeFaults(site, faults);
+        const caller_result broken = co_await site.call(1, kStreamPath, seconds(4));
+        EXPECT_FALSE(broken.isComplete);
+        EXPECT_GT(broken.lastEvent, 0U);
+        const std::set<std::string> versions = site.upstreamLog().streamVersions.at(broken.id);
+        EXPECT_EQ(versions.size(), 1U);
+        setDecodeFaults(site, {});
+        for (const auto &upstream : site.upstreams()) {
+            if (versions.contains(upstream->version())) {
+                upstream->release("v2", true);
+            }
+        }
+        co_await pauseFor(seconds(4));
+        caller_request late;
+        late.path = kStreamPath;
+        late.timeLeft = seconds(4);
+        late.resumes = broken.id;
+        late.lastEvent = broken.lastEvent;
+        const auto sentAgain = std::chrono::steady_clock::now();
+        const caller_result gone = co_await site.call(2, std::move(late));
+        EXPECT_EQ(gone.status, 503U);
+        EXPECT_NE(gone.refusal.find("no_engine_of_version"), std::string::npos) << gone.refusal;
+        EXPECT_LE(std::chrono::steady_clock::now() - sentAgain, milliseconds(700));
+        EXPECT_EQ(mixedStreams(site.upstreamLog()), 0);
+    });
+}
+
+// Load pattern: engines are restarted with another version under the ids that they had, while streams run and are taken up again.
+TEST(ProcessStreamVersion, EnginesThatChangeTheirVersionUnderTheirIdsGetNoStreamsOfTheOldOne)
+{
+    runOnSite(releaseSite(), [](relay_site &site) -> asio::awaitable<void> {
+        stream_callers callers(site, 24, milliseconds(40));
+        callers.start(co_await asio::this_coro::executor);
+        co_await pauseFor(seconds(2));
+        for (const auto &upstream : site.upstreams()) {
+            if (upstream->version() == "v1" && upstream->id().find("decode") != std::string::npos && upstream != site.upstreams().back()) {
+                upstream->release("v1.1", true);
+                co_await pauseFor(seconds(3));
+            }
+        }
+        co_await callers.stop();
+        EXPECT_EQ(mixedStreams(site.upstreamLog()), 0);
+        EXPECT_GE(callers.resumes(), 3U);
+        EXPECT_EQ(callers.fault(), "");
+    });
+}
--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -38,6 +38,15 @@
     return good ? std::optional(value) : std::nullopt;
 }
 
+/// Returns the last event that the caller has of a stream; 0 when it has none.
+std::uint32_t lastEventOf(const http_request &request)
+{
+    const std::string_view text = request.header("Last-Event-Id");
+    std::uint32_t event = 0;
+    std::from_chars(text.data(), text.data() + text.size(), event);
+    return event;
+}
+
 /// Returns the part of the prompt that crashes engines; empty when there is none.
 std::string poisonPartOf(const http_request &request)
 {
@@ -116,6 +125,13 @@
     restartLater();
 }
 
+void site_upstream::release(std::string version, bool keepsId)
+{
+    m_nextVersion = std::move(version);
+    m_keepsId = keepsId;
+    crash();
+}
+
 void site_upstream::abortAll()
 {
     const auto open = m_open;
@@ -155,8 +171,11 @@
         });
         return;
     }
-    m_store.put("keyed.servers", m_settings.id, "");
-    m_settings.id = m_name + "-" + std::to_string(++m_restarts);
+    m_settings.version = std::exchange(m_nextVersion, std::nullopt).value_or(m_settings.version);
+    if (!std::exchange(m_keepsId, false)) {
+        m_store.put("keyed.servers", m_settings.id, "");
+        m_settings.id = m_name + "-" + std::to_string(++m_restarts);
+    }
     m_startedAt = unixMilliseconds();
     m_sequence = 0;
     m_orders = 0;
@@ -214,7 +233,7 @@
     json::object entry{{"Service", m_settings.service},
                        {"Address", "127.0.0.1:" + std::to_string(m_server->endpoint().port())},
                        {"Zone", "z"},
-                       {"Version", "v1"},
+                       {"Version", m_settings.version},
                        {"Slots", 64},
                        {"State", m_drainedAt ? "draining" : "ready"},
                        {"ColdLeftMs", 0},
@@ -451,9 +470,11 @@
     http_answer head = makeAnswer(request, 200);
     head.contentType = "text/event-stream";
     co_await responder.beginStream(std::move(head), streamFraming());
-    const std::string id(request.header("X-Attempt-Id"));
+    const std::string_view resumed = request.header("Resumes");
+    const std::string id(resumed.empty() ? request.header("X-Attempt-Id") : resumed);
+    const std::string version = m_settings.version;
     const std::string poisonPart = poisonPartOf(request);
-    for (std::uint32_t event = 1; event <= m_settings.events; ++event) {
+    for (std::uint32_t event = lastEventOf(request) + 1; event <= m_settings.events; ++event) {
         co_await sleepFor(m_settings.eventInterval);
         co_await waitWhileSilent(responder);
         if (!poisonPart.empty() && event > kEventsBeforeCrash && !responder.isClosed()) {
@@ -475,6 +496,7 @@
         if (!sent) {
             co_return;
         }
+        m_log.streamVersions[id].insert(version);
     }
     co_await responder.endStream();
 }
--- a/tests/standins/site_upstream.h
+++ b/tests/standins/site_upstream.h
@@ -28,6 +28,7 @@
     std::chrono::milliseconds workTime{5}; ///< Duration of a plain request.
     std::chrono::milliseconds eventInterval{10}; ///< Interval between the events of a stream.
     std::uint32_t events = 12; ///< Number of events in a stream.
+    std::string version = "v1"; ///< Of its software.
     std::chrono::milliseconds downTime{1'200}; ///< Time from a crash until a new instance with a new id listens at the same address.
 };
 
@@ -105,6 +106,8 @@
     std::vector<upstream_arrival> arrivals; ///< In order.
     std::vector<upstream_crash> crashes; ///< In order.
     std::vector<limited_call> limitedCalls; ///< In order.
+    /// The software versions of the engines that wrote events of a stream, by the id of the attempt that began it.
+    std::map<std::string, std::set<std::string>> streamVersions;
 };
 
 /**
@@ -137,6 +140,13 @@
     void crash();
     /// Like crash(), but no connection is closed, and the port doesn't answer.
     void crashSilently();
+    /// The version of its software.
+    const std::string &version() const noexcept
+    {
+        return m_settings.version;
+    }
+    /// Like crash(), but the new instance runs another version of the software, and has the same id if @p keepsId is set.
+    void release(std::string version, bool keepsId);
 
 private:
     site_upstream(boost::asio::io_context &context, site_upstream_settings settings, site_store &store, upstream_log &log);
@@ -182,6 +192,8 @@
     boost::asio::steady_timer m_restartTimer;
     std::unique_ptr<net::http_server> m_server;
     bool m_isSilent = false;
+    std::optional<std::string> m_nextVersion; ///< Of the instance that follows release().
+    bool m_keepsId = false;
     std::unique_ptr<boost::asio::ip::tcp::acceptor> m_fullPort; ///< Its queue is full, so the kernel drops attempts to connect.
     std::unique_ptr<boost::asio::ip::tcp::socket> m_filler; ///< The connection that fills it.
     std::uint64_t m_startedAt = 0;
--- a/tests/support/relay_site.cpp
+++ b/tests/support/relay_site.cpp
@@ -9,6 +9,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <random>
@@ -81,18 +82,30 @@
 }
 
 /// Returns why @p body isn't the complete answer of an upstream to request @p id at @p path; empty when it is.
-std::string faultOfBody(const std::string &id, const std::string &path, const std::string &body, bool streamed)
+std::string faultOfPlainBody(const std::string &id, const std::string &path, const std::string &body)
+{
+    return body == id + " " + path + " " ? "" : "the body does not match the request: " + body;
+}
+
+/// Returns why @p body isn't the rest of the stream that request @p id began, after its event @p lastEvent; empty when it is.
+std::string faultOfEvents(const std::string &id, std::uint32_t lastEvent, const std::string &body)
 {
-    if (!streamed) {
-        return body == id + " " + path + " " ? "" : "the body does not match the request: " + body;
-    }
     std::string expected;
-    for (int event = 1; event <= 12; ++event) {
+    for (std::uint32_t event = lastEvent + 1; event <= 12; ++event) {
         expected += "id: " + std::to_string(event) + "\ndata: " + id + "\n\n";
     }
     return body == expected ? "" : "the events are incomplete or out of order";
 }
 
+/// Returns the id of the last complete event in @p body; 0 when there is none.
+std::uint32_t lastEventIn(const std::string &body)
+{
+    const std::string_view complete(body.data(), body.rfind("\n\n") == std::string::npos ? 0 : body.rfind("\n\n"));
+    constexpr std::string_view kIdField = "id: ";
+    const auto found = complete.rfind(kIdField);
+    return found == std::string_view::npos ? 0 : static_cast<std::uint32_t>(std::strtoul(complete.data() + found + kIdField.size(), nullptr, 10));
+}
+
 } // namespace
 
 relay_site::relay_site(asio::io_context &context, relay_site_settings settings)
@@ -123,13 +136,13 @@
     m_folder = folder;
     bool good = startStore(reason);
     for (std::size_t i = 0; good && i < m_settings.prefillEngines; ++i) {
-        good = addUpstream("llm", "prefill", reason);
+        good = addUpstream("llm", "prefill", "v1", reason);
     }
     for (std::size_t i = 0; good && i < m_settings.decodeEngines; ++i) {
-        good = addUpstream("llm", "decode", reason);
+        good = addUpstream("llm", "decode", m_settings.decodeVersions[i % m_settings.decodeVersions.size()], reason);
     }
     for (std::size_t i = 0; good && i < m_settings.services; ++i) {
-        good = addUpstream("portal", "", reason);
+        good = addUpstream("portal", "", "v1", reason);
     }
     publish(true);
     for (std::size_t i = 0; good && i < m_settings.entries; ++i) {
@@ -152,12 +165,14 @@
     return m_storeServer != nullptr;
 }
 
-bool relay_site::addUpstream(const std::string &service, const std::string &phase, last_reason *reason)
+bool relay_site::addUpstream(const std::string &service, const std::string &phase, const std::string &version, last_reason *reason)
 {
     standins::site_upstream_settings settings;
     settings.id = "i-" + service + phase + std::to_string(m_upstreams.size());
     settings.service = service;
     settings.phase = phase;
+    settings.version = version;
+    settings.eventInterval = m_settings.eventInterval;
     settings.downTime = m_settings.upstreamDownTime;
     auto upstream = standins::site_upstream::make(m_context, std::move(settings), *m_store, m_log, reason);
     if (!upstream) {
@@ -300,6 +315,12 @@
         call.fields.push_back({"X-Token-Count", "500,800"});
         call.fields.push_back({"X-Prompt-Prefix", request.promptParts});
     }
+    const std::string streamId = request.resumes.empty() ? outcome.id : request.resumes;
+    const std::uint32_t lastEvent = request.lastEvent;
+    if (!request.resumes.empty()) {
+        call.fields.push_back({"Resumes", request.resumes});
+        call.fields.push_back({"Last-Event-Id", std::to_string(lastEvent)});
+    }
     std::string body;
     const net::http_exchange::head_hook onHead = [](const http_answer &) -> asio::awaitable<bool> { co_return true; };
     const net::http_exchange::body_hook onBody = [this, &body, readPause](std::string_view piece) -> asio::awaitable<void> {
@@ -310,6 +331,7 @@
     };
     const auto exchange = net::http_exchange::make(m_context.get_executor(), std::move(call));
     net::http_result result = co_await exchange->run(onHead, onBody);
+    outcome.lastEvent = streamed ? lastEventIn(body) : 0;
     if (!result.answer) {
         outcome.fault = result.timedOut && readPause.count() == 0 ? "no answer within 700 ms after the deadline" : "";
         co_return outcome;
@@ -327,7 +349,7 @@
     } else if (success && answer.header("X-Server-Seal").empty()) {
         outcome.fault = "a successful answer without the upstream's seal";
     } else if (success) {
-        outcome.fault = faultOfBody(outcome.id, path, answer.body, streamed);
+        outcome.fault = streamed ? faultOfEvents(streamId, lastEvent, answer.body) : faultOfPlainBody(outcome.id, path, answer.body);
     }
     co_return outcome;
 }
--- a/tests/support/relay_site.h
+++ b/tests/support/relay_site.h
@@ -30,6 +30,8 @@
     std::size_t decodeEngines = 2;
     std::size_t services = 2;
     std::chrono::milliseconds upstreamDownTime{1'200}; ///< Time from the crash of an upstream until its restart.
+    std::vector<std::string> decodeVersions = {"v1"}; ///< Software versions of the decode engines, in turn.
+    std::chrono::milliseconds eventInterval{10}; ///< Between the events of a stream.
     double stopGraceS = 8; ///< The entries' relay.stop_grace_s: time from the stop signal until the process must have ended.
     std::uint64_t storeEra = 0; ///< The era that the store sends at first; 0 for a store that sends none.
     bool discardStandardError = true; ///< Discards the standard error of the entries. Their log goes to standard output and is always kept.
@@ -42,6 +44,8 @@
     std::chrono::milliseconds timeLeft{}; ///< The request's deadline, relative to now.
     std::chrono::milliseconds readPause{}; ///< Pause of the caller after each piece of the body that it reads.
     std::string promptParts = "ab:500"; ///< Of a stream: all parts of its prompt, the last of them its own.
+    std::string resumes; ///< Id of the request that brought the first event of the stream that is taken up; empty for a new one.
+    std::uint32_t lastEvent = 0; ///< The last event of that stream that the caller has.
 };
 
 /// The result of a caller's request.
@@ -51,6 +55,7 @@
     std::string path;
     unsigned status = 0; ///< 0 when the connection ended without a complete answer.
     bool isComplete = false; ///< Whether the answer is complete.
+    std::uint32_t lastEvent = 0; ///< Of a stream: the last complete event that arrived.
     std::string refusal; ///< The reason in an answer of the router that refuses the request.
     std::string fault; ///< Which guarantee the answer, or its absence, violates; empty when it violates none.
 };
@@ -139,7 +144,7 @@
     relay_site(boost::asio::io_context &context, relay_site_settings settings);
     bool start(last_reason *reason);
     bool startStore(last_reason *reason);
-    bool addUpstream(const std::string &service, const std::string &phase, last_reason *reason);
+    bool addUpstream(const std::string &service, const std::string &phase, const std::string &version, last_reason *reason);
     bool addEntry(std::size_t index, last_reason *reason);
     boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
 
