--- a/include/heatherroute/registration.h
+++ b/include/heatherroute/registration.h
@@ -30,6 +30,7 @@
     std::optional<engine_phase> phase; ///< Set for engines.
     std::uint64_t startedAt = 0; ///< Unix time in milliseconds; distinguishes the instances of one id.
     std::uint64_t sequence = 0; ///< Increases with each report of one instance.
+    std::string softwareVersion = {}; ///< Empty when unknown. What two versions write into a stream doesn't fit together.
 
     auto operator<=>(const registration &) const = default;
 };
--- a/include/heatherroute/relay_request.h
+++ b/include/heatherroute/relay_request.h
@@ -38,6 +38,9 @@
     /// Ids of the parts of the prompt that other requests may share, in order and at most kMaxSharedParts, the deepest ones. The last part
     /// of a prompt belongs to the request or its session, so it isn't among them.
     std::vector<std::string> sharedParts;
+    /// Set when the caller takes up a stream that was broken off: id of the attempt that brought its first event; empty if it names none.
+    std::optional<std::string> resumes;
+    std::string lastEvent; ///< Id of the last event that this caller has.
 
     auto operator<=>(const relay_request &) const = default;
 };
--- a/src/node/relay_call.cpp
+++ b/src/node/relay_call.cpp
@@ -202,6 +202,7 @@
                  {"fingerprint", fingerprintText(m_fingerprints.fingerprint)},
                  {"prompt_parts", fingerprintsText(m_fingerprints.parts)},
                  upstreamField(run.id),
+                 {"software_version", run.softwareVersion},
                  {"stage", stage},
                  {"reason", reason},
                  verdictField(execution),
@@ -238,6 +239,10 @@
     if (!m_fingerprints.parts.empty()) {
         fields.push_back({"prompt_parts", fingerprintsText(m_fingerprints.parts)});
     }
+    if (m_facts.resumes) {
+        fields.push_back({"resumes", *m_facts.resumes});
+        fields.push_back({"last_event", m_facts.lastEvent});
+    }
     fields.insert(fields.end(), m_extraLogFields.begin(), m_extraLogFields.end());
     m_state.log(result.outcome == "answered" ? log_level::Info : log_level::Warning, "request_ended", std::move(fields));
 }
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -84,6 +84,7 @@
         {upstreamField(run.id),
          {"change", toString(change)},
          {"service", run.service},
+         {"software_version", run.softwareVersion},
          {"address", run.address},
          {"started_at", std::to_string(run.startedAt)},
          {"sequence", std::to_string(run.sequence)}});
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -410,6 +410,7 @@
         directions.reservation = m_reserved->id;
         http_call call = m_call.makeUpstreamCall(run, directions);
         m_upstream = run.id;
+        m_version = run.softwareVersion;
         m_sentAt = coreNow();
         m_reservationSent = true;
         m_call.beginAttempt(run);
@@ -545,6 +546,9 @@
                                          {"first_event_ms", m_firstAt ? text(*m_firstAt - m_sentAt) : "none"},
                                          {"decode_ms", text(m_decodeTook)},
                                          {"reservations_refused", std::to_string(m_refusedReservations)}};
+        if (!m_upstream.empty()) {
+            fields.push_back({"software_version", m_version});
+        }
         if (m_streaming) {
             fields.push_back({"framing", std::string(net::toString(m_framing))});
             fields.push_back({"events", std::to_string(m_events.events())});
@@ -625,6 +629,7 @@
     std::optional<reservation> m_reserved;
     std::optional<computed_prefill> m_prefill;
     std::string m_upstream;
+    std::string m_version; ///< Software version of that upstream.
     std::string m_reason;
     instant m_sentAt{};
     net::body_framing m_framing = net::body_framing::Length; ///< Of the streamed answer.
