--- a/bench/heatherbench_soak.cpp
+++ b/bench/heatherbench_soak.cpp
@@ -83,6 +83,7 @@
         for (std::size_t caller = 0; caller < m_options.callers; ++caller) {
             asio::co_spawn(m_context, runCaller(m_options.seed + caller), asio::detached);
         }
+        asio::co_spawn(m_context, limitUpstreams(), asio::detached);
         asio::co_spawn(m_context, runPoisonCaller(), asio::detached);
         // With every other seed some requests share a part of their prompts that crashes engines, with some of these there are two such parts.
         for (std::uint64_t part = 0; part < m_options.seed % 4; part += 2) {
@@ -107,6 +108,7 @@
         co_await checkRecovery();
         m_audit.checkExecutions([this](const std::string &id) { return m_site.runCountOf(id); });
         m_audit.checkArrivals(m_site.upstreamLog());
+        m_audit.checkLimits(m_site.upstreamLog());
         m_audit.checkOrders(m_site.upstreamLog().orders);
         for (const auto &upstream : m_site.upstreams()) {
             m_audit.recordRunsAfterDrain(upstream->id(), upstream->runsAfterDrain(kDrainSlack));
@@ -148,6 +150,7 @@
             const std::string process = processLabel(entry);
             const auto sent = std::chrono::steady_clock::now();
             const bool steady = isSteady(entry, sent);
+            const bool undisturbed = !m_disturbedEntries.contains(entry) && sent - m_entryCalmSince[entry] > kStabilityWindow;
             caller_request request;
             request.path = std::move(path);
             request.timeLeft = kRequestTimeout;
@@ -164,6 +167,7 @@
             if (result.path == kLookupPath && (result.status == kOk || result.status == kNotFound) && process == processLabel(entry)) {
                 m_audit.recordLookup(process, sent, std::chrono::steady_clock::now(), result.status == kOk, steady);
             }
+            m_audit.recordUndisturbed(result.id, undisturbed && m_disturbanceCounts[entry] == before);
             m_audit.recordResult(result, !m_options.checkDurations || m_disturbedEntries.count(entry) > 0 || m_disturbanceCounts[entry] != before);
             co_await pause(kRequestPause);
         }
@@ -212,6 +216,20 @@
         --m_activeTasks;
     }
 
+    /// Lets some upstreams, with two of three seeds, name limits that change from time to time.
+    asio::awaitable<void> limitUpstreams()
+    {
+        ++m_activeTasks;
+        const char *const limits[] = {"0.5", "2", "6", "many"};
+        std::mt19937_64 random(m_options.seed);
+        while (!m_stopping && m_options.seed % 3 != 0) {
+            standins::site_upstream &upstream = *m_site.upstreams()[random() % m_site.upstreams().size()];
+            upstream.setLimit(random() % 4 == 0 ? "" : limits[random() % std::size(limits)]);
+            co_await pause(milliseconds(500 + random() % 2'500));
+        }
+        --m_activeTasks;
+    }
+
     asio::awaitable<void> injectFault()
     {
         ++m_activeTasks;
--- a/tests/process_limit_test.cpp
+++ b/tests/process_limit_test.cpp
@@ -79,9 +79,7 @@
 {
     for (const auto &upstream : site.upstreams()) {
         if (count > 0 && upstream->id().find(service) != std::string::npos) {
-            standins::upstream_faults faults;
-            faults.namedLimit = text;
-            upstream->setFaults(faults);
+            upstream->setLimit(text);
             --count;
         }
     }
--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -144,6 +144,7 @@
 {
     m_reservations.clear();
     m_handles.clear();
+    m_limit.clear();
     m_restartTimer.expires_after(m_settings.downTime);
     m_restartTimer.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
@@ -213,6 +214,11 @@
     m_faults = faults;
 }
 
+void site_upstream::setLimit(std::string text)
+{
+    m_limit = std::move(text);
+}
+
 void site_upstream::drain()
 {
     m_drainedAt = std::chrono::steady_clock::now();
@@ -278,8 +284,8 @@
 
 void site_upstream::nameLimit(http_answer &answer) const
 {
-    if (!m_faults.namedLimit.empty() && answer.header(kLimitField).empty()) {
-        answer.fields.push_back({kLimitField, m_faults.namedLimit});
+    if (!m_limit.empty() && answer.header(kLimitField).empty()) {
+        answer.fields.push_back({kLimitField, m_limit});
     }
 }
 
@@ -291,7 +297,7 @@
         m_log.arrivals.push_back(
             {std::chrono::steady_clock::now(), m_settings.service, std::string(id), request.target, isPrefill, poisonPartOf(request), m_settings.id});
     }
-    if (const auto limit = limitIn(m_faults.namedLimit)) {
+    if (const auto limit = limitIn(m_limit)) {
         m_log.limitedCalls.push_back({std::chrono::steady_clock::now(), m_settings.id, std::string(id), *limit});
     }
 }
--- a/tests/standins/site_upstream.h
+++ b/tests/standins/site_upstream.h
@@ -57,7 +57,6 @@
     bool cutCallAnswers = false; ///< Ends the bodies of answers to calls of the router itself in order, but in the middle.
     bool silentCrashes = false; ///< After a crash, open connections stay open, and new ones aren't answered, until the next instance starts.
     bool unframed = false; ///< The bodies of all answers have neither a length nor chunks and end with their connection.
-    std::string namedLimit; ///< All answers name this as the requests a second that the upstream takes, whether it is a number or not; none if empty.
 };
 
 /// A request that arrived at an upstream, whether it was executed or rejected. Reservations, reports and orders don't count.
@@ -123,6 +122,8 @@
     make(boost::asio::io_context &context, site_upstream_settings settings, site_store &store, upstream_log &log, last_reason *reason);
 
     void setFaults(const upstream_faults &faults);
+    /// Sets what all answers name as the requests a second that the upstream takes, whether it is a number or not; none if empty. A crash ends it.
+    void setLimit(std::string text);
     /// Registers itself as draining, but continues to serve requests.
     void drain();
     /// The number of executions that started more than @p slack after drain().
@@ -188,6 +189,7 @@
     site_store &m_store;
     upstream_log &m_log;
     upstream_faults m_faults;
+    std::string m_limit;
     boost::asio::steady_timer m_reportTimer;
     boost::asio::steady_timer m_restartTimer;
     std::unique_ptr<net::http_server> m_server;
--- a/tests/support/soak_audit.cpp
+++ b/tests/support/soak_audit.cpp
@@ -1,5 +1,7 @@
 #include "support/soak_audit.h"
 
+#include "support/limit_audit.h"
+
 #include <algorithm>
 #include <optional>
 #include <set>
@@ -214,6 +216,20 @@
     }
 }
 
+void soak_audit::recordUndisturbed(const std::string &id, bool undisturbed)
+{
+    if (undisturbed) {
+        m_undisturbed.insert(id);
+    }
+}
+
+void soak_audit::checkLimits(const standins::upstream_log &log)
+{
+    for (const std::string &violation : limitViolations(log, [this](const standins::limited_call &call) { return m_undisturbed.contains(call.id); })) {
+        m_violations.push_back("limits of upstreams: " + violation);
+    }
+}
+
 void soak_audit::checkOrders(const std::vector<standins::accepted_order> &orders)
 {
     std::map<std::uint64_t, std::string> holders;
--- a/tests/support/soak_audit.h
+++ b/tests/support/soak_audit.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,10 @@
     /// Checks that requests that crash upstreams reached few of them after the third crash, and requests with a part that crashes engines
     /// after the fifth; that sound streams were not refused for it; and that retries stayed within the fleet's retry budget.
     void checkArrivals(const standins::upstream_log &log);
+    /// Records whether the entry of a caller's request ran undisturbed during the request and for the stability window before it.
+    void recordUndisturbed(const std::string &id, bool undisturbed);
+    /// Checks that upstreams got no more calls from undisturbed entries than the limits that they named.
+    void checkLimits(const standins::upstream_log &log);
     /// Checks that no two holders have ordered with the same fencing token.
     void checkOrders(const std::vector<standins::accepted_order> &orders);
     /// Records that entry @p entry did not serve again after all faults had ended.
@@ -103,6 +108,7 @@
     std::vector<caller_result> m_results;
     std::vector<sound_stream> m_soundStreams;
     std::map<unsigned, std::size_t> m_byStatus;
+    std::set<std::string> m_undisturbed; ///< Ids of requests.
     std::vector<std::string> m_violations;
     std::vector<published_configuration> m_publications;
     std::map<std::string, std::vector<oldest_version>> m_oldestVersions; ///< Oldest versions by process.
