Streams that callers take up go on at the software version that began them

Cause: the version of an upstream's software wasn't kept, and a request that takes up a stream was placed like a new one. What an entry alone would know about its streams is lost with it. Class: state of a conversation that must outlive the node that holds it.

Change: the entry that begins a stream reports its version to three others, found by rendezvous hashing of the attempt's id, during the prefill; an entry to which the caller comes back asks them. Nothing is guessed: an unknown version is refused as not run, as is one without an engine. A resumed stream asks its engine for its report first, since an engine may be restarted under its id with other software. Messages about upstreams carry the software version, in a message kind of its own; entries of the build before ignore it and read the store.

Reading found that entries which had just been lost were chosen to remember streams; the next ones by hash now take the place of those that don't acknowledge.

--- a/include/heatherroute/ownership.h
+++ b/include/heatherroute/ownership.h
@@ -28,6 +28,12 @@
     return state == member_state::Alive || state == member_state::Suspected;
 }
 
+/// Returns the hash of a name for rendezvousScore(). Thread safe.
+std::uint64_t rendezvousHash(const std::string &name);
+/// Returns the score of a member for a key by rendezvous hashing; the member with the highest one comes first. Takes hashes, so that its cost
+/// does not depend on the length of the names. Thread safe.
+std::uint64_t rendezvousScore(std::uint64_t keyHash, std::uint64_t memberHash);
+
 /**
  * Assigns each upstream of one half to an owning entry.
  *
--- a/include/heatherroute/peer_message.h
+++ b/include/heatherroute/peer_message.h
@@ -6,6 +6,7 @@
 #include "heatherroute/membership_message.h"
 #include "heatherroute/rate_limit_message.h"
 #include "heatherroute/store_update.h"
+#include "heatherroute/stream_origin_message.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -43,7 +44,12 @@
                                completed_parts,
                                limit_reports,
                                permit_request,
-                               permit_reply>;
+                               permit_reply,
+                               versioned_store_update,
+                               stream_origin_report,
+                               stream_origin_ack,
+                               stream_origin_query,
+                               stream_origin_reply>;
 
 /// Returns the message of one subject, such as crash_message, in @p body; empty when it is of another kind. Thread safe.
 template<typename Message>
--- a/include/heatherroute/store_update.h
+++ b/include/heatherroute/store_update.h
@@ -92,7 +92,7 @@
     }
 };
 
-/// An update with the era of the store that the sender has read. Sent in place of store_update by entries that know the era.
+/// An update with the era of the store that the sender has read. Only entries of earlier builds send it and store_update by itself.
 struct store_update_of_era
 {
     std::uint64_t era = 0;
@@ -108,4 +108,23 @@
     }
 };
 
+/// An update with the era of the store that the sender has read, and the software versions of the upstreams in it.
+struct versioned_store_update
+{
+    std::uint64_t era = 0; ///< 0 when unknown.
+    store_update update;
+
+    auto operator<=>(const versioned_store_update &) const = default;
+
+    template<typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(era);
+        update.serialize(archive);
+        for (upstream_update &change : update.changes) {
+            serializeText(archive, change.run.softwareVersion, kMaxRegistrationTextBytes);
+        }
+    }
+};
+
 } // namespace heatherroute
--- a/src/core/ownership.cpp
+++ b/src/core/ownership.cpp
@@ -6,25 +6,19 @@
 namespace heatherroute
 {
 
-namespace
-{
-
-std::uint64_t hashOf(const std::string &name)
+std::uint64_t rendezvousHash(const std::string &name)
 {
     return XXH3_64bits(name.data(), name.size());
 }
 
-// Combines two hashes, so that the cost of a score does not depend on the length of the names.
-std::uint64_t scoreOf(std::uint64_t upstreamHash, std::uint64_t memberHash)
+std::uint64_t rendezvousScore(std::uint64_t keyHash, std::uint64_t memberHash)
 {
-    return XXH3_64bits_withSeed(&upstreamHash, sizeof(upstreamHash), memberHash);
+    return XXH3_64bits_withSeed(&keyHash, sizeof(keyHash), memberHash);
 }
 
-} // namespace
-
 void ownership::considerCandidate(assignment &upstream, const member_id &id, std::uint64_t memberHash) const
 {
-    const std::uint64_t score = scoreOf(upstream.nameHash, memberHash);
+    const std::uint64_t score = rendezvousScore(upstream.nameHash, memberHash);
     // Of two equal scores the larger id wins, so that the result does not depend on the order of events.
     if (!upstream.owner || std::tie(score, id) > std::tie(upstream.score, *upstream.owner)) {
         upstream.owner = id;
@@ -46,7 +40,7 @@
     if (!isNew) {
         return {};
     }
-    place->second.nameHash = hashOf(upstream);
+    place->second.nameHash = rendezvousHash(upstream);
     assignOwner(place->second);
     if (!place->second.owner) {
         return {};
@@ -79,12 +73,12 @@
 
 std::vector<owner_change> ownership::addMember(const member_id &id)
 {
-    const std::uint64_t memberHash = hashOf(id.name);
+    const std::uint64_t memberHash = rendezvousHash(id.name);
     m_members.emplace(id, memberHash);
     std::vector<owner_change> changes;
     for (auto &[name, upstream] : m_upstreams) {
         // Most upstreams keep their owner, so the old owner is copied only when it may change.
-        if (upstream.owner && scoreOf(upstream.nameHash, memberHash) < upstream.score) {
+        if (upstream.owner && rendezvousScore(upstream.nameHash, memberHash) < upstream.score) {
             continue;
         }
         const std::optional<member_id> before = upstream.owner;
--- a/src/node/member_duty.cpp
+++ b/src/node/member_duty.cpp
@@ -37,6 +37,14 @@
                 forwardToRelay(store_update_received{std::move(updateOfEra->update), updateOfEra->era});
                 return;
             }
+            if (auto *versioned = std::get_if<versioned_store_update>(&message.body)) {
+                forwardToRelay(store_update_received{std::move(versioned->update), versioned->era});
+                return;
+            }
+            if (auto origins = messageIn<stream_origin_message>(message.body)) {
+                forwardToRelay(stream_origin_received{from, std::move(*origins)});
+                return;
+            }
             if (auto crashes = messageIn<crash_message>(message.body)) {
                 forwardToRelay(crash_reports_received{std::move(*crashes)});
                 return;
@@ -75,11 +83,7 @@
         } else if (auto *summary = std::get_if<own_summary>(&event)) {
             processEvent(membership_summary{summary->summary});
         } else if (auto *broadcastEvent = std::get_if<store_update_broadcast>(&event)) {
-            if (broadcastEvent->era > 0) {
-                broadcast(store_update_of_era{broadcastEvent->era, std::move(broadcastEvent->update)});
-            } else {
-                broadcast(broadcastEvent->update);
-            }
+            broadcast(versioned_store_update{broadcastEvent->era, std::move(broadcastEvent->update)});
         } else if (auto *message = std::get_if<message_to_send>(&event)) {
             if (message->peerAddress) {
                 m_transport->sendDatagram(*message->peerAddress, message->body);
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -128,6 +128,7 @@
         post(m_toMembers, member_event(leave_membership{}));
         post(m_toStore, store_event(store_stop{}));
         m_state.permits.stop();
+        m_state.origins.stop();
         advanceStop();
     }
 
@@ -282,6 +283,7 @@
         m_otherEntries = std::move(event.others);
         m_state.retryBudget.setFleetSize(coreNow(), m_otherEntries.size() + 1);
         m_state.permits.setMembers(m_otherEntries);
+        m_state.origins.setMembers(m_otherEntries);
         updateRank();
         updateLeaseCandidacy();
         introduceEntries();
@@ -346,6 +348,11 @@
         m_state.permits.onMessage(event.from, event.message);
     }
 
+    void on(stream_origin_received &event)
+    {
+        m_state.origins.onMessage(event.from, event.message);
+    }
+
     void on(recorded_crashes_read &event)
     {
         m_state.crashes.onRecord(event.evidence, event.isOwn);
@@ -401,6 +408,7 @@
             post(m_toMembers, member_event(message_to_send{bodyOf(message), std::nullopt}));
         }
         m_state.permits.advance();
+        m_state.origins.advance();
     }
 
     void announceLease(bool holds)
--- a/src/node/relay_event.h
+++ b/src/node/relay_event.h
@@ -79,6 +79,13 @@
     rate_limit_message message;
 };
 
+/// A message about the origin of a stream was received from another entry.
+struct stream_origin_received
+{
+    std::string from; ///< The sender's peer address.
+    stream_origin_message message;
+};
+
 /// An event for the relay's thread from the other duties.
 using relay_event = std::variant<routes_read,
                                  upstreams_reported,
@@ -89,7 +96,8 @@
                                  crash_reports_received,
                                  recorded_crashes_read,
                                  store_era_changed,
-                                 rate_limit_received>;
+                                 rate_limit_received,
+                                 stream_origin_received>;
 
 /// The peer addresses of entries that are recorded in the store.
 struct entry_addresses
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -28,8 +28,20 @@
     , bodyMemory(net::body_memory::make(kBodyMemoryBytes))
     , crashes(executor, crashHooks())
     , permits(executor, permitHooks(), entryName, seed)
+    , origins(executor, originHooks())
 { }
 
+stream_origins_hooks relay_state::originHooks()
+{
+    stream_origins_hooks hooks;
+    hooks.send = [this](const stream_origin_message &message, std::string peerAddress) {
+        if (sendToEntries) {
+            sendToEntries(bodyOf(message), std::move(peerAddress));
+        }
+    };
+    return hooks;
+}
+
 upstream_permits_hooks relay_state::permitHooks()
 {
     upstream_permits_hooks hooks;
@@ -66,6 +78,7 @@
 {
     crashes.onUpstreamChange(run, change);
     permits.noteInstance(run);
+    origins.noteInstance(run);
     if (change == upstream_change::Removed) {
         health.remove(run.id);
         permits.remove(run.id);
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -15,6 +15,7 @@
 #include "heatherroute/route_table.h"
 #include "node/core_time.h"
 #include "node/crash_monitor.h"
+#include "node/stream_origins.h"
 #include "node/upstream_permits.h"
 #include "relay/engine_scheduler.h"
 #include "relay/fleet_retry_budget.h"
@@ -104,10 +105,12 @@
     metrics_registry metrics;
     crash_monitor crashes;
     upstream_permits permits;
+    stream_origins origins;
 
 private:
     crash_monitor_hooks crashHooks();
     upstream_permits_hooks permitHooks();
+    stream_origins_hooks originHooks();
 };
 
 } // namespace heatherroute::node
--- /dev/null
+++ b/src/node/stream_origins.cpp
@@ -0,0 +1,141 @@
+#include "node/stream_origins.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+#include "node/core_time.h"
+
+namespace heatherroute::node
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// How long an engine's work waits for one other entry. Its acknowledgement comes during the prefill.
+constexpr std::chrono::milliseconds kKeptTimeout{60};
+/// How long it waits for all entries that may remember another version.
+constexpr std::chrono::milliseconds kKeptByAllTimeout{400};
+/// Longer than any query takes.
+constexpr std::chrono::seconds kQueryTimeout{2};
+
+} // namespace
+
+stream_origins::stream_origins(asio::any_io_executor executor, stream_origins_hooks hooks)
+    : m_executor(std::move(executor))
+    , m_hooks(std::move(hooks))
+    , m_exchange(stream_origin_exchange::make({}))
+{ }
+
+void stream_origins::tell(const stream_origin &origin)
+{
+    send(m_exchange.tell(coreNow(), origin));
+}
+
+asio::awaitable<bool> stream_origins::waitUntilKept(std::uint64_t stream, bool byAll)
+{
+    const instant until = coreNow() + (byAll ? kKeptByAllTimeout : kKeptTimeout);
+    asio::steady_timer timer(m_executor);
+    while (!(byAll ? m_exchange.isKeptByAll(stream) : m_exchange.isKept(stream))) {
+        const duration left = until - coreNow();
+        if (left <= duration::zero()) {
+            co_return false;
+        }
+        timer.expires_after(left);
+        m_keptWaits.insert(&timer);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        m_keptWaits.erase(&timer);
+    }
+    co_return true;
+}
+
+void stream_origins::noteWriter(std::uint64_t stream, const registration &run)
+{
+    if (const auto origin = m_exchange.find(coreNow(), stream)) {
+        m_writers.insert_or_assign(stream, stream_writer{{run.id, run.startedAt}, *origin});
+    }
+}
+
+void stream_origins::noteInstance(const registration &run)
+{
+    for (auto &[stream, writer] : m_writers) {
+        const bool isReplaced = writer.instance.id == run.id && writer.instance.startedAt < run.startedAt;
+        if (isReplaced && !writer.origin.version.empty() && writer.origin.version != run.softwareVersion) {
+            writer.origin.revision += 1;
+            writer.origin.version.clear();
+            tell(writer.origin);
+        }
+    }
+}
+
+void stream_origins::finish(std::uint64_t stream)
+{
+    m_writers.erase(stream);
+    m_exchange.finish(stream);
+}
+
+asio::awaitable<std::optional<stream_origin>> stream_origins::find(std::uint64_t stream)
+{
+    if (auto known = m_exchange.find(coreNow(), stream)) {
+        co_return known;
+    }
+    std::vector<addressed_origin_message> sends;
+    const std::uint32_t number = m_exchange.ask(coreNow(), stream, &sends);
+    asio::steady_timer timer(m_executor, kQueryTimeout);
+    m_queries.emplace(number, waiting_query{&timer, std::nullopt});
+    send(std::move(sends));
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    std::optional<stream_origin> origin = std::move(m_queries.at(number).origin);
+    m_queries.erase(number);
+    co_return origin;
+}
+
+void stream_origins::setMembers(const std::vector<member> &others)
+{
+    m_exchange.setMembers(others);
+}
+
+void stream_origins::onMessage(const std::string &from, const stream_origin_message &message)
+{
+    carryOut(m_exchange.onMessage(coreNow(), from, message));
+    if (std::holds_alternative<stream_origin_ack>(message)) {
+        for (asio::steady_timer *timer : m_keptWaits) {
+            timer->cancel();
+        }
+    }
+}
+
+void stream_origins::advance()
+{
+    carryOut(m_exchange.advance(coreNow()));
+}
+
+void stream_origins::stop()
+{
+    send(m_exchange.handOver(coreNow()));
+}
+
+void stream_origins::carryOut(origin_effects effects)
+{
+    send(std::move(effects.sends));
+    for (origin_query_result &result : effects.results) {
+        if (const auto found = m_queries.find(result.number); found != m_queries.end()) {
+            found->second.origin = std::move(result.origin);
+            found->second.timer->cancel();
+        }
+    }
+}
+
+void stream_origins::send(std::vector<addressed_origin_message> messages)
+{
+    for (addressed_origin_message &each : messages) {
+        m_hooks.send(std::move(each.message), std::move(each.peerAddress));
+    }
+}
+
+} // namespace heatherroute::node
--- /dev/null
+++ b/src/node/stream_origins.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "heatherroute/log_line.h"
+#include "heatherroute/member.h"
+#include "heatherroute/registration.h"
+#include "heatherroute/upstream_instance.h"
+#include "relay/stream_origin_exchange.h"
+
+namespace heatherroute::node
+{
+
+/// Dependencies of a stream_origins.
+struct stream_origins_hooks
+{
+    /// Sends a message to the entry with the peer address.
+    std::function<void(stream_origin_message message, std::string peerAddress)> send;
+};
+
+/**
+ * Makes the software versions that began streams known to some entries, and finds them again.
+ *
+ * Belongs to the relay's thread and must outlive the coroutines on its executor.
+ */
+class stream_origins
+{
+public:
+    stream_origins(boost::asio::any_io_executor executor, stream_origins_hooks hooks);
+
+    /// Reports @p origin to the entries that should remember it.
+    void tell(const stream_origin &origin);
+    /// Waits a short time until another entry remembers what tell() has reported, or every entry that must if @p byAll is set. Returns
+    /// whether that is so.
+    boost::asio::awaitable<bool> waitUntilKept(std::uint64_t stream, bool byAll);
+    /// Records that @p run gets the request whose origin tell() has reported.
+    void noteWriter(std::uint64_t stream, const registration &run);
+    /// Processes a change of the registry: @p run is the current instance of its id. Streams in progress that were sent to an earlier one may
+    /// have been written by either, so their origins count as unknown from now on.
+    void noteInstance(const registration &run);
+    /// Records that the request that told an origin has ended.
+    void finish(std::uint64_t stream);
+    /// Returns the origin of a stream from this entry or others; empty when none of them knows it.
+    boost::asio::awaitable<std::optional<stream_origin>> find(std::uint64_t stream);
+
+    void setMembers(const std::vector<member> &others);
+    /// Processes a message of the entry with the peer address @p from.
+    void onMessage(const std::string &from, const stream_origin_message &message);
+    /// Sends again what was not answered. To be called regularly.
+    void advance();
+    /// Lets other entries remember what this one does, since it stops.
+    void stop();
+    /// Returns the number of origins that this entry remembers.
+    std::size_t size() const noexcept
+    {
+        return m_exchange.size();
+    }
+
+private:
+    /// A query that waits for its result.
+    struct waiting_query
+    {
+        boost::asio::steady_timer *timer = nullptr;
+        std::optional<stream_origin> origin;
+    };
+
+    /// An engine that writes a stream in progress.
+    struct stream_writer
+    {
+        upstream_instance instance;
+        stream_origin origin;
+    };
+
+    void send(std::vector<addressed_origin_message> messages);
+    void carryOut(origin_effects effects);
+
+    boost::asio::any_io_executor m_executor;
+    stream_origins_hooks m_hooks;
+    stream_origin_exchange m_exchange;
+    std::map<std::uint32_t, waiting_query> m_queries; ///< By number.
+    std::map<std::uint64_t, stream_writer> m_writers; ///< By stream.
+    std::set<boost::asio::steady_timer *> m_keptWaits; ///< The timers of waitUntilKept().
+};
+
+} // namespace heatherroute::node
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -33,6 +33,16 @@
 constexpr std::chrono::milliseconds kPrefillTimeout{1'500};
 constexpr std::chrono::milliseconds kFullRetryAfter{2000}; ///< How long full engines are expected to stay full; the minimum Retry-After delay.
 constexpr std::chrono::milliseconds kNoEngineRetryAfter{2500}; ///< Minimum Retry-After delay when there is no engine.
+/// How much longer than its deadline a caller may come back with a stream.
+constexpr duration kOriginSlack = std::chrono::seconds(5);
+constexpr duration kDefaultOriginLife = std::chrono::seconds(30); ///< For a caller without a deadline.
+/// A resumed stream can't use other engines than those of its version, so it asks more of them, and for longer.
+constexpr std::size_t kMaxQueriedForResume = 16;
+constexpr int kResumeWaitFactor = 2;
+/// Reasons for refusing to resume a stream.
+constexpr const char *kUnknownOriginReason = "stream_origin_unknown";
+constexpr const char *kNoEngineOfVersionReason = "no_engine_of_version";
+constexpr const char *kOriginNotKeptReason = "stream_origin_not_kept"; ///< The attempt would have begun at another version than was reported.
 /// Expected time from sending a decode request to its first event, apart from prompt computation. The health tracking compares
 /// observed times with it.
 constexpr duration kExpectedFirstEventTime = std::chrono::milliseconds(60);
@@ -58,7 +68,7 @@
     Ended, ///< The request has ended and must not be retried.
 };
 
-/// Permits for a reservation and for the decode, or the release, that follows it.
+/// Permits for a reservation and for the decode, or the release, that follows it. A resumed stream also confirms the engine's instance.
 constexpr std::uint32_t kPermitsPerDecode = 2;
 
 /// Without a permit the call is not made: what it would release expires by itself.
@@ -92,10 +102,11 @@
         const route_target *target = pickTarget(m_call.matchedRoute(), m_state.sampleUniform());
         m_service = target != nullptr ? target->service : std::string();
         m_prompt = m_call.facts().prompt.value_or(prompt_facts{});
+        const bool hasOrigin = co_await findOrigin();
         m_state.retryBudget.noteRequest(coreNow(), m_service);
         std::uint32_t decodes = 0;
         bool retryGranted = true; // The first attempt needs no retry budget.
-        const bool admitted = !endIf(m_state.crashes.admit(m_call.fingerprints()));
+        const bool admitted = hasOrigin && !endIf(m_state.crashes.admit(m_call.fingerprints()));
         while (admitted && decodes < kMaxDecodes && !endIfQuarantined()) {
             // Checked before another prefill, which would be wasted without the budget for the decode.
             if (!retryGranted && !m_state.tryRetry(m_service)) {
@@ -111,7 +122,15 @@
             if (!computed || endIfQuarantined()) {
                 break;
             }
-            if (!holdsUsableReservation()) {
+            const bool kept = co_await isOriginKept();
+            if (!kept) {
+                break;
+            }
+            bool isConfirmed = holdsUsableReservation();
+            if (isConfirmed && isResumed()) {
+                isConfirmed = co_await confirmInstance(m_reserved->run);
+            }
+            if (!isConfirmed) {
                 releaseReservation();
                 continue;
             }
@@ -143,9 +162,81 @@
         return true;
     }
 
+    bool isResumed() const
+    {
+        return m_call.facts().resumes.has_value();
+    }
+
+    /// Finds the software version that may go on with a stream which the caller takes up. Returns false when the request must end.
+    asio::awaitable<bool> findOrigin()
+    {
+        const std::string id = m_call.facts().resumes.value_or(m_call.facts().id);
+        m_stream = streamHashOf(id);
+        if (!isResumed()) {
+            co_return true;
+        }
+        if (!id.empty()) {
+            m_origin = co_await m_state.origins.find(m_stream);
+        }
+        const auto &targets = m_call.matchedRoute().targets;
+        const bool isUsable = m_origin && !m_origin->version.empty()
+                              && std::any_of(targets.begin(), targets.end(), [this](const route_target &one) { return one.service == m_origin->service; });
+        if (!isUsable) {
+            m_reason = kUnknownOriginReason;
+            co_return false;
+        }
+        m_service = m_origin->service;
+        co_return true;
+    }
+
+    /// Reports to other entries which version will write the stream, while the prompt is computed.
+    void tellOrigin(const registration &run)
+    {
+        const bool changes = m_origin && m_origin->version != run.softwareVersion;
+        if ((m_isOriginTold && !changes) || (!m_origin && run.softwareVersion.empty())) {
+            return;
+        }
+        const duration life = m_call.facts().timeLeft.value_or(kDefaultOriginLife) + kOriginSlack;
+        const auto lifeMs = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(life).count());
+        const std::uint32_t revision = m_origin ? m_origin->revision + (changes ? 1 : 0) : 1;
+        m_origin = stream_origin{m_stream, revision, lifeMs, m_service, run.softwareVersion};
+        m_changedVersion = m_changedVersion || changes;
+        m_isOriginTold = true;
+        m_state.origins.tell(*m_origin);
+    }
+
+    /// Waits until other entries remember the version. Returns false when one of them may remember another version, so that the stream must
+    /// not begin.
+    asio::awaitable<bool> isOriginKept()
+    {
+        if (!m_origin) {
+            co_return true;
+        }
+        const bool kept = co_await m_state.origins.waitUntilKept(m_stream, m_changedVersion);
+        if (kept || !m_changedVersion) {
+            co_return true;
+        }
+        m_reason = kOriginNotKeptReason;
+        co_return false;
+    }
+
+    /// Returns the engines in @p phase that may get this request: decodes of a stream stay at the version that other entries know, if it was
+    /// resumed or that version has an engine.
+    std::vector<const registration *> usableIn(engine_phase phase) const
+    {
+        std::vector<const registration *> runs = m_state.registry.usable(m_service, phase);
+        if (phase == engine_phase::Decode && m_origin) {
+            const auto isOther = [this](const registration *run) { return run->softwareVersion != m_origin->version; };
+            if (isResumed() || !std::all_of(runs.begin(), runs.end(), isOther)) {
+                std::erase_if(runs, isOther);
+            }
+        }
+        return runs;
+    }
+
     std::vector<upstream_candidate> enginesIn(engine_phase phase) const
     {
-        return m_state.candidates(m_state.registry.usable(m_service, phase));
+        return m_state.candidates(usableIn(phase));
     }
 
     /// Reserves memory at a decode engine. While all are full, retries for a limited time.
@@ -154,7 +245,7 @@
         if (m_reserved) {
             co_return true;
         }
-        const instant giveUpAt = coreNow() + m_state.scheduler.settings().maxMemoryWait;
+        const instant giveUpAt = coreNow() + (isResumed() ? kResumeWaitFactor : 1) * m_state.scheduler.settings().maxMemoryWait;
         while (!m_call.isEnded()) {
             const bool hasEngines = !enginesIn(engine_phase::Decode).empty();
             if (!hasEngines && !awaitsPermit(engine_phase::Decode, giveUpAt)) {
@@ -168,7 +259,7 @@
                 co_return true;
             }
             if (coreNow() >= giveUpAt) {
-                m_reason = hasEngines ? "engines_full" : kAtLimitReason;
+                m_reason = hasEngines ? "engines_full" : m_reason;
                 co_return false;
             }
             co_await waitForNextRound();
@@ -177,18 +268,51 @@
     }
 
     /// Whether engines in @p phase are left out only because of their limits, and one of them may have a permit before @p giveUpAt. Sets the
-    /// reason otherwise.
+    /// reason otherwise. A resumed stream, which can't use other engines, also awaits those that could not be connected to.
     bool awaitsPermit(engine_phase phase, instant giveUpAt)
     {
-        const std::vector<registration> limited = m_state.atLimit(m_state.registry.usable(m_service, phase));
-        m_reason = limited.empty() ? "no_engine" : kAtLimitReason;
+        const std::vector<registration> limited = m_state.atLimit(usableIn(phase));
+        const char *const noEngine = phase == engine_phase::Decode && isResumed() ? kNoEngineOfVersionReason : "no_engine";
+        m_reason = limited.empty() ? noEngine : kAtLimitReason;
+        if (limited.empty() && phase == engine_phase::Decode && isResumed() && !usableIn(phase).empty()) {
+            return coreNow() < giveUpAt;
+        }
         return !limited.empty() && coreNow() + m_state.permits.waitFor(limited) < giveUpAt;
     }
 
     /// Whether the reservation is still valid. It may have expired, or its engine may have become unusable, during a long prefill.
     bool holdsUsableReservation() const
     {
-        return m_state.registry.isUsable(m_reserved->run.id) && coreNow() - m_reservedAt < reservationLifetime();
+        const registration *known = m_state.registry.find(m_reserved->run.id);
+        const bool isSameInstance = known != nullptr && known->startedAt == m_reserved->run.startedAt;
+        return isSameInstance && m_state.registry.isUsable(m_reserved->run.id) && coreNow() - m_reservedAt < reservationLifetime();
+    }
+
+    /// Finds out whether the engine is still the instance that the registry knows. An engine that was restarted under its id may run other
+    /// software, and the store shows that late.
+    asio::awaitable<bool> confirmInstance(registration run)
+    {
+        http_call call = prepareCall(m_state, run, m_state.dialect.makeReportCall(run.id), m_state.timing.engineCallTimeout);
+        const instant sentAt = coreNow();
+        const http_result result = co_await m_call.perform(std::move(call));
+        m_state.noteLimit(run, sentAt, result);
+        const auto report = result.answer ? m_state.dialect.readReport(*result.answer) : std::nullopt;
+        if (report && (!report->startedAt || *report->startedAt == run.startedAt)) {
+            co_return true;
+        }
+        if (report) {
+            m_state.registry.onDisplaced(run.id);
+        } else if (!m_call.isEnded()) {
+            m_state.noteFailedCall(run, result);
+            m_state.scheduler.noteWrongPhase(coreNow(), run.id);
+            m_call.noteFailedAttempt(run, "confirm", result.failure.reason, verdict::NotRun);
+        }
+        co_return false;
+    }
+
+    std::uint32_t permitsPerDecode() const
+    {
+        return isResumed() ? kPermitsPerDecode + 1 : kPermitsPerDecode;
     }
 
     /// Queries a few decode engines that aren't known to be full for memory. Their number is limited because each query opens a
@@ -197,7 +321,7 @@
     {
         std::vector<registration> order;
         for (const registration *run : m_state.scheduler.decodeOrder(coreNow(), enginesIn(engine_phase::Decode), m_state.random)) {
-            if (order.size() < kMaxQueriedPerRound) {
+            if (order.size() < (isResumed() ? kMaxQueriedForResume : kMaxQueriedPerRound)) {
                 order.push_back(*run);
             }
         }
@@ -217,13 +341,13 @@
     asio::awaitable<bool> tryReserveAt(registration run)
     {
         const std::uint32_t tokens = m_state.scheduler.reservedTokens(m_prompt);
-        const bool permitted = co_await m_state.permits.acquire(run, kPermitsPerDecode);
+        const bool permitted = co_await m_state.permits.acquire(run, permitsPerDecode());
         if (!permitted) {
             co_return false;
         }
         const auto id = co_await reserveAt(run, tokens);
         if (!id) {
-            m_state.permits.giveBack(run, kPermitsPerDecode - 1);
+            m_state.permits.giveBack(run, permitsPerDecode() - 1);
             m_refusedReservations += 1;
             co_return false;
         }
@@ -232,6 +356,7 @@
         m_reservedAfter = m_call.age();
         m_reservedAt = coreNow();
         m_reservationSent = false;
+        tellOrigin(run);
         co_return true;
     }
 
@@ -411,6 +536,7 @@
         http_call call = m_call.makeUpstreamCall(run, directions);
         m_upstream = run.id;
         m_version = run.softwareVersion;
+        m_state.origins.noteWriter(m_stream, run);
         m_sentAt = coreNow();
         m_reservationSent = true;
         m_call.beginAttempt(run);
@@ -561,6 +687,7 @@
     asio::awaitable<void> finishRequest()
     {
         m_call.addLogFields(detailFields());
+        m_state.origins.finish(m_stream);
         releaseReservation();
         releaseKvCache();
         if (m_call.isCallerGone()) {
@@ -583,7 +710,11 @@
 
     asio::awaitable<void> sendUnavailable()
     {
-        duration wait = std::max<duration>(m_reason == "no_engine" ? kNoEngineRetryAfter : kFullRetryAfter, m_quarantined);
+        const bool hasNoEngine = m_reason == "no_engine" || m_reason == kNoEngineOfVersionReason;
+        duration wait = std::max<duration>(hasNoEngine ? kNoEngineRetryAfter : kFullRetryAfter, m_quarantined);
+        if (m_reason == kUnknownOriginReason) {
+            wait = duration::zero(); // The next entry may know.
+        }
         if (m_reason == kAtLimitReason) {
             wait = std::max(wait, m_state.permits.nextReturn(m_service, m_state.atLimit(m_state.registry.usable(m_service))));
         }
@@ -625,6 +756,10 @@
     relay_call &m_call;
     relay_state &m_state;
     std::string m_service;
+    std::uint64_t m_stream = 0; ///< Hash of the attempt that began the stream.
+    std::optional<stream_origin> m_origin; ///< The version that other entries know for the stream.
+    bool m_isOriginTold = false; ///< By this request.
+    bool m_changedVersion = false; ///< Since this request has told it.
     prompt_facts m_prompt;
     std::optional<reservation> m_reserved;
     std::optional<computed_prefill> m_prefill;
--- a/src/relay/platform_dialect.h
+++ b/src/relay/platform_dialect.h
@@ -63,6 +63,7 @@
     bool busy = false; ///< The engine is carrying out an order.
     bool leaving = false; ///< The engine accepts no new work and stops soon.
     std::uint64_t ordersAccepted = 0;
+    std::optional<std::uint64_t> startedAt; ///< As in the registration.
     auto operator<=>(const engine_report &) const = default;
 };
 
--- a/src/relay/upstream_registry.cpp
+++ b/src/relay/upstream_registry.cpp
@@ -84,6 +84,10 @@
     }
     known_run &entry = known->second;
     const registration before = std::exchange(entry.run, report);
+    if (report.startedAt == before.startedAt && report.softwareVersion.empty()) {
+        // Entries of earlier builds don't send it.
+        entry.run.softwareVersion = before.softwareVersion;
+    }
     entry.removeAt.reset();
     // A report that may have been sent before the upstream's own announcement doesn't revoke the announcement.
     entry.leaving = entry.leaving && report.startedAt == before.startedAt && !report.draining && report.sequence <= before.sequence + 1;
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -60,7 +60,12 @@
                                            store_update_of_era{5, sampleStoreGossip()},
                                            limit_reports{{{{"i-1", 1'000}, true, 3.8, 250}, {{"i-2", 2'000}, false, 0, 10}}},
                                            permit_request{7, 2, {{"i-1", 1'000}, true, 3.8, 250}},
-                                           permit_reply{7, 2, 30, {{"i-1", 1'000}, true, 3.8, 250}}};
+                                           permit_reply{7, 2, 30, {{"i-1", 1'000}, true, 3.8, 250}},
+                                           versioned_store_update{5, sampleStoreGossip()},
+                                           stream_origin_report{7, {99, 1, 14'000, "llm", "v1.1"}},
+                                           stream_origin_ack{7},
+                                           stream_origin_query{8, 99},
+                                           stream_origin_reply{8, true, {99, 1, 14'000, "llm", "v1.1"}}};
     for (const peer_body &body : bodies) {
         const peer_message message{sampleMessage().header, body};
         const auto bytes = encodePeerMessage(message, kMaxDatagramBytes, nullptr);
--- a/tests/process_stream_version_test.cpp
+++ b/tests/process_stream_version_test.cpp
@@ -86,7 +86,7 @@
 TEST(ProcessStreamVersion, StreamsThatEnginesBreakOffGoOnAtTheirVersion)
 {
     runOnSite(releaseSite(), [](relay_site &site) -> asio::awaitable<void> {
-        stream_callers callers(site, 12, milliseconds(40));
+        stream_callers callers(site, 30, milliseconds(40));
         callers.start(co_await asio::this_coro::executor);
         // Callers come back after each of these times, so a stream that goes on isn't broken off at once.
         for (int round = 0; round < 8; ++round) {
--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -20,6 +20,7 @@
 {
 
 constexpr milliseconds kReportInterval{300};
+constexpr milliseconds kRegistrationTime{2'000}; ///< From the start of an instance until all entries know it.
 constexpr std::size_t kLongHeadBytes = std::size_t{2} * 1024 * 1024;
 constexpr std::size_t kLongFieldBytes = 60'000; ///< Beast throws at fields of 64 KiB and more.
 constexpr const char *kLimitField = "Server-Limit";
@@ -219,6 +220,12 @@
     m_limit = std::move(text);
 }
 
+bool site_upstream::isServing(const std::string &phase) const
+{
+    const bool isKnown = unixMilliseconds() >= m_startedAt + static_cast<std::uint64_t>(kRegistrationTime.count());
+    return m_settings.phase == phase && m_server && !m_isSilent && !m_drainedAt && isKnown && m_faults == upstream_faults{} && m_limit.empty();
+}
+
 void site_upstream::drain()
 {
     m_drainedAt = std::chrono::steady_clock::now();
@@ -367,7 +374,7 @@
     } else if (request.path().starts_with("/v1/kv-handle/")) {
         m_handles.erase(std::string(request.path().substr(sizeof("/v1/kv-handle/") - 1)));
     } else if (request.path() == "/v1/report") {
-        answer = jsonAnswer(json::object{{"Phase", m_settings.phase}, {"Busy", false}, {"Sequence", m_orders}});
+        answer = jsonAnswer(json::object{{"Phase", m_settings.phase}, {"Busy", false}, {"Sequence", m_orders}, {"born", m_startedAt}});
     } else if (request.path() == "/v1/order") {
         answer = order(request);
     } else if (request.header("X-Stage") == "prefill") {
--- a/tests/standins/site_upstream.h
+++ b/tests/standins/site_upstream.h
@@ -57,6 +57,8 @@
     bool cutCallAnswers = false; ///< Ends the bodies of answers to calls of the router itself in order, but in the middle.
     bool silentCrashes = false; ///< After a crash, open connections stay open, and new ones aren't answered, until the next instance starts.
     bool unframed = false; ///< The bodies of all answers have neither a length nor chunks and end with their connection.
+
+    bool operator==(const upstream_faults &) const = default;
 };
 
 /// A request that arrived at an upstream, whether it was executed or rejected. Reservations, reports and orders don't count.
@@ -146,6 +148,9 @@
     {
         return m_settings.version;
     }
+    /// Whether it is an engine in @p phase that takes work: it has been up for long enough that all entries know it, isn't draining, and has
+    /// neither a fault nor a limit.
+    bool isServing(const std::string &phase) const;
     /// Like crash(), but the new instance runs another version of the software, and has the same id if @p keepsId is set.
     void release(std::string version, bool keepsId);
 
--- /dev/null
+++ b/tests/stream_origin_test.cpp
@@ -0,0 +1,159 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <malloc.h>
+
+#include "relay/stream_origin_exchange.h"
+
+using namespace heatherroute;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+const instant kStart = instant(seconds(1'000));
+
+stream_origin originOf(std::uint64_t stream, const std::string &version, std::uint32_t revision = 1)
+{
+    return {stream, revision, 14'000, "llm", version};
+}
+
+std::vector<member> membersNamed(std::size_t count)
+{
+    std::vector<member> members;
+    for (std::size_t i = 0; i < count; ++i) {
+        member one;
+        one.id = {"entry-" + std::to_string(i), 1};
+        one.peerAddress = "10.0.0." + std::to_string(i) + ":1";
+        members.push_back(one);
+    }
+    return members;
+}
+
+} // namespace
+
+TEST(StreamOriginTable, OriginIsForgottenAfterItsLife)
+{
+    auto table = stream_origin_table::make({});
+    table.note(kStart, originOf(1, "v1"));
+    EXPECT_EQ(table.find(kStart + seconds(13), 1)->version, "v1");
+    EXPECT_EQ(table.find(kStart + seconds(14), 1), std::nullopt);
+    table.note(kStart + seconds(10), originOf(1, "v1"));
+    EXPECT_EQ(table.find(kStart + seconds(23), 1)->version, "v1");
+    table.expire(kStart + seconds(24));
+    EXPECT_EQ(table.size(), 0U);
+}
+
+TEST(StreamOriginTable, EarlierRevisionThatComesLaterChangesNothing)
+{
+    auto table = stream_origin_table::make({});
+    table.note(kStart, originOf(1, "v1.1", 2));
+    table.note(kStart + seconds(1), originOf(1, "v1", 1));
+    EXPECT_EQ(table.find(kStart + seconds(1), 1)->version, "v1.1");
+}
+
+// Load pattern: many more streams than are kept, of a few services and versions.
+TEST(StreamOriginTable, AHundredThousandStreamsTakeABoundedAmountOfMemory)
+{
+    constexpr std::size_t kStreams = 100'000;
+    constexpr std::size_t kMaxBytes = std::size_t{20} * 1024 * 1024;
+    const std::size_t before = ::mallinfo2().uordblks;
+    auto table = stream_origin_table::make({});
+    for (std::uint64_t stream = 0; stream < 2 * kStreams; ++stream) {
+        table.note(kStart + std::chrono::microseconds(stream), originOf(stream, stream % 2 == 0 ? "v1" : "v1.1"));
+    }
+    EXPECT_EQ(table.size(), kStreams);
+    EXPECT_LE(::mallinfo2().uordblks - before, kMaxBytes);
+    EXPECT_EQ(table.find(kStart + seconds(1), 0), std::nullopt) << "the oldest are dropped";
+    EXPECT_EQ(table.find(kStart + seconds(1), 2 * kStreams - 1)->version, "v1.1");
+}
+
+TEST(StreamOriginExchange, KeepersStayTheSameWhenOthersAreLost)
+{
+    std::vector<member> members = membersNamed(20);
+    for (std::uint64_t stream = 1; stream < 200; ++stream) {
+        const auto keepers = originKeepers(stream, members, 3);
+        ASSERT_EQ(keepers.size(), 3U);
+        std::vector<member> left;
+        for (const member &one : members) {
+            if (&one != keepers[0] && &one != keepers[1]) {
+                left.push_back(one);
+            }
+        }
+        EXPECT_EQ(originKeepers(stream, left, 1).front()->id, keepers[2]->id);
+    }
+}
+
+TEST(StreamOriginExchange, EntryWithoutOthersKnowsItsOwnStreamsOnly)
+{
+    auto exchange = stream_origin_exchange::make({});
+    EXPECT_TRUE(exchange.tell(kStart, originOf(1, "v1")).empty());
+    EXPECT_TRUE(exchange.isKept(1));
+    EXPECT_EQ(exchange.find(kStart, 1)->version, "v1");
+    std::vector<addressed_origin_message> sends;
+    const std::uint32_t number = exchange.ask(kStart, 2, &sends);
+    EXPECT_TRUE(sends.empty());
+    const origin_effects effects = exchange.advance(kStart);
+    ASSERT_EQ(effects.results.size(), 1U);
+    EXPECT_EQ(effects.results.front(), (origin_query_result{number, std::nullopt}));
+}
+
+TEST(StreamOriginExchange, ChangedVersionIsKeptOnlyOnceAllThatWereToldTheFirstKnowIt)
+{
+    auto exchange = stream_origin_exchange::make({});
+    exchange.setMembers(membersNamed(6));
+    const auto first = exchange.tell(kStart, originOf(1, "v1"));
+    ASSERT_EQ(first.size(), 3U);
+    exchange.onMessage(kStart, first[0].peerAddress, stream_origin_ack{std::get<stream_origin_report>(first[0].message).number});
+    EXPECT_TRUE(exchange.isKept(1));
+    const auto second = exchange.tell(kStart, originOf(1, "v1.1", 2));
+    ASSERT_EQ(second.size(), 3U);
+    EXPECT_FALSE(exchange.isKept(1));
+    // A late acknowledgement of the first report says nothing about the second.
+    exchange.onMessage(kStart, first[1].peerAddress, stream_origin_ack{std::get<stream_origin_report>(first[1].message).number});
+    EXPECT_FALSE(exchange.isKept(1));
+    for (const addressed_origin_message &each : second) {
+        EXPECT_FALSE(exchange.isKeptByAll(1));
+        exchange.onMessage(kStart, each.peerAddress, stream_origin_ack{std::get<stream_origin_report>(each.message).number});
+    }
+    EXPECT_TRUE(exchange.isKeptByAll(1));
+}
+
+// Load pattern: the entries that should remember an origin have been lost, and their loss isn't known yet.
+TEST(StreamOriginExchange, FurtherEntriesTakeThePlaceOfThoseThatDoNotAcknowledge)
+{
+    auto exchange = stream_origin_exchange::make({});
+    exchange.setMembers(membersNamed(9));
+    const auto first = exchange.tell(kStart, originOf(1, "v1"));
+    ASSERT_EQ(first.size(), 3U);
+    exchange.onMessage(kStart, first[0].peerAddress, stream_origin_ack{std::get<stream_origin_report>(first[0].message).number});
+    const auto again = exchange.advance(kStart + milliseconds(100)).sends;
+    EXPECT_EQ(again.size(), 4U) << "both that are missing, and two more";
+    EXPECT_LE(exchange.advance(kStart + milliseconds(200)).sends.size(), 5U) << "no more than are asked";
+}
+
+TEST(StreamOriginExchange, QueryEndsWithTheFirstEntryThatKnows)
+{
+    auto exchange = stream_origin_exchange::make({});
+    exchange.setMembers(membersNamed(8));
+    std::vector<addressed_origin_message> sends;
+    const std::uint32_t number = exchange.ask(kStart, 7, &sends);
+    ASSERT_EQ(sends.size(), exchange.settings().askedEntries);
+    EXPECT_TRUE(exchange.onMessage(kStart, sends[0].peerAddress, stream_origin_reply{number, false, {}}).results.empty());
+    EXPECT_TRUE(exchange.onMessage(kStart, sends[1].peerAddress, stream_origin_reply{number, true, originOf(8, "v1")}).results.empty()) << "of another stream";
+    const origin_effects effects = exchange.onMessage(kStart, sends[2].peerAddress, stream_origin_reply{number, true, originOf(7, "v1")});
+    ASSERT_EQ(effects.results.size(), 1U);
+    EXPECT_EQ(effects.results.front().origin, originOf(7, "v1"));
+    EXPECT_TRUE(exchange.advance(kStart + seconds(1)).results.empty());
+}
+
+TEST(StreamOriginExchange, EntryThatStopsHandsItsOriginsOver)
+{
+    auto exchange = stream_origin_exchange::make({});
+    exchange.setMembers(membersNamed(6));
+    exchange.tell(kStart, originOf(1, "v1"));
+    const auto handed = exchange.handOver(kStart + seconds(4));
+    ASSERT_EQ(handed.size(), 3U);
+    EXPECT_EQ(std::get<stream_origin_report>(handed.front().message).origin.lifeMs, 10'000U);
+}
--- a/tests/support/stream_caller.cpp
+++ b/tests/support/stream_caller.cpp
@@ -73,13 +73,18 @@
         request.timeLeft = std::chrono::duration_cast<milliseconds>(until - std::chrono::steady_clock::now());
         request.resumes = first;
         request.lastEvent = lastEvent;
+        const bool hadEngines = hasEngines(first);
         const caller_result result = co_await m_site.call(random() % m_site.entryCount(), std::move(request));
         if (m_fault.empty()) {
             m_fault = result.fault;
         }
-        if (!first.empty()) {
+        const bool hasGoneOn = result.lastEvent > lastEvent || (result.isComplete && result.status == net::status::kOk);
+        if (first.empty()) {
+            m_sent += 1;
+            m_begun += hasGoneOn ? 1 : 0;
+        } else if (hadEngines && hasEngines(first)) {
             m_resumes += 1;
-            m_goneOn += result.lastEvent > lastEvent || (result.isComplete && result.status == net::status::kOk) ? 1 : 0;
+            m_goneOn += hasGoneOn ? 1 : 0;
             m_lastRefusal = result.refusal.empty() ? m_lastRefusal : result.refusal;
         }
         if (result.isComplete && result.status == net::status::kOk) {
@@ -93,6 +98,15 @@
     }
 }
 
+bool stream_callers::hasEngines(const std::string &first) const
+{
+    const auto versions = m_site.upstreamLog().streamVersions.find(first);
+    const auto &upstreams = m_site.upstreams();
+    return versions != m_site.upstreamLog().streamVersions.end() && std::count_if(upstreams.begin(), upstreams.end(), [&](const auto &one) {
+                                                                        return one->isServing("decode") && versions->second.contains(one->version());
+                                                                    }) >= 2;
+}
+
 int mixedStreams(const standins::upstream_log &log)
 {
     return static_cast<int>(std::count_if(log.streamVersions.begin(), log.streamVersions.end(), [](const auto &stream) { return stream.second.size() > 1; }));
--- a/tests/support/stream_caller.h
+++ b/tests/support/stream_caller.h
@@ -27,7 +27,17 @@
     /// Ends the callers and waits for them.
     boost::asio::awaitable<void> stop();
 
-    /// The attempts to take up a stream.
+    /// The attempts to begin a stream.
+    std::size_t sent() const noexcept
+    {
+        return m_sent;
+    }
+    /// Those of them that brought at least one event.
+    std::size_t begun() const noexcept
+    {
+        return m_begun;
+    }
+    /// The attempts to take up a stream while two engines of its software version took work.
     std::size_t resumes() const noexcept
     {
         return m_resumes;
@@ -50,6 +60,8 @@
 
 private:
     boost::asio::awaitable<void> run(std::uint64_t seed);
+    /// Whether two decode engines of the version that began stream @p first take work.
+    bool hasEngines(const std::string &first) const;
     /// Reads one stream to its end, or until it is refused or its caller's time has passed.
     boost::asio::awaitable<void> readStream(std::mt19937_64 &random);
 
@@ -58,6 +70,8 @@
     std::chrono::milliseconds m_pause;
     std::size_t m_running = 0;
     bool m_stopping = false;
+    std::size_t m_sent = 0;
+    std::size_t m_begun = 0;
     std::size_t m_resumes = 0;
     std::size_t m_goneOn = 0;
     std::string m_fault;
