Soak: releases, callers that take up streams, and an audit of their versions

Engines change their software version, with or without a new id, and six callers take up streams that are broken off at another entry. Audits: no stream holds events of two versions, and resumes go on at least half as often as new streams begin, of those during which two engines of the version took work.

--- a/bench/heatherbench_soak.cpp
+++ b/bench/heatherbench_soak.cpp
@@ -32,6 +32,8 @@
 constexpr milliseconds kSlowReadPause{300}; ///< Between two pieces of an answer that a slow caller reads.
 constexpr milliseconds kPoisonPause{50}; ///< Between two attempts of the caller whose request crashes upstreams.
 constexpr milliseconds kPoisonPartPause{120}; ///< Between two requests with a part that crashes engines.
+constexpr std::size_t kStreamCallers = 6;
+constexpr milliseconds kStreamCallerPause{50}; ///< Between two streams of one of them.
 constexpr milliseconds kMaxPoisonDelay{2'000}; ///< From the start of the callers until its first attempt.
 constexpr milliseconds kMaxFaultInterval{350};
 constexpr milliseconds kMaxFaultDuration{2'500};
@@ -66,6 +68,7 @@
         , m_options(options)
         , m_site(site)
         , m_random(options.seed)
+        , m_streamCallers(site, kStreamCallers, kStreamCallerPause)
         , m_disturbanceCounts(site.entryCount(), 0)
         , m_proxyFaults(site.entryCount(), 0)
         , m_entryCalmSince(site.entryCount(), std::chrono::steady_clock::now())
@@ -83,6 +86,7 @@
         for (std::size_t caller = 0; caller < m_options.callers; ++caller) {
             asio::co_spawn(m_context, runCaller(m_options.seed + caller), asio::detached);
         }
+        m_streamCallers.start(m_context.get_executor());
         asio::co_spawn(m_context, limitUpstreams(), asio::detached);
         asio::co_spawn(m_context, runPoisonCaller(), asio::detached);
         // With every other seed some requests share a part of their prompts that crashes engines, with some of these there are two such parts.
@@ -105,10 +109,12 @@
         while (m_activeTasks > 0) {
             co_await pause(milliseconds(20));
         }
+        co_await m_streamCallers.stop();
         co_await checkRecovery();
         m_audit.checkExecutions([this](const std::string &id) { return m_site.runCountOf(id); });
         m_audit.checkArrivals(m_site.upstreamLog());
         m_audit.checkLimits(m_site.upstreamLog());
+        m_audit.checkStreams(m_site.upstreamLog(), m_streamCallers);
         m_audit.checkOrders(m_site.upstreamLog().orders);
         for (const auto &upstream : m_site.upstreams()) {
             m_audit.recordRunsAfterDrain(upstream->id(), upstream->runsAfterDrain(kDrainSlack));
@@ -321,7 +327,11 @@
     {
         standins::site_upstream &upstream = *m_site.upstreams()[static_cast<std::size_t>(randomBelow(static_cast<std::int64_t>(m_site.upstreams().size())))];
         standins::upstream_faults faults;
-        switch (randomBelow(13)) {
+        switch (randomBelow(14)) {
+        case 13:
+            // A release, with or without a new id.
+            upstream.release(upstream.version() == "v1" ? "v1.1" : "v1", randomBelow(2) == 0);
+            co_return;
         case 12:
             faults.silentCrashes = true;
             break;
@@ -422,6 +432,7 @@
     relay_site &m_site;
     std::mt19937_64 m_random;
     soak_audit m_audit;
+    stream_callers m_streamCallers; ///< They take up streams that are broken off.
     std::vector<std::uint64_t> m_disturbanceCounts; ///< Process faults by entry, each counted at its start and at its end.
     std::set<std::size_t> m_disturbedEntries; ///< Entries with a process fault in progress.
     std::chrono::steady_clock::time_point m_faultsFrom; ///< Start of the fault injection.
@@ -510,6 +521,7 @@
         // With every other seed the pools don't fit the load, so that the lease holder gives orders.
         soakOptions.site.decodeEngines = std::max<std::size_t>(1, soakOptions.seed % 2 == 0 ? engines * 2 / 3 : engines / 6);
         soakOptions.site.prefillEngines = engines - soakOptions.site.decodeEngines;
+        soakOptions.site.decodeVersions = {"v1", "v1.1"};
         failedSeeds += runSeed(soakOptions, out) ? 0 : 1;
     }
     out << "soak: " << parsed["seeds"].as<std::uint64_t>() << " seeds, " << failedSeeds << " with violations\n";
--- a/tests/support/soak_audit.cpp
+++ b/tests/support/soak_audit.cpp
@@ -230,6 +230,22 @@
     }
 }
 
+void soak_audit::checkStreams(const standins::upstream_log &log, const stream_callers &callers)
+{
+    if (const int mixed = mixedStreams(log); mixed > 0) {
+        m_violations.push_back("one version a stream: " + std::to_string(mixed) + " streams hold events of two software versions");
+    }
+    const bool isJudged = callers.resumes() >= kFewResumes && callers.begun() > 0;
+    if (isJudged && 2 * callers.goneOn() * callers.sent() < callers.resumes() * callers.begun()) {
+        m_violations.push_back("streams go on: " + std::to_string(callers.goneOn()) + " of " + std::to_string(callers.resumes()) + " resumes, while "
+                               + std::to_string(callers.begun()) + " of " + std::to_string(callers.sent()) + " new streams began; last refused as "
+                               + callers.lastRefusal());
+    }
+    if (!callers.fault().empty()) {
+        m_violations.push_back("streams that are taken up: " + callers.fault());
+    }
+}
+
 void soak_audit::checkOrders(const std::vector<standins::accepted_order> &orders)
 {
     std::map<std::uint64_t, std::string> holders;
--- a/tests/support/soak_audit.h
+++ b/tests/support/soak_audit.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "support/relay_site.h"
+#include "support/stream_caller.h"
 
 namespace heatherroute::support
 {
@@ -17,6 +18,7 @@
 inline constexpr std::chrono::seconds kPoisonLearningTime{3};
 inline constexpr std::size_t kMaxPoisonPartCrashes = 5; ///< Of engines, under requests that share a part of their prompts.
 inline constexpr std::size_t kFewSoundStreams = 20; ///< Fewer aren't judged.
+inline constexpr std::size_t kFewResumes = 12; ///< Fewer aren't judged.
 inline constexpr std::chrono::seconds kRetryWindow{10};
 inline constexpr std::chrono::seconds kConfigBound{2}; ///< From the store's answer to a configuration until all steady entries apply it.
 inline constexpr std::chrono::seconds kStabilityWindow{3};
@@ -54,6 +56,9 @@
     void recordUndisturbed(const std::string &id, bool undisturbed);
     /// Checks that upstreams got no more calls from undisturbed entries than the limits that they named.
     void checkLimits(const standins::upstream_log &log);
+    /// Checks that no stream holds events of two software versions, and that callers which take up streams get further events at least half as
+    /// often as callers of new streams get the first one.
+    void checkStreams(const standins::upstream_log &log, const stream_callers &callers);
     /// Checks that no two holders have ordered with the same fencing token.
     void checkOrders(const std::vector<standins::accepted_order> &orders);
     /// Records that entry @p entry did not serve again after all faults had ended.
