Streams that nobody remembers go on while one software version only has served

Cause: a stream's origin was known only by the attempt's id. Change: version_history follows which versions of a service were registered, and whether the list of upstreams has been current without a gap. If one version only has served since before the stream can have begun, that is its origin; an entry that can't know asks others. An entry out of touch knows nothing, so nothing is guessed.

--- a/include/heatherroute/stream_origin_message.h
+++ b/include/heatherroute/stream_origin_message.h
@@ -73,13 +73,16 @@
 {
     std::uint32_t number = 0; ///< Copied into the reply.
     std::uint64_t stream = 0;
+    std::uint32_t windowMs = 0; ///< How long ago the stream can have begun.
+    std::string service;
 
     auto operator<=>(const stream_origin_query &) const = default;
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(number, stream);
+        archive(number, stream, windowMs);
+        serializeText(archive, service, kMaxOriginTextBytes);
     }
 };
 
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -246,6 +246,7 @@
         const instant now = coreNow();
         if (m_state.registry.isAuthoritative(now)) {
             m_state.gossip.noteRead(now);
+            m_state.versions.noteCurrent(now, duration::zero());
         }
         std::set<std::string> ids;
         for (const registration &report : event.reports) {
@@ -301,6 +302,7 @@
         }
         if (event.update.readsStore) {
             m_state.gossip.noteReceived(now, std::chrono::milliseconds(event.update.readAgeMs));
+            m_state.versions.noteCurrent(now, std::chrono::milliseconds(event.update.readAgeMs));
         }
         if (event.update.lease == lease_claim::Held) {
             m_leaseCandidate.noteHolder(now);
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -23,6 +23,7 @@
     , gossip(store_gossip::make({}))
     , health(upstream_health_tracker::make({}))
     , registry(upstream_registry::make({}, [this](const registration &run, upstream_change change) { onUpstreamChange(run, change); }))
+    , versions(version_history::make({}))
     , retryBudget(fleet_retry_budget::make(limit))
     , scheduler(engine_scheduler::make({}))
     , bodyMemory(net::body_memory::make(kBodyMemoryBytes))
@@ -39,6 +40,9 @@
             sendToEntries(bodyOf(message), std::move(peerAddress));
         }
     };
+    hooks.onlyVersion = [this](const std::string &service, duration window) {
+        return versions.onlyVersion(coreNow(), service, registry.softwareVersions(service), window);
+    };
     return hooks;
 }
 
@@ -79,6 +83,7 @@
     crashes.onUpstreamChange(run, change);
     permits.noteInstance(run);
     origins.noteInstance(run);
+    versions.note(coreNow(), run.service, run.softwareVersion);
     if (change == upstream_change::Removed) {
         health.remove(run.id);
         permits.remove(run.id);
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -25,6 +25,7 @@
 #include "relay/store_gossip.h"
 #include "relay/upstream_health_tracker.h"
 #include "relay/upstream_registry.h"
+#include "relay/version_history.h"
 #include "telemetry/metrics_registry.h"
 
 namespace heatherroute::node
@@ -96,6 +97,7 @@
     store_gossip gossip;
     upstream_health_tracker health;
     upstream_registry registry;
+    version_history versions;
     fleet_retry_budget retryBudget;
     engine_scheduler scheduler;
     std::map<std::string, phase_planner> planners; ///< Phase planners by service.
--- a/src/node/stream_origins.cpp
+++ b/src/node/stream_origins.cpp
@@ -27,7 +27,7 @@
 stream_origins::stream_origins(asio::any_io_executor executor, stream_origins_hooks hooks)
     : m_executor(std::move(executor))
     , m_hooks(std::move(hooks))
-    , m_exchange(stream_origin_exchange::make({}))
+    , m_exchange(stream_origin_exchange::make({}, m_hooks.onlyVersion))
 { }
 
 void stream_origins::tell(const stream_origin &origin)
@@ -55,7 +55,7 @@
 
 void stream_origins::noteWriter(std::uint64_t stream, const registration &run)
 {
-    if (const auto origin = m_exchange.find(coreNow(), stream)) {
+    if (const auto origin = m_exchange.toldOrigin(stream)) {
         m_writers.insert_or_assign(stream, stream_writer{{run.id, run.startedAt}, *origin});
     }
 }
@@ -78,13 +78,13 @@
     m_exchange.finish(stream);
 }
 
-asio::awaitable<std::optional<stream_origin>> stream_origins::find(std::uint64_t stream)
+asio::awaitable<std::optional<stream_origin>> stream_origins::find(sought_stream sought)
 {
-    if (auto known = m_exchange.find(coreNow(), stream)) {
+    if (auto known = m_exchange.find(coreNow(), sought)) {
         co_return known;
     }
     std::vector<addressed_origin_message> sends;
-    const std::uint32_t number = m_exchange.ask(coreNow(), stream, &sends);
+    const std::uint32_t number = m_exchange.ask(coreNow(), sought, &sends);
     asio::steady_timer timer(m_executor, kQueryTimeout);
     m_queries.emplace(number, waiting_query{&timer, std::nullopt});
     send(std::move(sends));
--- a/src/node/stream_origins.h
+++ b/src/node/stream_origins.h
@@ -26,6 +26,7 @@
 {
     /// Sends a message to the entry with the peer address.
     std::function<void(stream_origin_message message, std::string peerAddress)> send;
+    stream_origin_exchange::only_version_hook onlyVersion;
 };
 
 /**
@@ -51,7 +52,7 @@
     /// Records that the request that told an origin has ended.
     void finish(std::uint64_t stream);
     /// Returns the origin of a stream from this entry or others; empty when none of them knows it.
-    boost::asio::awaitable<std::optional<stream_origin>> find(std::uint64_t stream);
+    boost::asio::awaitable<std::optional<stream_origin>> find(sought_stream sought);
 
     void setMembers(const std::vector<member> &others);
     /// Processes a message of the entry with the peer address @p from.
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -170,14 +170,14 @@
     /// Finds the software version that may go on with a stream which the caller takes up. Returns false when the request must end.
     asio::awaitable<bool> findOrigin()
     {
-        const std::string id = m_call.facts().resumes.value_or(m_call.facts().id);
-        m_stream = streamHashOf(id);
+        // A caller that takes up a stream without naming it is known by its own attempt, under which no origin was told.
+        const std::string resumed = m_call.facts().resumes.value_or("");
+        m_stream = streamHashOf(resumed.empty() ? m_call.facts().id : resumed);
         if (!isResumed()) {
             co_return true;
         }
-        if (!id.empty()) {
-            m_origin = co_await m_state.origins.find(m_stream);
-        }
+        const duration window = std::max<duration>(m_call.facts().timeLeft.value_or(kDefaultOriginLife), m_call.matchedRoute().timeout) + kOriginSlack;
+        m_origin = co_await m_state.origins.find({m_stream, m_service, window});
         const auto &targets = m_call.matchedRoute().targets;
         const bool isUsable = m_origin && !m_origin->version.empty()
                               && std::any_of(targets.begin(), targets.end(), [this](const route_target &one) { return one.service == m_origin->service; });
--- a/src/relay/stream_origin_exchange.cpp
+++ b/src/relay/stream_origin_exchange.cpp
@@ -5,13 +5,24 @@
 namespace heatherroute
 {
 
-stream_origin_exchange stream_origin_exchange::make(const origin_exchange_settings &settings)
+namespace
 {
-    return stream_origin_exchange(settings);
+
+std::uint32_t millisecondsOf(duration value)
+{
+    return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
 }
 
-stream_origin_exchange::stream_origin_exchange(const origin_exchange_settings &settings)
+} // namespace
+
+stream_origin_exchange stream_origin_exchange::make(const origin_exchange_settings &settings, only_version_hook onlyVersion)
+{
+    return {settings, std::move(onlyVersion)};
+}
+
+stream_origin_exchange::stream_origin_exchange(const origin_exchange_settings &settings, only_version_hook onlyVersion)
     : m_settings(settings)
+    , m_onlyVersion(std::move(onlyVersion))
     , m_table(stream_origin_table::make({}))
 { }
 
@@ -78,6 +89,12 @@
     return found != m_told.end() && found->second.open.empty();
 }
 
+std::optional<stream_origin> stream_origin_exchange::toldOrigin(std::uint64_t stream) const
+{
+    const auto found = m_told.find(stream);
+    return found != m_told.end() ? std::optional(found->second.origin) : std::nullopt;
+}
+
 void stream_origin_exchange::finish(std::uint64_t stream)
 {
     if (const auto found = m_told.find(stream); found != m_told.end()) {
@@ -85,20 +102,29 @@
     }
 }
 
-std::optional<stream_origin> stream_origin_exchange::find(instant now, std::uint64_t stream) const
+std::optional<stream_origin> stream_origin_exchange::find(instant now, const sought_stream &sought) const
+{
+    if (auto known = m_table.find(now, sought.stream)) {
+        return known;
+    }
+    const auto version = m_onlyVersion(sought.service, sought.window);
+    return version ? std::optional(stream_origin{sought.stream, 1, millisecondsOf(sought.window), sought.service, *version}) : std::nullopt;
+}
+
+stream_origin_query stream_origin_exchange::queryOf(std::uint32_t number, const sought_stream &sought)
 {
-    return m_table.find(now, stream);
+    return {number, sought.stream, millisecondsOf(sought.window), sought.service};
 }
 
-std::uint32_t stream_origin_exchange::ask(instant now, std::uint64_t stream, std::vector<addressed_origin_message> *sends)
+std::uint32_t stream_origin_exchange::ask(instant now, const sought_stream &sought, std::vector<addressed_origin_message> *sends)
 {
     const std::uint32_t number = ++m_lastNumber;
     open_query query;
-    query.stream = stream;
+    query.sought = sought;
     query.startedAt = now;
-    for (const member *keeper : originKeepers(stream, m_others, m_settings.askedEntries)) {
+    for (const member *keeper : originKeepers(sought.stream, m_others, m_settings.askedEntries)) {
         query.open.insert(keeper->peerAddress);
-        sends->push_back({keeper->peerAddress, stream_origin_query{number, stream}});
+        sends->push_back({keeper->peerAddress, queryOf(number, sought)});
     }
     m_queries.emplace(number, std::move(query));
     return number;
@@ -121,12 +147,12 @@
             }
         }
     } else if (const auto *query = std::get_if<stream_origin_query>(&message)) {
-        const auto origin = m_table.find(now, query->stream);
+        const auto origin = find(now, {query->stream, query->service, std::chrono::milliseconds(query->windowMs)});
         effects.sends.push_back({from, stream_origin_reply{query->number, origin.has_value(), origin.value_or(stream_origin{})}});
     } else {
         const auto &reply = std::get<stream_origin_reply>(message);
         const auto found = m_queries.find(reply.number);
-        if (found == m_queries.end() || (reply.isKnown && reply.origin.stream != found->second.stream)) {
+        if (found == m_queries.end() || (reply.isKnown && reply.origin.stream != found->second.sought.stream)) {
             return effects;
         }
         found->second.open.erase(from);
@@ -169,7 +195,7 @@
         } else if (!query.isRepeated && 3 * passed >= m_settings.queryTimeout) {
             query.isRepeated = true;
             for (const std::string &address : query.open) {
-                effects.sends.push_back({address, stream_origin_query{number, query.stream}});
+                effects.sends.push_back({address, queryOf(number, query.sought)});
             }
         }
     }
--- a/src/relay/stream_origin_exchange.h
+++ b/src/relay/stream_origin_exchange.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -48,6 +49,16 @@
     auto operator<=>(const origin_query_result &) const = default;
 };
 
+/// A stream whose origin is sought.
+struct sought_stream
+{
+    std::uint64_t stream = 0;
+    std::string service; ///< To which its route leads now.
+    duration window{}; ///< How long ago it can have begun.
+
+    auto operator<=>(const sought_stream &) const = default;
+};
+
 /// What follows from a received message.
 struct origin_effects
 {
@@ -61,12 +72,16 @@
  * Load pattern: during a release two versions of an engine's software serve side by side, what they write doesn't fit together, and entries
  * are lost in groups while their callers come back at others. The entry that begins a stream reports its origin to some entries that follow
  * from the stream's id by rendezvous hashing, before the request is sent to the engine. Another entry finds them by the same hash. An origin
- * that none of them knows stays unknown. Not thread safe. Instants must not decrease.
+ * that none of them knows stays unknown, unless one version only has served since before the stream can have begun. Not thread safe. Instants must not
+ * decrease.
  */
 class stream_origin_exchange
 {
 public:
-    static stream_origin_exchange make(const origin_exchange_settings &settings);
+    /// Returns the only version that has served @p service within @p window; empty when there were several or it isn't known.
+    using only_version_hook = std::function<std::optional<std::string>(const std::string &service, duration window)>;
+
+    static stream_origin_exchange make(const origin_exchange_settings &settings, only_version_hook onlyVersion);
 
     const origin_exchange_settings &settings() const noexcept
     {
@@ -81,13 +96,15 @@
     bool isKept(std::uint64_t stream) const;
     /// Returns whether every entry that may remember an origin of the stream remembers the last one.
     bool isKeptByAll(std::uint64_t stream) const;
+    /// Returns the origin that a request in progress has told.
+    std::optional<stream_origin> toldOrigin(std::uint64_t stream) const;
     /// Records that the request that told an origin has ended.
     void finish(std::uint64_t stream);
 
-    /// Returns the origin of a stream, if this entry knows it.
-    std::optional<stream_origin> find(instant now, std::uint64_t stream) const;
+    /// Returns the origin of a stream, if this entry remembers it or it follows from the versions that have served.
+    std::optional<stream_origin> find(instant now, const sought_stream &sought) const;
     /// Begins a query and returns its number. onMessage() or advance() returns its result.
-    std::uint32_t ask(instant now, std::uint64_t stream, std::vector<addressed_origin_message> *sends);
+    std::uint32_t ask(instant now, const sought_stream &sought, std::vector<addressed_origin_message> *sends);
 
     /// Processes a message of the entry with the peer address @p from.
     origin_effects onMessage(instant now, const std::string &from, const stream_origin_message &message);
@@ -116,16 +133,18 @@
     };
     struct open_query
     {
-        std::uint64_t stream = 0;
+        sought_stream sought;
         std::set<std::string> open; ///< Entries that have not replied.
         instant startedAt{};
         bool isRepeated = false;
     };
 
-    explicit stream_origin_exchange(const origin_exchange_settings &settings);
+    stream_origin_exchange(const origin_exchange_settings &settings, only_version_hook onlyVersion);
+    static stream_origin_query queryOf(std::uint32_t number, const sought_stream &sought);
     static void appendReports(const told_origin &told, std::vector<addressed_origin_message> &sends);
 
     origin_exchange_settings m_settings;
+    only_version_hook m_onlyVersion;
     stream_origin_table m_table;
     std::vector<member> m_others;
     std::map<std::uint64_t, told_origin> m_told; ///< By stream.
--- a/src/relay/upstream_registry.cpp
+++ b/src/relay/upstream_registry.cpp
@@ -245,6 +245,17 @@
     return known != m_runs.end() && isUsable(known->second) && !known->second.moving;
 }
 
+std::set<std::string> upstream_registry::softwareVersions(const std::string &service) const
+{
+    std::set<std::string> versions;
+    for (const auto &[id, entry] : m_runs) {
+        if (entry.run.service == service) {
+            versions.insert(entry.run.softwareVersion);
+        }
+    }
+    return versions;
+}
+
 std::vector<const registration *> upstream_registry::draining() const
 {
     std::vector<const registration *> result;
--- a/src/relay/upstream_registry.h
+++ b/src/relay/upstream_registry.h
@@ -97,6 +97,8 @@
     std::vector<const registration *> usable(const std::string &service, engine_phase phase) const;
     /// Returns whether the instance of @p id may get new work in the phase that it has reported.
     bool isUsable(const std::string &id) const;
+    /// Returns the software versions of all registered instances of @p service; with an empty one if that of an instance is unknown.
+    std::set<std::string> softwareVersions(const std::string &service) const;
     /// Returns the instances whose registrations say that they leave.
     std::vector<const registration *> draining() const;
     /// Returns whether removals take effect at once, so that other entries may rely on this entry's list. False during an outage
--- /dev/null
+++ b/src/relay/version_history.cpp
@@ -0,0 +1,51 @@
+#include "relay/version_history.h"
+
+#include <algorithm>
+
+namespace heatherroute
+{
+
+version_history version_history::make(const version_history_settings &settings)
+{
+    return version_history(settings);
+}
+
+version_history::version_history(const version_history_settings &settings)
+    : m_settings(settings)
+{ }
+
+void version_history::noteCurrent(instant now, duration age)
+{
+    const instant at = now - age;
+    if (!m_currentAt || at - *m_currentAt > m_settings.maxListAge) {
+        m_currentSince = at;
+    }
+    m_currentAt = std::max(m_currentAt.value_or(at), at);
+}
+
+void version_history::note(instant now, const std::string &service, const std::string &version)
+{
+    auto &versions = m_lastSeen[service];
+    versions[version] = now;
+    std::erase_if(versions, [&](const auto &known) { return now - known.second > m_settings.retention; });
+}
+
+std::optional<std::string> version_history::onlyVersion(instant now, const std::string &service, const std::set<std::string> &present, duration window) const
+{
+    const bool isCurrent = m_currentAt && now - *m_currentAt <= m_settings.maxListAge;
+    if (!isCurrent || now - m_currentSince < window || window > m_settings.retention) {
+        return std::nullopt;
+    }
+    std::set<std::string> versions = present;
+    if (const auto known = m_lastSeen.find(service); known != m_lastSeen.end()) {
+        for (const auto &[version, at] : known->second) {
+            if (now - at <= window) {
+                versions.insert(version);
+            }
+        }
+    }
+    const bool isOnly = versions.size() == 1 && !versions.begin()->empty();
+    return isOnly ? std::optional(*versions.begin()) : std::nullopt;
+}
+
+} // namespace heatherroute
--- /dev/null
+++ b/src/relay/version_history.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <compare>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "heatherroute/time.h"
+
+namespace heatherroute
+{
+
+/// Settings of a version_history.
+struct version_history_settings
+{
+    /// Oldest list of upstreams that counts as current. An entry that is out of touch doesn't learn of new versions.
+    duration maxListAge = std::chrono::milliseconds(2'500);
+    duration retention = std::chrono::minutes(5); ///< How long a version that is gone is remembered.
+
+    auto operator<=>(const version_history_settings &) const = default;
+};
+
+/**
+ * Which software versions of a service have been registered lately.
+ *
+ * Load pattern: a caller takes up a stream whose origin no entry remembers. While one version only has served since before the stream can
+ * have begun, its origin is known all the same; after a gap in which the list of upstreams wasn't current, a version may have come and gone
+ * unseen. Pure; not thread safe. Instants must not decrease.
+ */
+class version_history
+{
+public:
+    static version_history make(const version_history_settings &settings);
+
+    /// Records that this entry's list of upstreams held all that the store did @p age ago.
+    void noteCurrent(instant now, duration age);
+    /// Records that an upstream of @p service with @p version is registered, or was until now.
+    void note(instant now, const std::string &service, const std::string &version);
+    /// Returns the only version that has been registered within @p window; empty when there were several, or when this can't be known.
+    /// @p present: the versions that are registered now.
+    std::optional<std::string> onlyVersion(instant now, const std::string &service, const std::set<std::string> &present, duration window) const;
+
+private:
+    explicit version_history(const version_history_settings &settings);
+
+    version_history_settings m_settings;
+    std::optional<instant> m_currentAt; ///< The last time for which the list is known to have been current.
+    instant m_currentSince{}; ///< The list has been current from then on, without a gap.
+    std::map<std::string, std::map<std::string, instant>> m_lastSeen; ///< When each version was last registered, by service.
+};
+
+} // namespace heatherroute
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -64,7 +64,7 @@
                                            versioned_store_update{5, sampleStoreGossip()},
                                            stream_origin_report{7, {99, 1, 14'000, "llm", "v1.1"}},
                                            stream_origin_ack{7},
-                                           stream_origin_query{8, 99},
+                                           stream_origin_query{8, 99, 19'000, "llm"},
                                            stream_origin_reply{8, true, {99, 1, 14'000, "llm", "v1.1"}}};
     for (const peer_body &body : bodies) {
         const peer_message message{sampleMessage().header, body};
--- a/tests/stream_origin_state_test.cpp
+++ b/tests/stream_origin_state_test.cpp
@@ -79,7 +79,7 @@
 private:
     struct entry
     {
-        stream_origin_exchange exchange = stream_origin_exchange::make({});
+        stream_origin_exchange exchange = stream_origin_exchange::make({}, [](const std::string &, duration) { return std::nullopt; });
         bool isUp = true;
         int downUntil = 0;
         std::uint64_t starts = 0;
@@ -331,12 +331,12 @@
         if (!one.isUp) {
             return;
         }
-        if (const auto known = one.exchange.find(now(), key)) {
+        if (const auto known = one.exchange.find(now(), {key, "llm", seconds(19)})) {
             noteResume(key, known);
             return;
         }
         std::vector<addressed_origin_message> sends;
-        one.queries.emplace(one.exchange.ask(now(), key, &sends), key);
+        one.queries.emplace(one.exchange.ask(now(), {key, "llm", seconds(19)}, &sends), key);
         for (const addressed_origin_message &each : sends) {
             post(index, each);
         }
--- a/tests/stream_origin_test.cpp
+++ b/tests/stream_origin_test.cpp
@@ -4,6 +4,7 @@
 #include <malloc.h>
 
 #include "relay/stream_origin_exchange.h"
+#include "relay/version_history.h"
 
 using namespace heatherroute;
 using std::chrono::milliseconds;
@@ -31,6 +32,17 @@
     return members;
 }
 
+/// An exchange of an entry that knows nothing about the versions that have served.
+stream_origin_exchange makeExchange()
+{
+    return stream_origin_exchange::make({}, [](const std::string &, duration) { return std::nullopt; });
+}
+
+sought_stream soughtOf(std::uint64_t stream)
+{
+    return {stream, "llm", seconds(19)};
+}
+
 } // namespace
 
 TEST(StreamOriginTable, OriginIsForgottenAfterItsLife)
@@ -87,12 +99,12 @@
 
 TEST(StreamOriginExchange, EntryWithoutOthersKnowsItsOwnStreamsOnly)
 {
-    auto exchange = stream_origin_exchange::make({});
+    auto exchange = makeExchange();
     EXPECT_TRUE(exchange.tell(kStart, originOf(1, "v1")).empty());
     EXPECT_TRUE(exchange.isKept(1));
-    EXPECT_EQ(exchange.find(kStart, 1)->version, "v1");
+    EXPECT_EQ(exchange.find(kStart, soughtOf(1))->version, "v1");
     std::vector<addressed_origin_message> sends;
-    const std::uint32_t number = exchange.ask(kStart, 2, &sends);
+    const std::uint32_t number = exchange.ask(kStart, soughtOf(2), &sends);
     EXPECT_TRUE(sends.empty());
     const origin_effects effects = exchange.advance(kStart);
     ASSERT_EQ(effects.results.size(), 1U);
@@ -101,7 +113,7 @@
 
 TEST(StreamOriginExchange, ChangedVersionIsKeptOnlyOnceAllThatWereToldTheFirstKnowIt)
 {
-    auto exchange = stream_origin_exchange::make({});
+    auto exchange = makeExchange();
     exchange.setMembers(membersNamed(6));
     const auto first = exchange.tell(kStart, originOf(1, "v1"));
     ASSERT_EQ(first.size(), 3U);
@@ -123,7 +135,7 @@
 // Load pattern: the entries that should remember an origin have been lost, and their loss isn't known yet.
 TEST(StreamOriginExchange, FurtherEntriesTakeThePlaceOfThoseThatDoNotAcknowledge)
 {
-    auto exchange = stream_origin_exchange::make({});
+    auto exchange = makeExchange();
     exchange.setMembers(membersNamed(9));
     const auto first = exchange.tell(kStart, originOf(1, "v1"));
     ASSERT_EQ(first.size(), 3U);
@@ -135,10 +147,10 @@
 
 TEST(StreamOriginExchange, QueryEndsWithTheFirstEntryThatKnows)
 {
-    auto exchange = stream_origin_exchange::make({});
+    auto exchange = makeExchange();
     exchange.setMembers(membersNamed(8));
     std::vector<addressed_origin_message> sends;
-    const std::uint32_t number = exchange.ask(kStart, 7, &sends);
+    const std::uint32_t number = exchange.ask(kStart, soughtOf(7), &sends);
     ASSERT_EQ(sends.size(), exchange.settings().askedEntries);
     EXPECT_TRUE(exchange.onMessage(kStart, sends[0].peerAddress, stream_origin_reply{number, false, {}}).results.empty());
     EXPECT_TRUE(exchange.onMessage(kStart, sends[1].peerAddress, stream_origin_reply{number, true, originOf(8, "v1")}).results.empty()) << "of another stream";
@@ -150,10 +162,60 @@
 
 TEST(StreamOriginExchange, EntryThatStopsHandsItsOriginsOver)
 {
-    auto exchange = stream_origin_exchange::make({});
+    auto exchange = makeExchange();
     exchange.setMembers(membersNamed(6));
     exchange.tell(kStart, originOf(1, "v1"));
     const auto handed = exchange.handOver(kStart + seconds(4));
     ASSERT_EQ(handed.size(), 3U);
     EXPECT_EQ(std::get<stream_origin_report>(handed.front().message).origin.lifeMs, 10'000U);
 }
+
+TEST(StreamOriginExchange, OnlyVersionThatHasServedIsTheOriginOfAnUnknownStream)
+{
+    const auto exchange = stream_origin_exchange::make({}, [](const std::string &service, duration window) {
+        return service == "llm" && window == seconds(19) ? std::optional<std::string>("v1") : std::nullopt;
+    });
+    EXPECT_EQ(exchange.find(kStart, soughtOf(1))->version, "v1");
+    EXPECT_EQ(exchange.find(kStart, {1, "other", seconds(19)}), std::nullopt);
+}
+
+TEST(VersionHistory, OnlyVersionIsKnownOnceItHasServedForLongEnough)
+{
+    auto history = version_history::make({});
+    const auto only = [&history](instant now, const std::set<std::string> &present) { return history.onlyVersion(now, "llm", present, seconds(19)); };
+    for (instant now = kStart; now < kStart + seconds(30); now += seconds(1)) {
+        history.noteCurrent(now, milliseconds(500));
+    }
+    EXPECT_EQ(only(kStart + seconds(18), {"v1"}), std::nullopt) << "the entry has just started";
+    EXPECT_EQ(only(kStart + seconds(30), {"v1"}), "v1");
+    EXPECT_EQ(only(kStart + seconds(30), {"v1", "v2"}), std::nullopt);
+    EXPECT_EQ(only(kStart + seconds(30), {""}), std::nullopt);
+    EXPECT_EQ(only(kStart + seconds(30), {}), std::nullopt);
+}
+
+TEST(VersionHistory, VersionThatHasGoneMayHaveBegunAStream)
+{
+    auto history = version_history::make({});
+    for (instant now = kStart; now <= kStart + seconds(60); now += seconds(1)) {
+        history.noteCurrent(now, duration::zero());
+        if (now == kStart + seconds(30)) {
+            history.note(now, "llm", "v1");
+        }
+    }
+    EXPECT_EQ(history.onlyVersion(kStart + seconds(60), "llm", {"v2"}, seconds(19)), "v2");
+    EXPECT_EQ(history.onlyVersion(kStart + seconds(60), "llm", {"v2"}, seconds(31)), std::nullopt);
+}
+
+TEST(VersionHistory, NothingIsKnownDuringAndAfterAGap)
+{
+    auto history = version_history::make({});
+    for (instant now = kStart; now <= kStart + seconds(30); now += seconds(1)) {
+        history.noteCurrent(now, duration::zero());
+    }
+    EXPECT_EQ(history.onlyVersion(kStart + seconds(33), "llm", {"v1"}, seconds(19)), std::nullopt);
+    for (instant now = kStart + seconds(34); now <= kStart + seconds(60); now += seconds(1)) {
+        history.noteCurrent(now, duration::zero());
+        const auto only = history.onlyVersion(now, "llm", {"v1"}, seconds(19));
+        EXPECT_EQ(only.has_value(), now >= kStart + seconds(34 + 19));
+    }
+}
