--- a/include/heatherroute/crash_report.h
+++ b/include/heatherroute/crash_report.h
@@ -34,7 +34,7 @@
     std::uint32_t ageMs = 0; ///< Time since the crash, or since the request was cleared.
     bool cleared = false; ///< An upstream has answered the request completely, so earlier crashes had other causes.
     std::uint32_t ranMs = 0; ///< Time from the sending of the request to the crash.
-    std::vector<std::uint64_t> parts; ///< Fingerprints of the shared parts of the request's prompt, in order.
+    std::vector<std::uint64_t> parts = {}; ///< Fingerprints of the shared parts of the request's prompt, in order.
 
     auto operator<=>(const crash_report &) const = default;
 
@@ -65,7 +65,7 @@
     upstream_instance instance;
     std::uint32_t ageMs = 0; ///< Time since the upstream was found silent.
     std::uint32_t ranMs = 0; ///< Time from the sending of the request to then; 0 for an attempt that has just begun.
-    std::vector<std::uint64_t> parts; ///< Fingerprints of the shared parts of the request's prompt, in order.
+    std::vector<std::uint64_t> parts = {}; ///< Fingerprints of the shared parts of the request's prompt, in order.
 
     auto operator<=>(const open_attempt &) const = default;
 
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Installs the packages that the build needs and builds everything into build/. Usage: scripts/setup.sh
+# Installs the packages that the build needs and builds everything into build/. Usage: scripts/setup.sh [CMAKE_OPTION...]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 packages=(g++ cmake ninja-build ccache clang-format clang-tidy git
@@ -10,5 +10,5 @@
     apt-get update -qq
     DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${packages[@]}" >/dev/null
 fi
-cmake -S . -B build -G Ninja >/dev/null
+cmake -S . -B build -G Ninja "$@" >/dev/null
 ninja -C build --quiet
--- a/src/node/bounded_ring.h
+++ b/src/node/bounded_ring.h
@@ -50,8 +50,7 @@
         if (head == m_tail.load(std::memory_order_seq_cst)) {
             return std::nullopt;
         }
-        std::optional<T> value(std::move(*m_slots[head]));
-        m_slots[head].reset();
+        std::optional<T> value = std::exchange(m_slots[head], std::nullopt);
         m_head.store(nextIndex(head), std::memory_order_release);
         return value;
     }
--- a/src/relay/platform_store.h
+++ b/src/relay/platform_store.h
@@ -68,7 +68,7 @@
     std::string reason;
     std::uint64_t generation = 0; ///< Increases with each change of an assignment; serves as the fencing token.
     bool holds = false; ///< Whether this member may give orders.
-    std::optional<std::uint64_t> era; ///< As in keyed_page.
+    std::optional<std::uint64_t> era = {}; ///< As in keyed_page.
     bool operator==(const lease_answer &) const = default;
 };
 
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -30,7 +30,7 @@
     std::string answer;
     bool reset = false; ///< Reset the connection instead of closing it.
     bool hang = false; ///< Keep the connection open without sending anything more.
-    std::string repeated; ///< Sent again and again after the answer, until the client closes the connection.
+    std::string repeated = {}; ///< Sent again and again after the answer, until the client closes the connection.
     milliseconds interval{0}; ///< Between two of them.
 };
 
--- a/tests/standins/site_upstream.h
+++ b/tests/standins/site_upstream.h
@@ -69,8 +69,8 @@
     std::string id; ///< Of the request.
     std::string target;
     bool isPrefill = false; ///< Only the prompt was to be computed.
-    std::string poisonPart; ///< The part of its prompt that crashes engines, if there is one.
-    std::string instance; ///< Id of the upstream.
+    std::string poisonPart = {}; ///< The part of its prompt that crashes engines, if there is one.
+    std::string instance = {}; ///< Id of the upstream.
 };
 
 /// A call of any kind, health checks included, that arrived at an upstream while it named a limit.
@@ -87,8 +87,8 @@
 {
     std::chrono::steady_clock::time_point at;
     std::string target; ///< Of the request.
-    std::string poisonPart; ///< The part of its prompt by which it crashed the engine; empty if its target was the reason.
-    std::set<std::string> poisonPartsInFlight; ///< Of all requests that were in progress, which may be more than the one that came first.
+    std::string poisonPart = {}; ///< The part of its prompt by which it crashed the engine; empty if its target was the reason.
+    std::set<std::string> poisonPartsInFlight = {}; ///< Of all requests that were in progress, which may be more than the one that came first.
 };
 
 /// An order to change its phase that an engine has accepted.
