Entries no longer end when a caller takes up a stream

Cause: the stream that is sought was built from braces in the await's own statement; g++ 12 destroys such a temporary twice, as DEVELOPERS.md says.

--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -177,7 +177,8 @@
             co_return true;
         }
         const duration window = std::max<duration>(m_call.facts().timeLeft.value_or(kDefaultOriginLife), m_call.matchedRoute().timeout) + kOriginSlack;
-        m_origin = co_await m_state.origins.find({m_stream, m_service, window});
+        sought_stream sought{m_stream, m_service, window};
+        m_origin = co_await m_state.origins.find(std::move(sought));
         const auto &targets = m_call.matchedRoute().targets;
         const bool isUsable = m_origin && !m_origin->version.empty()
                               && std::any_of(targets.begin(), targets.end(), [this](const route_target &one) { return one.service == m_origin->service; });
