State test of draining: an entry whose read failed reads again within a second, as the product does

Traced: the entry had lost the store while others read for it. The model let it read again after 15 s only, as entries do that get updates, so it took the store for lost long after it was back, and waited the grace of two seconds when the readers failed in their turn. In the product a failed read is followed by another within 150 ms to 1 s, whoever reads (store_duty, maxBackoff). The model does so now; the bound and the faults are unchanged.

--- a/tests/drain_state_test.cpp
+++ b/tests/drain_state_test.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds kStep{100};
 constexpr milliseconds kReadInterval{900}; ///< Read interval of entries that read the store for the others.
 constexpr milliseconds kFallbackReadInterval{15'000}; ///< Read interval of entries that receive updates from others.
+constexpr milliseconds kMaxReadBackoff{1'000}; ///< After a failed read, whoever reads.
 constexpr milliseconds kDrainBound{2'000}; ///< The platform's limit, from the change in the store to the last request.
 constexpr seconds kSteadyTime{3}; ///< An entry without faults for this long must keep the bound.
 /// A VM whose packets are delayed for longer counts as slowed, and the bound doesn't apply to it.
@@ -207,7 +208,7 @@
         self.readsOften = readsOften;
         if (m_now >= self.nextRead) {
             read(self, storeLost);
-            self.nextRead = m_now + (readsOften ? kReadInterval : kFallbackReadInterval);
+            self.nextRead = m_now + (storeLost ? kMaxReadBackoff : (readsOften ? kReadInterval : kFallbackReadInterval));
         }
         self.registry.advance(m_now);
         sendUpdates(index);
