New streams confirm their engine's instance while several software versions serve

Cause: an engine was restarted under its id with other software, and entry 1 had not learned of it; a stream that it began there was reported as of the version before, the entry was killed, and the caller took the stream up at that version. The entry's own log of that attempt is lost with it; the engine's restart, the other entries' news of it 0.4 to 1.0 s later and the kill at 10.09 s fit, no other case in the logs does. Resumed streams asked their engine for its report already.

Change: new streams do so, too, while more than one version is registered. That is one more call for a stream during releases.

--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -68,7 +68,8 @@
     Ended, ///< The request has ended and must not be retried.
 };
 
-/// Permits for a reservation and for the decode, or the release, that follows it. A resumed stream also confirms the engine's instance.
+/// Permits for a reservation and for the decode, or the release, that follows it. With several software versions another one confirms the
+/// engine's instance.
 constexpr std::uint32_t kPermitsPerDecode = 2;
 
 /// Without a permit the call is not made: what it would release expires by itself.
@@ -127,7 +128,7 @@
                 break;
             }
             bool isConfirmed = holdsUsableReservation();
-            if (isConfirmed && isResumed()) {
+            if (isConfirmed && m_confirms) {
                 isConfirmed = co_await confirmInstance(m_reserved->run);
             }
             if (!isConfirmed) {
@@ -311,9 +312,16 @@
         co_return false;
     }
 
+    /// Whether the engine must be confirmed to be the known instance before the decode, since its software version decides where the stream may
+    /// go on. New streams at the first engine that changes its version under its id aren't covered.
+    bool needsConfirmation() const
+    {
+        return isResumed() || m_state.registry.softwareVersions(m_service).size() > 1;
+    }
+
     std::uint32_t permitsPerDecode() const
     {
-        return isResumed() ? kPermitsPerDecode + 1 : kPermitsPerDecode;
+        return m_confirms ? kPermitsPerDecode + 1 : kPermitsPerDecode;
     }
 
     /// Queries a few decode engines that aren't known to be full for memory. Their number is limited because each query opens a
@@ -342,6 +350,7 @@
     asio::awaitable<bool> tryReserveAt(registration run)
     {
         const std::uint32_t tokens = m_state.scheduler.reservedTokens(m_prompt);
+        m_confirms = needsConfirmation();
         const bool permitted = co_await m_state.permits.acquire(run, permitsPerDecode());
         if (!permitted) {
             co_return false;
@@ -760,6 +769,7 @@
     std::uint64_t m_stream = 0; ///< Hash of the attempt that began the stream.
     std::optional<stream_origin> m_origin; ///< The version that other entries know for the stream.
     bool m_isOriginTold = false; ///< By this request.
+    bool m_confirms = false; ///< The instance of the reserved engine is confirmed before the decode.
     bool m_changedVersion = false; ///< Since this request has told it.
     prompt_facts m_prompt;
     std::optional<reservation> m_reserved;
