--- a/bench/heatherbench_soak.cpp
+++ b/bench/heatherbench_soak.cpp
@@ -86,6 +86,7 @@
         for (std::size_t caller = 0; caller < m_options.callers; ++caller) {
             asio::co_spawn(m_context, runCaller(m_options.seed + caller), asio::detached);
         }
+        m_streamCallers.setDisturbances([this](std::size_t entry) { return m_disturbanceCounts[entry]; });
         m_streamCallers.start(m_context.get_executor());
         asio::co_spawn(m_context, limitUpstreams(), asio::detached);
         asio::co_spawn(m_context, runPoisonCaller(), asio::detached);
--- a/tests/support/stream_caller.h
+++ b/tests/support/stream_caller.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <random>
 #include <string>
 
@@ -23,6 +24,12 @@
 public:
     stream_callers(relay_site &site, std::size_t callers, std::chrono::milliseconds pause);
 
+    /// Sets a hook that returns how often an entry has been killed, stopped or paused so far, or has begun to be. A request during which that
+    /// changes, or which falls into a pause, is not checked.
+    void setDisturbances(std::function<std::uint64_t(std::size_t entry)> hook)
+    {
+        m_disturbances = std::move(hook);
+    }
     void start(const boost::asio::any_io_executor &executor);
     /// Ends the callers and waits for them.
     boost::asio::awaitable<void> stop();
@@ -68,6 +75,7 @@
     relay_site &m_site;
     std::size_t m_count;
     std::chrono::milliseconds m_pause;
+    std::function<std::uint64_t(std::size_t entry)> m_disturbances = [](std::size_t) { return std::uint64_t{0}; };
     std::size_t m_running = 0;
     bool m_stopping = false;
     std::size_t m_sent = 0;
