--- a/src/node/plain_relay.cpp
+++ b/src/node/plain_relay.cpp
@@ -73,7 +73,7 @@
                 }
                 co_return m_triedIds.empty() ? "no_upstream" : "no_other_upstream";
             }
-            const registration tried = *chosen;
+            const registration &tried = *chosen;
             if (!m_triedIds.empty() && !m_state.tryRetry(m_service)) {
                 m_state.permits.giveBack(tried, 1);
                 co_return "retry_budget_used_up";
