--- a/src/relay/fleet_rate_limiter.cpp
+++ b/src/relay/fleet_rate_limiter.cpp
@@ -341,11 +341,8 @@
     reply.number = request.number;
     limited_upstream *upstream = findLimited(request.limit.instance);
     duration wait = m_settings.minWait;
-    if (upstream == nullptr) {
-        reply.granted = request.permits;
-    } else if (isCoordinator(request.limit.instance.id) && tryIssue(now, *upstream, request.permits, &wait)) {
-        reply.granted = request.permits;
-    }
+    const bool isGranted = upstream == nullptr || (isCoordinator(request.limit.instance.id) && tryIssue(now, *upstream, request.permits, &wait));
+    reply.granted = isGranted ? request.permits : 0;
     reply.waitMs = millisecondsBetween(now, now + wait);
     reply.limit = reportOf(now, request.limit.instance);
     return reply;
