--- a/tests/fleet_rate_limiter_test.cpp
+++ b/tests/fleet_rate_limiter_test.cpp
@@ -156,7 +156,6 @@
     constexpr double kPerSecond = 10.0;
     const seconds time(60);
     int granted = 0;
-    std::vector<int> perEntry;
     for (std::size_t index = 0; index < kEntries; ++index) {
         instant now = instant(seconds(1'000));
         auto limiter = fleet_rate_limiter::make(now, {}, "entry-" + std::to_string(index), index);
@@ -208,8 +207,10 @@
         others.push_back(memberNamed("entry-" + std::to_string(i)));
     }
     fleet.limiter.setMembers(fleet.now, others);
+    constexpr int kRefused = 20;
     std::vector<duration> returns;
-    for (int i = 0; i < 20; ++i) {
+    returns.reserve(kRefused);
+    for (int i = 0; i < kRefused; ++i) {
         returns.push_back(fleet.limiter.nextReturn(fleet.now, "portal", 5.0));
     }
     EXPECT_TRUE(std::is_sorted(returns.begin(), returns.end()));
--- a/tests/process_bad_input_test.cpp
+++ b/tests/process_bad_input_test.cpp
@@ -137,7 +137,7 @@
                                             json::value{{"model", "m"}, {"prompt", "p"}, {"max_tokens", -1}},
                                             json::value{{"model", "m"}, {"prompt", "p"}, {"max_tokens", 1.5}},
                                             json::value{{"model", "m"}, {"prompt", "p"}, {"max_tokens", 1}, {"stream", 1}}};
-    const auto expect = [this](const http_reply &reply, unsigned status) {
+    const auto expect = [](const http_reply &reply, unsigned status) {
         EXPECT_EQ(reply.status, status) << reply.body;
         EXPECT_TRUE(reply.status == status && reply.json.at("error").at("verdict") == "not_run") << reply.body;
     };
--- a/tests/rate_limiter_state_test.cpp
+++ b/tests/rate_limiter_state_test.cpp
@@ -250,7 +250,7 @@
         }
     }
 
-    void post(std::size_t from, std::size_t to, rate_limit_message body)
+    void post(std::size_t from, std::size_t to, const rate_limit_message &body)
     {
         if (!mayReach(from, to)) {
             return;
