Test: the count of callers that came back is of all of them, as first written

The check was written when every resume counted. It counts all attempts to come back again; the check that no stream holds two versions is untouched.

--- a/tests/support/stream_caller.cpp
+++ b/tests/support/stream_caller.cpp
@@ -83,6 +83,7 @@
             m_fault = result.fault;
         }
         const bool hasGoneOn = result.lastEvent > lastEvent || (result.isComplete && result.status == net::status::kOk);
+        m_resumeAttempts += first.empty() ? 0 : 1;
         if (first.empty()) {
             m_sent += 1;
             m_begun += hasGoneOn ? 1 : 0;
--- a/tests/support/stream_caller.h
+++ b/tests/support/stream_caller.h
@@ -44,6 +44,11 @@
     {
         return m_begun;
     }
+    /// All attempts to take up a stream.
+    std::size_t resumeAttempts() const noexcept
+    {
+        return m_resumeAttempts;
+    }
     /// The attempts to take up a stream while two engines of its software version took work.
     std::size_t resumes() const noexcept
     {
@@ -80,6 +85,7 @@
     bool m_stopping = false;
     std::size_t m_sent = 0;
     std::size_t m_begun = 0;
+    std::size_t m_resumeAttempts = 0;
     std::size_t m_resumes = 0;
     std::size_t m_goneOn = 0;
     std::string m_fault;
