A request that crashes upstreams is known again whichever address it comes from

Cause: the fingerprint of a request included the caller's address. The same request comes from many callers, so each of them could crash three upstreams before its own quarantine. Class: an identity that holds more than what causes the fault; the address doesn't reach the upstream, so it can't decide whether it crashes.

The lookups that crash upstreams are equal in all but id and deadline, and come from more than six addresses; the paths of sound ones differ.

Change: the fingerprint is over what the upstream gets: method, host, target, body and credentials. The own interface counted the team in the same way, which doesn't reach engines or services either; it no longer does.

Entries of builds before and after this change don't share evidence of requests.

--- a/include/heatherroute/request_fingerprint.h
+++ b/include/heatherroute/request_fingerprint.h
@@ -12,10 +12,11 @@
 
 inline constexpr std::size_t kMaxSharedParts = 16;
 
-/// The parts of a request that stay the same when its caller sends it again, at any entry and under another request id.
+/// The parts of a request that reach the upstream and stay the same when it is sent again, by any caller, at any entry and under another
+/// request id.
 struct request_identity
 {
-    std::string_view caller; ///< The caller's IP address, or the name by which it authenticated.
+    std::string_view credentials; ///< By which the upstream knows the caller; empty when the request has none.
     std::string_view method;
     std::string_view host; ///< The host, or the service that is called.
     std::string_view target; ///< With the query.
--- a/src/core/request_fingerprint.cpp
+++ b/src/core/request_fingerprint.cpp
@@ -10,7 +10,7 @@
 std::uint64_t fingerprintOf(const request_identity &identity)
 {
     std::uint64_t hash = 0;
-    for (const std::string_view part : {identity.caller, identity.method, identity.host, identity.target, identity.body}) {
+    for (const std::string_view part : {identity.credentials, identity.method, identity.host, identity.target, identity.body}) {
         // The previous hash as the seed keeps the parts apart.
         hash = XXH3_64bits_withSeed(part.data(), part.size(), hash);
     }
--- a/src/core/service_handler.cpp
+++ b/src/core/service_handler.cpp
@@ -30,7 +30,7 @@
         m_context.emit(fail_caller{caller, 404, "unknown_service", "no upstream serves this service", verdict::NotRun, std::nullopt});
         return;
     }
-    const request_fingerprints fingerprints{fingerprintOf({request.traits.team, request.method, request.service, request.path, request.body}), {}};
+    const request_fingerprints fingerprints{fingerprintOf({{}, request.method, request.service, request.path, request.body}), {}};
     if (const duration left = m_crashes.admit(fingerprints); left > duration::zero()) {
         m_context.emit(fail_caller{caller, 503, "quarantined", "upstreams have crashed under this request", verdict::NotRun, left});
         return;
--- a/src/node/relay_call.cpp
+++ b/src/node/relay_call.cpp
@@ -28,6 +28,12 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(value);
 }
 
+/// Returns what names the caller to upstreams, which don't get its address.
+std::string credentialsIn(const net::http_request &request)
+{
+    return std::string(request.header("Authorization")) + '\n' + std::string(request.header("Cookie"));
+}
+
 } // namespace
 
 void relay_call::shared_state::interrupt() const
@@ -44,7 +50,7 @@
     : m_state(state)
     , m_request(std::move(request))
     , m_facts(state.dialect.readRequest(m_request))
-    , m_fingerprints{fingerprintOf({m_request.remoteAddress, m_request.method, m_facts.host, m_request.target, m_request.body}),
+    , m_fingerprints{fingerprintOf({credentialsIn(m_request), m_request.method, m_facts.host, m_request.target, m_request.body}),
                      fingerprintsOf(m_facts.model, m_facts.sharedParts)}
     , m_responder(responder)
     , m_routes(state.routes)
