A request that many callers send isn't quarantined beside those that crash upstreams

Cause: all sound streams of the soak are one request to the entries, since path, body and caller are equal. A poison request and a part of prompts crashed five engines within 0.2 s; the stream was in flight in all crashes, had three crashes that neither of the two had alone, and was blamed for ten minutes, though it had been answered completely 137 times before. Its quarantine then explained the crashes of the others. Class: blame by coincidence, where what is always present is present at each fault.

Change: a request that was answered completely in the last minutes is blamed after ten unexplained crashes, as a part of prompts is. The entry remembers at least 4,096 such requests for five minutes. A request that crashes each upstream is never answered completely.

--- a/include/heatherroute/request_quarantine.h
+++ b/include/heatherroute/request_quarantine.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <unordered_set>
 #include <vector>
 
 #include "heatherroute/crash_report.h"
@@ -20,6 +21,8 @@
 struct quarantine_settings
 {
     std::uint32_t maxCrashes = 3; ///< Upstreams that may crash under a request before it is quarantined.
+    /// The same for a request that was answered completely not long before, since other causes are likelier.
+    std::uint32_t maxCrashesOnceSound = 10;
     std::uint32_t announcedCrashes = 2; ///< Crashes from which on attempts of a suspect are reported as they begin.
     duration pendingTime = std::chrono::seconds(10); ///< How long after an interruption the end of its upstream still explains it.
     duration retention = std::chrono::minutes(10); ///< How long a crash counts.
@@ -28,6 +31,8 @@
     std::size_t maxCrashesKept = 256; ///< The oldest crash is forgotten beyond this number.
     std::size_t maxSuspectsPerCrash = 128;
     std::size_t maxPending = 4096; ///< Interruptions that wait for an explanation.
+    duration soundTime = std::chrono::minutes(5); ///< How long a complete answer speaks for a request; up to twice as long.
+    std::size_t maxSoundRequests = 4096; ///< Answers of at least this number of requests are remembered, if they are within that time.
 
     auto operator<=>(const quarantine_settings &) const = default;
 };
@@ -51,8 +56,9 @@
  * An interruption alone proves nothing, since upstreams lose answers and connections too. It counts once the end of the
  * upstream is known: the request then is a suspect of that crash. A suspect of too many crashes is quarantined. Requests that
  * ran beside it are suspects of the same crashes; a crash doesn't count against a request when a quarantined request explains it,
- * and a request that was answered completely since then is cleared. All entries exchange what they observed, so they come to
- * the same verdict. The verdict lapses with the evidence.
+ * and a request that was answered completely since then is cleared. A request that many callers send is in flight in most crashes, so
+ * more of them count against one that was answered lately. All entries exchange what they observed, so they come to the same verdict;
+ * one that hasn't answered the request itself may come to it sooner. The verdict lapses with the evidence.
  *
  * Pure; not thread safe. Instants must not decrease.
  */
@@ -146,6 +152,9 @@
     using crash_lists = std::map<std::uint64_t, std::vector<const known_crash *>>;
     std::vector<const known_crash *> crashesByTime() const;
     void updateQuarantine();
+    void noteSound(instant now, std::uint64_t fingerprint);
+    void forgetSound(instant now);
+    std::uint32_t maxCrashesOf(std::uint64_t fingerprint) const;
     bool isCandidate(std::uint64_t fingerprint) const;
     void judge(const std::vector<std::uint64_t> &fingerprints, const crash_lists &crashesOfRequest, std::set<const known_crash *> &explained);
 
@@ -156,6 +165,9 @@
     std::map<std::uint64_t, std::uint32_t> m_crashCounts; ///< Number of crashes by suspect.
     std::map<upstream_instance, instant> m_crashedInstances; ///< Crashes of the last moments, also those without a suspect.
     std::map<std::uint64_t, instant> m_clearedAt; ///< Crashes up to this time don't count against the request.
+    std::unordered_set<std::uint64_t> m_sound; ///< Requests that were answered completely since m_soundSince.
+    std::unordered_set<std::uint64_t> m_soundBefore; ///< Those of the period before.
+    instant m_soundSince{};
     std::map<std::uint64_t, instant> m_quarantined; ///< The time at which the quarantine lapses, by request.
     std::set<std::uint64_t> m_taken; ///< Requests whose quarantine takeStarted() has returned.
 };
--- a/src/core/request_quarantine.cpp
+++ b/src/core/request_quarantine.cpp
@@ -1,6 +1,7 @@
 #include "heatherroute/request_quarantine.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace heatherroute
 {
@@ -148,6 +149,7 @@
 
 std::optional<crash_report> request_quarantine::noteCompleted(instant now, std::uint64_t fingerprint)
 {
+    noteSound(now, fingerprint);
     const bool isSuspect = crashesOf(fingerprint) > 0 || openCount(fingerprint) > 0;
     std::erase_if(m_pending, [fingerprint](const pending_interruption &interruption) { return interruption.fingerprint == fingerprint; });
     if (!isSuspect) {
@@ -162,6 +164,7 @@
     expire(now);
     const instant at = now - std::chrono::milliseconds(report.ageMs);
     if (report.cleared) {
+        noteSound(now, report.fingerprint);
         clear(at, report.fingerprint);
     } else if (now - at <= m_settings.retention) {
         addSuspect(now, {at, report.instance, report.fingerprint, {report.parts, report.ranMs, false}, false});
@@ -412,6 +415,7 @@
 
 void request_quarantine::expire(instant now)
 {
+    forgetSound(now);
     while (!m_pending.empty() && now - m_pending.front().at > m_settings.pendingTime) {
         m_pending.pop_front();
     }
@@ -462,13 +466,40 @@
     }
     for (auto &[fingerprint, lapsesAt] : m_quarantined) {
         const std::vector<const known_crash *> &crashes = crashesOfRequest[fingerprint];
-        lapsesAt = crashes[crashes.size() - m_settings.maxCrashes]->identity.at + m_settings.retention;
+        lapsesAt = crashes[crashes.size() - maxCrashesOf(fingerprint)]->identity.at + m_settings.retention;
     }
 }
 
 bool request_quarantine::isCandidate(std::uint64_t fingerprint) const
 {
-    return crashesOf(fingerprint) >= m_settings.maxCrashes;
+    return crashesOf(fingerprint) >= maxCrashesOf(fingerprint);
+}
+
+std::uint32_t request_quarantine::maxCrashesOf(std::uint64_t fingerprint) const
+{
+    const bool isSound = m_sound.contains(fingerprint) || m_soundBefore.contains(fingerprint);
+    return isSound ? m_settings.maxCrashesOnceSound : m_settings.maxCrashes;
+}
+
+void request_quarantine::noteSound(instant now, std::uint64_t fingerprint)
+{
+    forgetSound(now);
+    if (m_sound.size() >= m_settings.maxSoundRequests && !m_sound.contains(fingerprint)) {
+        m_soundBefore = std::exchange(m_sound, {});
+        m_soundSince = now;
+    }
+    m_sound.insert(fingerprint);
+}
+
+void request_quarantine::forgetSound(instant now)
+{
+    if (now - m_soundSince < m_settings.soundTime) {
+        return;
+    }
+    const bool isRecent = now - m_soundSince < 2 * m_settings.soundTime;
+    m_soundBefore = isRecent ? std::exchange(m_sound, {}) : std::unordered_set<std::uint64_t>();
+    m_sound.clear();
+    m_soundSince = now;
 }
 
 /// Quarantines those of @p fingerprints that have too many unexplained crashes, and marks their crashes as explained.
@@ -478,7 +509,7 @@
     for (const std::uint64_t fingerprint : fingerprints) {
         const std::vector<const known_crash *> &crashes = crashesOfRequest.at(fingerprint);
         const auto unexplained = std::count_if(crashes.begin(), crashes.end(), [&explained](const known_crash *crash) { return !explained.contains(crash); });
-        if (unexplained >= static_cast<std::ptrdiff_t>(m_settings.maxCrashes)) {
+        if (unexplained >= static_cast<std::ptrdiff_t>(maxCrashesOf(fingerprint))) {
             m_quarantined.emplace(fingerprint, instant{});
             newlyExplained.insert(crashes.begin(), crashes.end());
         }
--- a/tests/request_quarantine_test.cpp
+++ b/tests/request_quarantine_test.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::uint64_t kPoison = 1;
 constexpr std::uint64_t kSound = 2;
+constexpr std::uint64_t kOtherPoison = 3;
 
 instant at(duration time)
 {
@@ -128,6 +129,42 @@
     EXPECT_EQ(quarantine.crashesOf(kSound), 1U);
 }
 
+// Load pattern: many callers send one sound request, so that it is in flight whenever an upstream crashes under one of two others.
+TEST(RequestQuarantine, RequestThatWasAnsweredBeforeIsServedBesideSeveralPoisonRequests)
+{
+    auto quarantine = request_quarantine::make({});
+    quarantine.noteCompleted(at(seconds(-1)), kSound);
+    crash(quarantine, 1, milliseconds(0), {kSound, kPoison});
+    crash(quarantine, 2, milliseconds(50), {kSound, kOtherPoison});
+    crash(quarantine, 3, milliseconds(100), {kSound, kPoison});
+    crash(quarantine, 4, milliseconds(150), {kSound, kOtherPoison});
+    EXPECT_FALSE(isQuarantined(quarantine, seconds(1), kSound));
+    EXPECT_FALSE(isQuarantined(quarantine, seconds(1), kPoison));
+    crash(quarantine, 5, seconds(1), {kPoison});
+    EXPECT_TRUE(isQuarantined(quarantine, seconds(2), kPoison));
+}
+
+TEST(RequestQuarantine, RequestThatCrashesUpstreamsThoughItWasAnsweredBeforeIsQuarantinedLater)
+{
+    auto quarantine = request_quarantine::make({});
+    quarantine.noteCompleted(at(seconds(-1)), kPoison);
+    for (int i = 0; i < 10; ++i) {
+        EXPECT_FALSE(isQuarantined(quarantine, seconds(i), kPoison));
+        crash(quarantine, i, seconds(i), {kPoison});
+    }
+    EXPECT_TRUE(isQuarantined(quarantine, seconds(10), kPoison));
+}
+
+TEST(RequestQuarantine, AnswersOfLongAgoDoNotDelayAQuarantine)
+{
+    auto quarantine = request_quarantine::make({});
+    quarantine.noteCompleted(at(seconds(0)), kPoison);
+    for (int i = 0; i < 3; ++i) {
+        crash(quarantine, i, std::chrono::minutes(11) + seconds(i), {kPoison});
+    }
+    EXPECT_TRUE(isQuarantined(quarantine, std::chrono::minutes(11) + seconds(3), kPoison));
+}
+
 TEST(RequestQuarantine, LateReportOfACrashBeforeTheRequestWasClearedDoesNotCount)
 {
     auto quarantine = request_quarantine::make({});
