Readers of the store tell what changed while their own list is uncertain

Cause: the store came back from an older copy. A reader saw the upstream draining 0.18 s later, but its list counts as uncertain for two seconds after a restore, in which it told the others nothing; two entries that couldn't read went on for 2.9 s. Class: one gate for two things, the claim to read for others and facts that hold without it.

Change: new changes are told at once in a message without the claim, and again once the reader is sure.

Measured: ChangesAreToldWhileTheListOfAReaderIsUncertain failed before.

--- a/src/relay/store_gossip.cpp
+++ b/src/relay/store_gossip.cpp
@@ -75,17 +75,23 @@
     const bool fresh = m_readAt && now - *m_readAt <= m_settings.maxOwnReadAge;
     const bool isDue = !m_sentAt || now - *m_sentAt >= m_settings.interval;
     const bool reads = m_rank < m_settings.readers && fresh;
-    if ((!reads && m_lease == lease_claim::None) || !isDue) {
+    const bool isUncertain = m_rank < m_settings.readers && !fresh;
+    const auto isNew = [&](const noted_change &known) { return now - known.notedAt <= m_settings.resendFor; };
+    const bool tellsEarly = isUncertain && std::any_of(m_changes.begin(), m_changes.end(), isNew);
+    if ((!reads && !tellsEarly && m_lease == lease_claim::None) || !isDue) {
         return {};
     }
     m_sentAt = now;
     std::vector<store_update> messages(1);
     for (noted_change &known : m_changes) {
+        if (isUncertain && !isNew(known)) {
+            continue;
+        }
         if (messages.back().changes.size() == kMaxChangesPerMessage) {
             messages.emplace_back();
         }
         messages.back().changes.push_back(known.change);
-        if (!known.sentSince) {
+        if (!known.sentSince && !isUncertain) {
             known.sentSince = now;
         }
     }
--- a/src/relay/store_gossip.h
+++ b/src/relay/store_gossip.h
@@ -36,7 +36,8 @@
  *
  * Load pattern: if a hundred entries each read every report of the upstreams, they pay for a hundred times the calls, and
  * queue at the store when it recovers. Therefore the first few entries by name read for all; an entry that receives updates
- * from none of them reads the store itself. Pure; not thread safe. Instants must not decrease.
+ * from none of them reads the store itself. A reader that isn't sure of its list, after an outage, tells new changes at once, without the claim
+ * to read for others, and again once it is sure. Pure; not thread safe. Instants must not decrease.
  */
 class store_gossip
 {
--- a/tests/store_gossip_test.cpp
+++ b/tests/store_gossip_test.cpp
@@ -62,6 +62,17 @@
     EXPECT_LE(sent, 10);
 }
 
+// Load pattern: the store comes back, a reader sees at once that an upstream drains, and entries that can't read it go on using that upstream.
+TEST(StoreGossip, ChangesAreToldWhileTheListOfAReaderIsUncertain)
+{
+    store_gossip gossip = store_gossip::make({});
+    gossip.noteChange(instant{}, updateOf("a"));
+    const auto messages = gossip.dueMessages(instant{}, 7);
+    ASSERT_EQ(messages.size(), 1U);
+    EXPECT_EQ(messages.front().changes.size(), 1U);
+    EXPECT_FALSE(messages.front().readsStore);
+}
+
 TEST(StoreGossip, EntryThatIsNoReaderForgetsChanges)
 {
     store_gossip gossip = store_gossip::make({});
