Answers that are being written speak for the parts of their prompts

What callers saw, in the state test of parts (PartStaysKnownWhileEntriesRestart, case 559 of 1,500): 134 of 134 sound streams refused after all entries had restarted, while engines crashed under two poison parts.

Cause: only a complete answer spoke for a part, which takes seconds; after a restart of all entries none is known, and three crashes in a row come first. The first part of all prompts is in flight in each of them, and once it is quarantined no answer can complete to free it. Class: a verdict that prevents the evidence against it.

Change: an engine that has been writing an answer for a second speaks for the parts of its prompt, as a complete answer does, and again each second. A part that crashes engines does so as they begin to write. One that did later would be found after ten crashes.

--- a/include/heatherroute/crash_tracker.h
+++ b/include/heatherroute/crash_tracker.h
@@ -40,6 +40,9 @@
 
     /// Records that an upstream answered the request completely.
     void noteCompleted(instant now, const request_fingerprints &request);
+    /// Records that an upstream has been writing an answer to the request for a while, which speaks for the parts of its prompt as a complete
+    /// answer does.
+    void noteWriting(instant now, const request_fingerprints &request);
     /// Processes a message of another entry.
     void onMessage(instant now, const crash_message &message);
     /// Returns what this entry has observed itself, for its record.
--- a/src/core/crash_tracker.cpp
+++ b/src/core/crash_tracker.cpp
@@ -102,6 +102,12 @@
         m_gossip.add(now, *report);
         m_isJudged = false;
     }
+    noteWriting(now, request);
+}
+
+void crash_tracker::noteWriting(instant now, const request_fingerprints &request)
+{
+    judge(now);
     if (const auto told = m_parts.noteCompleted(now, request.parts); !told.empty()) {
         tellCompleted(now, told);
         m_isJudged = false;
--- a/src/node/crash_monitor.h
+++ b/src/node/crash_monitor.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -83,6 +84,7 @@
         request_fingerprints request;
         instant sentAt{};
         instant lastProgress{};
+        std::optional<instant> writingSince; ///< When the answer began, or was last reported as being written.
     };
 
     void checkIfDue(const registration &run);
--- a/tests/part_quarantine_state_test.cpp
+++ b/tests/part_quarantine_state_test.cpp
@@ -30,6 +30,8 @@
 constexpr int kStallSteps = 6;
 constexpr int kRegistrationSteps = 36;
 constexpr int kRecordSteps = 10;
+constexpr int kFirstEventSteps = 6; ///< From sending a stream to its first event.
+constexpr int kWritingSteps = 10; ///< After which a stream that is being written speaks for the parts of its prompt, and again each time.
 
 /// Entries that exchange what they observe over a lossy network and restart, before engines that some parts of prompts crash.
 class fleet_with_poison_parts
@@ -209,9 +211,20 @@
         target->streams.push_back({&one, one.starts, std::move(request), m_step, m_step + 1 + below(6), part});
     }
 
+    void noteWriting(const engine &one)
+    {
+        for (const stream &running : one.streams) {
+            const int writingSteps = m_step - running.sentAt - kFirstEventSteps;
+            if (writingSteps >= kWritingSteps && writingSteps % kWritingSteps == 0 && running.sender->starts == running.senderStarts) {
+                running.sender->tracker.noteWriting(now(), running.request);
+            }
+        }
+    }
+
     void endStreams()
     {
         for (engine &one : m_engines) {
+            noteWriting(one);
             const auto poison =
                 std::find_if(one.streams.begin(), one.streams.end(), [this](const stream &running) { return running.poison != 0 && running.endsAt <= m_step; });
             if (poison != one.streams.end()) {
--- a/tests/part_quarantine_test.cpp
+++ b/tests/part_quarantine_test.cpp
@@ -100,6 +100,18 @@
     }
 }
 
+// Load pattern: all entries have just started, and engines crash for another reason before any stream has ended.
+TEST(PartQuarantine, PartsOfStreamsThatAreBeingWrittenAreServedWhileEnginesCrash)
+{
+    tracked_entry entry;
+    const auto running = entry.requestWith({kFirst});
+    for (int i = 0; i < 5; ++i) {
+        entry.crash(seconds(i), {entry.requestWith({kFirst}), entry.requestWith({kFirst, kOther})}, milliseconds(700));
+        entry.tracker.noteWriting(entry.at(seconds(i) + milliseconds(500)), running);
+        EXPECT_FALSE(entry.isRefused(seconds(i), {kFirst})) << i;
+    }
+}
+
 TEST(PartQuarantine, TwoPartsAreFoundAtOnce)
 {
     tracked_entry entry;
