A part is blamed later where engines also crash without a suspect

Cause: three crashes that follow one another are enough for a part, however many other crashes there are. Where engines crash by themselves, three in a row with one part in flight come by chance. Class: evidence that isn't weighed against the base rate.

Change: each crash that no part can explain, since all parts in flight are known to be sound, asks for one crash more, up to five, which is what the users' rule allows before it counts.

--- a/include/heatherroute/part_quarantine.h
+++ b/include/heatherroute/part_quarantine.h
@@ -21,6 +21,7 @@
 {
     /// Upstreams that may crash one after the other under requests whose last shared part is the same.
     std::uint32_t maxCrashes = 3;
+    std::uint32_t maxCrashesBesideOthers = 5; ///< The same if there were other crashes: one more for each that no part can explain, up to this number.
     /// The same if the crashes overlap: only some of them follow one another, or all came soon after the requests were sent.
     std::uint32_t maxParallelCrashes = 5;
     duration soonAfter = std::chrono::seconds(1);
@@ -56,7 +57,9 @@
  * while engines crash, hardly any request is answered completely.
  *
  * A part is blamed for crashes that follow one another, each under a request sent after the crash before, with no complete answer
- * in between; engines that crash at the same moment for another reason count once. If one request was in flight in all of them, that
+ * in between; engines that crash at the same moment for another reason count once. Where engines also crash without a suspect, more
+ * crashes are needed. An answer that has been written for a while counts as a complete one: a part that crashes engines does so as the
+ * answer begins. If one request was in flight in all of them, that
  * request is blamed instead (see request_quarantine). Of several suspects, those without a complete answer in the last minutes come
  * first, then those with more crashes, then those that end a prompt's shared parts, then those whose requests had all been sent
  * shortly before the crash; requests that only ran beside have often run for a while. A part isn't blamed while one that follows it
@@ -151,7 +154,9 @@
     explicit part_quarantine(const part_quarantine_settings &settings);
     void expire(instant now);
     void noteSound(instant at, std::uint64_t part);
-    bool isToBlame(const suspect &one, const charge &charged) const;
+    /// @p otherCrashes: the number of crashes that no part can explain.
+    bool isToBlame(const suspect &one, const charge &charged, std::size_t otherCrashes) const;
+    bool hasSuspects(const known_crash &crash) const;
     bool isCleared(const known_crash &crash, std::uint64_t part) const;
     std::map<suspect, charge> chargesOf(const crash_list &crashes) const;
     void addCharges(std::map<suspect, charge> &charges, const known_crash &crash) const;
--- a/src/core/part_quarantine.cpp
+++ b/src/core/part_quarantine.cpp
@@ -231,7 +231,7 @@
     return completed != m_completed.end() && completed->second >= crash.identity.at;
 }
 
-bool part_quarantine::isToBlame(const suspect &one, const charge &charged) const
+bool part_quarantine::isToBlame(const suspect &one, const charge &charged, std::size_t otherCrashes) const
 {
     const auto lapsed = m_probation.find(one.part);
     if (lapsed != m_probation.end()) {
@@ -247,7 +247,8 @@
     const bool followSending = charged.crashes > 1 || charged.longestRun < m_settings.soonAfter;
     const bool areManyInParallel = followSending && all >= m_settings.maxParallelCrashes;
     if (!one.inside) {
-        return charged.crashes >= m_settings.maxCrashes || areManyInParallel;
+        const std::size_t needed = std::min<std::size_t>(m_settings.maxCrashes + otherCrashes, m_settings.maxCrashesBesideOthers);
+        return charged.crashes >= needed || areManyInParallel;
     }
     const bool hasLikelierFollower =
         std::any_of(charged.followers.begin(), charged.followers.end(), [all](const auto &follower) { return 2 * follower.second >= all; });
@@ -264,6 +265,15 @@
     });
 }
 
+/// Whether a part that isn't known to be sound was in flight in the crash.
+bool part_quarantine::hasSuspects(const known_crash &crash) const
+{
+    return std::any_of(crash.suspects.begin(), crash.suspects.end(), [&](const auto &entry) {
+        const std::vector<std::uint64_t> &parts = entry.second.parts;
+        return std::any_of(parts.begin(), parts.end(), [&](std::uint64_t part) { return !isSound(part) && !isCleared(crash, part); });
+    });
+}
+
 /// Whether the crash is explained by a part whose quarantine has lapsed since.
 bool part_quarantine::isExplainedByLapsed(const known_crash &crash) const
 {
@@ -284,11 +294,13 @@
                                one.part);
     };
     const crash_list all = crashes;
+    const auto otherCrashes =
+        static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [this](const known_crash *crash) { return !hasSuspects(*crash); }));
     cause_list causes;
     while (true) {
         std::optional<std::pair<suspect, charge>> likeliest;
         for (const auto &[one, charged] : chargesOf(crashes)) {
-            if (isToBlame(one, charged) && (!likeliest || rankOf(one, charged) < rankOf(likeliest->first, likeliest->second))) {
+            if (isToBlame(one, charged, otherCrashes) && (!likeliest || rankOf(one, charged) < rankOf(likeliest->first, likeliest->second))) {
                 likeliest = {one, charged};
             }
         }
--- a/tests/part_quarantine_test.cpp
+++ b/tests/part_quarantine_test.cpp
@@ -112,6 +112,30 @@
     }
 }
 
+TEST(PartQuarantine, PartIsBlamedLaterBesideCrashesThatNoPartExplains)
+{
+    tracked_entry entry;
+    entry.crash(seconds(-2), {entry.requestWith({})});
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_FALSE(entry.isRefused(seconds(i), {kFirst, kPoison})) << i;
+        entry.crash(seconds(i), {entry.requestWith({kFirst, kPoison})});
+    }
+    EXPECT_TRUE(entry.isRefused(seconds(4), {kFirst, kPoison}));
+}
+
+TEST(PartQuarantine, PartBesideManyCrashesThatNoPartExplainsIsBlamedAfterFive)
+{
+    tracked_entry entry;
+    for (int i = 0; i < 20; ++i) {
+        entry.crash(seconds(i), {entry.requestWith({})});
+    }
+    for (int i = 20; i < 25; ++i) {
+        EXPECT_FALSE(entry.isRefused(seconds(i), {kFirst, kPoison})) << i;
+        entry.crash(seconds(i), {entry.requestWith({kFirst, kPoison})});
+    }
+    EXPECT_TRUE(entry.isRefused(seconds(25), {kFirst, kPoison}));
+}
+
 TEST(PartQuarantine, TwoPartsAreFoundAtOnce)
 {
     tracked_entry entry;
