Own interface: tokens that keep coming speak for the parts of their prompt

Change: when an answer speaks for its prompt is decided in one place, answer_progress, for the relay and the own interface. A stream that moves to another engine begins anew.

The stand-in engines of these tests have more memory, so that longer prompts fit.

--- a/src/core/crash_handler.cpp
+++ b/src/core/crash_handler.cpp
@@ -55,6 +55,11 @@
     m_crashes.noteCompleted(m_context.now(), request);
 }
 
+void crash_handler::onWriting(const request_fingerprints &request)
+{
+    m_crashes.noteWriting(m_context.now(), request);
+}
+
 void crash_handler::onMessage(const peer_received &event)
 {
     if (const auto message = messageIn<crash_message>(event.body)) {
--- a/src/core/crash_handler.h
+++ b/src/core/crash_handler.h
@@ -28,6 +28,8 @@
     void onChecked(const upstream_checked &event);
     /// Records that an upstream answered the request completely.
     void onCompleted(const request_fingerprints &request);
+    /// Records that an upstream has been writing an answer to the request for a while.
+    void onWriting(const request_fingerprints &request);
     void onMessage(const peer_received &event);
     /// Tells a member that comes into reach about the known suspects.
     void onMember(const member_change &change);
--- a/src/core/generation_handler.cpp
+++ b/src/core/generation_handler.cpp
@@ -159,6 +159,7 @@
     work.resumed = false;
     setAttempt(work);
     work.sentAt = m_context.now();
+    work.answer = {};
     m_context.emit(start_decode{work.attempt,
                                 work.decodeAddress,
                                 work.engineRequest,
@@ -180,6 +181,9 @@
         return;
     }
     m_engines.tokensReceived(work->prefillName, work->decodeName, work->pieces, work->progress);
+    if (work->answer.notePiece(m_context.now())) {
+        m_crashes.onWriting(work->fingerprints);
+    }
     releasePrefill(*work);
     work->outcome = combine(work->outcome, verdict::MayHaveRun);
     if (event.offset > work->delivered) {
@@ -297,6 +301,7 @@
 {
     setAttempt(work);
     work.resumed = true;
+    work.answer = {};
     m_context.emit(resume_decode{work.attempt, work.decodeAddress, work.engineRequest, work.delivered});
     armTimer(work);
 }
--- a/src/core/generation_handler.h
+++ b/src/core/generation_handler.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "core/answer_progress.h"
 #include "core/cancel_queue.h"
 #include "core/core_context.h"
 #include "core/crash_handler.h"
@@ -65,6 +66,7 @@
         std::string decodeName;
         std::string decodeAddress;
         placement_progress progress; ///< Progress of the current placement.
+        answer_progress answer;
         std::uint32_t pieces = 0; ///< Number of pieces reserved on the decode engine.
         std::uint32_t delivered = 0; ///< Number of tokens delivered to the caller.
         std::string generated; ///< Text of the delivered tokens, needed to continue on another engine.
--- a/src/node/crash_monitor.cpp
+++ b/src/node/crash_monitor.cpp
@@ -22,9 +22,6 @@
 constexpr std::chrono::milliseconds kCheckTimeout{150};
 /// How long an upstream may send nothing for an attempt before it is checked.
 constexpr std::chrono::milliseconds kStallTime{400};
-/// How long an upstream has to have been writing an answer to speak for the parts of its prompt. Parts that crash engines do so as the answer
-/// begins.
-constexpr std::chrono::seconds kWritingTime{1};
 /// Between two checks of an upstream that sends nothing, since each opens a connection.
 constexpr std::chrono::seconds kSilenceCheckInterval{2};
 
@@ -44,7 +41,7 @@
 std::uint64_t crash_monitor::beginAttempt(const registration &run, const request_fingerprints &request)
 {
     const instant now = coreNow();
-    m_attempts.emplace(++m_lastAttempt, running_attempt{run, request, now, now, std::nullopt});
+    m_attempts.emplace(++m_lastAttempt, running_attempt{run, request, now, now, {}});
     m_crashes.noteStarted(now, instanceOf(run), request);
     return m_lastAttempt;
 }
@@ -57,10 +54,7 @@
     }
     running_attempt &running = found->second;
     running.lastProgress = coreNow();
-    if (!running.writingSince) {
-        running.writingSince = running.lastProgress;
-    } else if (running.lastProgress - *running.writingSince >= kWritingTime) {
-        running.writingSince = running.lastProgress;
+    if (running.answer.notePiece(running.lastProgress)) {
         m_crashes.noteWriting(running.lastProgress, running.request);
     }
 }
--- a/src/node/crash_monitor.h
+++ b/src/node/crash_monitor.h
@@ -6,10 +6,10 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <optional>
 #include <set>
 #include <vector>
 
+#include "core/answer_progress.h"
 #include "heatherroute/crash_tracker.h"
 #include "heatherroute/log_line.h"
 #include "heatherroute/registration.h"
@@ -84,7 +84,7 @@
         request_fingerprints request;
         instant sentAt{};
         instant lastProgress{};
-        std::optional<instant> writingSince; ///< When the answer began, or was last reported as being written.
+        answer_progress answer;
     };
 
     void checkIfDue(const registration &run);
--- a/tests/crash_handler_test.cpp
+++ b/tests/crash_handler_test.cpp
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <optional>
+#include <utility>
 
 #include "core/crash_handler.h"
 #include "heatherroute/config_record.h"
@@ -161,9 +163,10 @@
         step(log_read{m_now, {0, 1, {{0, encodeRecord(change)}}}});
     }
 
-    void callService(const std::string &method, const std::string &body)
+    void callService(const std::string &method, const std::string &body, const std::string &team = {})
     {
         service_requested request;
+        request.traits.team = team;
         request.caller = caller_id{++m_callers};
         request.service = "shop";
         request.method = method;
@@ -174,18 +177,25 @@
         wait();
     }
 
-    void generate(const std::string &prompt)
+    void generate(const std::string &prompt, std::uint32_t maxTokens = 10, duration deadline = 60s)
     {
         generation_requested request;
         request.caller = caller_id{++m_callers};
         request.model = "audit";
         request.prompt = prompt;
-        request.maxTokens = 10;
-        request.traits.deadline = 60s;
+        request.maxTokens = maxTokens;
+        request.traits.deadline = deadline;
         step(request);
         wait();
     }
 
+    /// Begins a generation whose engine writes a token a second from then on, while other engines crash.
+    void beginLongGeneration(const std::string &prompt)
+    {
+        m_writesNext = true;
+        generate(prompt, 200, 600s);
+    }
+
     int runs = 0; ///< Attempts that crashed an upstream.
     unsigned lastStatus = 0;
     verdict lastVerdict = verdict::Ran;
@@ -202,7 +212,7 @@
         value.kind = kind;
         value.modelOrService = kind == upstream_kind::PlainService ? "shop" : "audit";
         value.slots = 3;
-        value.pieces = kind == upstream_kind::PlainService ? 0 : 8;
+        value.pieces = kind == upstream_kind::PlainService ? 0 : 64;
         value.pieceTokens = kind == upstream_kind::PlainService ? 0 : 8;
         return value;
     }
@@ -212,6 +222,9 @@
         for (int i = 0; i < 10; ++i) {
             m_now += 1s;
             step(log_read{m_now, {0, 1, {}}});
+            if (m_writing) {
+                step(tokens_received{*m_writing, m_written++, {"t"}});
+            }
             step(tick{});
         }
     }
@@ -230,6 +243,10 @@
 
     void perform(const start_decode &action)
     {
+        if (std::exchange(m_writesNext, false)) {
+            m_writing = action.attempt;
+            return;
+        }
         ++runs;
         step(attempt_failed{action.attempt, attempt_failure::ConnectionLost, verdict::MayHaveRun, "connection lost"});
     }
@@ -269,6 +286,9 @@
     std::unique_ptr<router_core> m_core;
     instant m_now = kStart;
     std::uint64_t m_callers = 0;
+    bool m_writesNext = false;
+    std::optional<attempt_id> m_writing; ///< The attempt that an engine is writing.
+    std::uint32_t m_written = 0; ///< Tokens of it.
 };
 
 } // namespace
@@ -323,3 +343,26 @@
     site.generate("another");
     EXPECT_GT(site.runs, 3);
 }
+
+TEST(PoisonRequest, ServiceCallOfSeveralTeamsThatCrashedThreeUpstreamsIsNotSentToFurtherOnes)
+{
+    crashing_site site;
+    for (int i = 0; i < 12; ++i) {
+        site.callService("GET", "poison", "team-" + std::to_string(i));
+    }
+    EXPECT_EQ(site.runs, 3);
+}
+
+TEST(PoisonRequest, GenerationsThatShareAPartWithOneBeingWrittenAreSentToEngines)
+{
+    std::string common;
+    for (int i = 0; i < 130; ++i) {
+        common += "word" + std::to_string(i) + ' ';
+    }
+    crashing_site site;
+    site.beginLongGeneration(common + "0");
+    for (int i = 1; i <= 9; ++i) {
+        site.generate(common + std::to_string(i));
+    }
+    EXPECT_GT(site.runs, 8);
+}
