Moves between phases keep a decode engine of each software version

What callers could see: streams refused as no_engine_of_version while engines of their version serve, since all of them compute prompts.

Cause: which engine moves was chosen by its load alone, and during a release the engines of the old version are the idle ones in the end, or the new ones at its beginning. Class: state of a conversation that must outlive the node that holds it, here the phase of the last engine.

Change: of the engines that may move, the last decode engine of a version moves to prefill only if there is no other, and one of a version without a decode engine moves to decode first. No further moves are made.

Measured: MissingPrefillEnginesAreNotTheLastDecodeEngineOfTheirVersion and SurplusEnginesOfAVersionWithoutADecodeEngineAreMovedFirst failed before, with no decode engine of v1 left.

--- a/src/relay/phase_planner.cpp
+++ b/src/relay/phase_planner.cpp
@@ -108,6 +108,23 @@
     return !tooSoon && (urgent || now - *m_mismatchSince >= delay);
 }
 
+void phase_planner::preferByVersion(std::vector<const registration *> &movable, const std::vector<const registration *> &engines, engine_phase from) const
+{
+    std::map<std::string, std::size_t> decodeEngines;
+    for (const registration *engine : engines) {
+        const auto moving = m_moving.find(engine->id);
+        const std::optional<engine_phase> phase = moving != m_moving.end() ? moving->second.to : engine->phase;
+        decodeEngines[engine->softwareVersion] += phase == engine_phase::Decode ? 1 : 0;
+    }
+    const auto isPreferred = [&](const registration *engine) {
+        const std::size_t count = decodeEngines[engine->softwareVersion];
+        return from == engine_phase::Decode ? count > 1 : count == 0;
+    };
+    if (std::any_of(movable.begin(), movable.end(), isPreferred)) {
+        std::erase_if(movable, [&](const registration *engine) { return !isPreferred(engine); });
+    }
+}
+
 std::optional<phase_move> phase_planner::plan(instant now, const std::vector<const registration *> &engines, const std::map<std::string, double> &loadOf)
 {
     observe(now, engines);
@@ -121,6 +138,7 @@
     if (movable.empty()) {
         return std::nullopt;
     }
+    preferByVersion(movable, engines, from);
     const auto load = [&loadOf](const registration *engine) {
         const auto found = loadOf.find(engine->id);
         return found == loadOf.end() ? 0.0 : found->second;
--- a/src/relay/phase_planner.h
+++ b/src/relay/phase_planner.h
@@ -77,7 +77,8 @@
     /// Updates the view of the pools. Call it also on entries without the lease, so that a new holder need not restart the delays.
     void observe(instant now, const std::vector<const registration *> &engines);
     /// Returns the engine to move now, if any, and records the move as pending. It is the engine with the least work in progress, by
-    /// @p loadOf, among those without a pending move in the pool that is larger than wanted.
+    /// @p loadOf, among those without a pending move in the pool that is larger than wanted; the last decode engine of a software version only
+    /// if there is no other.
     std::optional<phase_move> plan(instant now, const std::vector<const registration *> &engines, const std::map<std::string, double> &loadOf);
 
 private:
@@ -91,6 +92,9 @@
 
     explicit phase_planner(const phase_plan_settings &settings);
     pool_view viewOf(instant now, const std::vector<const registration *> &engines);
+    /// Leaves those of @p movable that keep a decode engine of each software version, or bring one; all if none does. A stream goes on at its own
+    /// version only.
+    void preferByVersion(std::vector<const registration *> &movable, const std::vector<const registration *> &engines, engine_phase from) const;
     bool isDue(instant now, const pool_view &view, std::size_t engines) const;
 
     phase_plan_settings m_settings;
--- a/tests/phase_planner_test.cpp
+++ b/tests/phase_planner_test.cpp
@@ -63,6 +63,13 @@
         }
     }
 
+    /// The number of decode engines that run @p version.
+    std::size_t decoding(const std::string &version) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            runs.begin(), runs.end(), [&](const registration &engine) { return engine.phase == engine_phase::Decode && engine.softwareVersion == version; }));
+    }
+
     std::size_t prefill() const
     {
         return static_cast<std::size_t>(
@@ -178,3 +185,35 @@
     EXPECT_EQ(planner.wantedPrefill(2), 1U);
     EXPECT_EQ(planner.wantedPrefill(9), 2U);
 }
+
+// Load pattern: a release has replaced most engines, and callers take up streams that the rest began.
+TEST(PhasePlanner, MissingPrefillEnginesAreNotTheLastDecodeEngineOfTheirVersion)
+{
+    engine_pool pool(0);
+    for (registration &run : pool.runs) {
+        run.softwareVersion = run.id == "e0" ? "v1" : "v1.1";
+    }
+    pool.run(seconds(60));
+    EXPECT_EQ(pool.prefill(), 2U);
+    EXPECT_EQ(pool.decoding("v1"), 1U);
+}
+
+TEST(PhasePlanner, SurplusEnginesOfAVersionWithoutADecodeEngineAreMovedFirst)
+{
+    engine_pool pool(4);
+    for (registration &run : pool.runs) {
+        run.softwareVersion = run.id == "e3" ? "v1" : "v1.1";
+    }
+    pool.run(seconds(60));
+    EXPECT_EQ(pool.prefill(), 2U);
+    EXPECT_EQ(pool.decoding("v1"), 1U);
+}
+
+TEST(PhasePlanner, OnlyEngineOfAVersionIsMovedIfNoOtherCanBe)
+{
+    engine_pool pool(0, 2);
+    pool.runs[0].softwareVersion = "v1";
+    pool.runs[1].softwareVersion = "v1.1";
+    pool.run(seconds(60));
+    EXPECT_EQ(pool.prefill(), 1U);
+}
