--- a/bench/heatherbench_soak.cpp
+++ b/bench/heatherbench_soak.cpp
@@ -31,6 +31,7 @@
 constexpr milliseconds kRequestPause{15}; ///< Between two requests of one caller.
 constexpr milliseconds kSlowReadPause{300}; ///< Between two pieces of an answer that a slow caller reads.
 constexpr milliseconds kPoisonPause{50}; ///< Between two attempts of the caller whose request crashes upstreams.
+constexpr std::size_t kPoisonCallers = 8; ///< Addresses from which that request comes.
 constexpr milliseconds kPoisonPartPause{120}; ///< Between two requests with a part that crashes engines.
 constexpr std::size_t kStreamCallers = 6;
 constexpr milliseconds kStreamCallerPause{50}; ///< Between two streams of one of them.
@@ -188,7 +189,8 @@
         return !disturbed && now - std::max(m_storeCalmSince, m_entryCalmSince[entry]) > kStabilityWindow;
     }
 
-    /// Sends one request again and again that crashes each upstream that runs it. The seed determines its kind and when it begins.
+    /// Sends one request again and again that crashes each upstream that runs it, a plain one from several addresses. The seed determines its
+    /// kind and when it begins.
     asio::awaitable<void> runPoisonCaller()
     {
         ++m_activeTasks;
@@ -196,8 +198,14 @@
         co_await pause(milliseconds(randomBelow(kMaxPoisonDelay.count())));
         std::mt19937_64 random(m_options.seed);
         while (!m_stopping) {
-            const caller_result result = co_await m_site.call(random() % m_site.entryCount(), path, kRequestTimeout);
-            m_audit.recordResult(result, true);
+            const std::size_t entry = random() % m_site.entryCount();
+            const std::size_t caller = random() % kPoisonCallers;
+            if (caller > 0 && path != kPoisonPaths[2]) {
+                co_await m_site.sendFrom(caller, entry, path, kRequestTimeout);
+            } else {
+                const caller_result result = co_await m_site.call(entry, path, kRequestTimeout);
+                m_audit.recordResult(result, true);
+            }
             co_await pause(kPoisonPause);
         }
         --m_activeTasks;
--- a/tests/support/relay_site.cpp
+++ b/tests/support/relay_site.cpp
@@ -1,8 +1,11 @@
 #include "support/relay_site.h"
 
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 
 #include <fcntl.h>
 #include <sys/file.h>
@@ -291,6 +294,27 @@
     co_return co_await call(index, std::move(request));
 }
 
+asio::awaitable<void> relay_site::sendFrom(std::size_t caller, std::size_t index, std::string path, milliseconds timeLeft)
+{
+    constexpr std::size_t kAddresses = 200;
+    constexpr std::size_t kMaxAnswerBytes = std::size_t{1024} * 1024;
+    const auto host = static_cast<unsigned char>(2 + caller % kAddresses);
+    asio::ip::tcp::socket socket(m_context, asio::ip::tcp::v4());
+    socket.bind({asio::ip::address_v4({127, 0, 0, host}), 0});
+    const std::string method = path.starts_with("/look/") ? "GET" : "POST";
+    const std::string request = method + " " + path + " HTTP/1.1\r\nHost: " + kHost + "\r\nX-Attempt-Id: r" + std::to_string(++m_requests)
+                                + "\r\nX-Deadline-Ms: " + std::to_string(timeLeft.count()) + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    std::string answer;
+    boost::system::error_code error;
+    co_await socket.async_connect(callerEndpoint(index), asio::redirect_error(asio::use_awaitable, error));
+    if (!error) {
+        co_await asio::async_write(socket, asio::buffer(request), asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (!error) {
+        co_await asio::async_read(socket, asio::dynamic_buffer(answer, kMaxAnswerBytes), asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
 asio::awaitable<caller_result> relay_site::call(std::size_t index, caller_request request)
 {
     const std::string path = request.path;
--- a/tests/support/relay_site.h
+++ b/tests/support/relay_site.h
@@ -94,6 +94,9 @@
     boost::asio::awaitable<caller_result> call(std::size_t index, caller_request request);
     /// As above, for a request without further options.
     boost::asio::awaitable<caller_result> call(std::size_t index, std::string path, std::chrono::milliseconds timeLeft);
+    /// Sends a request without a body to entry @p index from a loopback address of caller @p caller, and waits until its connection ends. The
+    /// answer isn't checked.
+    boost::asio::awaitable<void> sendFrom(std::size_t caller, std::size_t index, std::string path, std::chrono::milliseconds timeLeft);
     /// Publishes a configuration with the next version, which routes `/look/` if @p lookups is set.
     void publish(bool lookups);
     /// The logs of all processes of entry @p index so far.
