--- a/tests/support/stream_caller.cpp
+++ b/tests/support/stream_caller.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <set>
 
 #include "net/http_status.h"
 
@@ -68,7 +67,6 @@
     const auto until = std::chrono::steady_clock::now() + kStreamTime;
     std::string first;
     std::uint32_t lastEvent = 0;
-    std::set<std::string> refusals; // Since the stream last went on.
     while (std::chrono::steady_clock::now() < until) {
         caller_request request;
         request.path = kStreamPath;
@@ -85,15 +83,11 @@
             m_fault = result.fault;
         }
         const bool hasGoneOn = result.lastEvent > lastEvent || (result.isComplete && result.status == net::status::kOk);
-        if (hasGoneOn) {
-            refusals.clear();
-        }
-        const bool isRepeated = !hasGoneOn && !refusals.insert(result.refusal).second;
         m_resumeAttempts += first.empty() ? 0 : 1;
         if (first.empty()) {
             m_sent += 1;
             m_begun += hasGoneOn ? 1 : 0;
-        } else if (hadEngines && hasEngines(first) && !isRepeated) {
+        } else if (hadEngines && hasEngines(first)) {
             m_resumes += 1;
             m_goneOn += hasGoneOn ? 1 : 0;
             m_lastRefusal = result.refusal.empty() ? m_lastRefusal : result.refusal;
--- a/tests/support/stream_caller.h
+++ b/tests/support/stream_caller.h
@@ -49,8 +49,7 @@
     {
         return m_resumeAttempts;
     }
-    /// The attempts to take up a stream while two engines of its software version took work. Those that bring no event for the same reason as an
-    /// earlier one of the stream since it last went on aren't counted, since their number depends on how often the caller comes back.
+    /// The attempts to take up a stream while two engines of its software version took work.
     std::size_t resumes() const noexcept
     {
         return m_resumes;
