A planned stop refuses what it would cut

What callers saw: a booking whose body arrived late in the grace was sent to its upstream and cut when the process ended, or its connection was closed without an answer; a stream that began two seconds into the grace was cut at its end.

Cause: relay_duty closed and aborted by fixed times, and nothing compared the time that a request may take with the time that was left. The last phase, in which answers and log lines are written, still dispatched what arrived.

Change: stop_plan names the phases of a stop and decides at the dispatch. What doesn't fit is refused as not run, with a Retry-After of some hundredths of a second. The entry waits for requests whose bodies are still arriving, and begins nothing once the stop has ended. The plan uses the clock that runs on through a suspend.

--- a/src/node/boot_clock.h
+++ b/src/node/boot_clock.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <ctime>
 
+#include "heatherroute/time.h"
+
 namespace heatherroute::node
 {
 
@@ -17,4 +20,10 @@
     return time.tv_sec * kMillisecondsPerSecond + time.tv_nsec / kNanosecondsPerMillisecond;
 }
 
+/// The same clock as an instant, for deadlines that pass while the VM is suspended. Not to be mixed with coreNow(). Thread safe.
+inline instant bootNow() noexcept
+{
+    return instant(std::chrono::milliseconds(bootMilliseconds()));
+}
+
 } // namespace heatherroute::node
--- a/src/node/plain_relay.cpp
+++ b/src/node/plain_relay.cpp
@@ -67,6 +67,9 @@
     asio::awaitable<std::string> runAttempts()
     {
         const plain_retry_policy policy;
+        if (!mayBegin()) {
+            co_return kStoppingReason;
+        }
         const bool isPassedOn = co_await passOn(true);
         if (isPassedOn) {
             co_return "";
@@ -107,6 +110,10 @@
                 m_state.permits.giveBack(tried, 1);
                 continue;
             }
+            if (!mayBegin()) {
+                m_state.permits.giveBack(tried, 1);
+                co_return kStoppingReason;
+            }
             if (!m_triedIds.empty() && !m_state.tryRetry(m_service)) {
                 m_state.permits.giveBack(tried, 1);
                 co_return "retry_budget_used_up";
@@ -141,6 +148,12 @@
         }
     }
 
+    /// Whether the request may be sent on, or would be cut by the planned stop of this entry.
+    bool mayBegin() const
+    {
+        return m_state.mayBegin(m_service, m_call.matchedRoute().kind, m_call.timeLeft());
+    }
+
     /// Passes the request to another entry if this one can't serve it. Returns whether it has ended by that. @p hasCandidates: whether there is an
     /// upstream that it may be sent to.
     asio::awaitable<bool> passOn(bool hasCandidates)
@@ -240,6 +253,7 @@
         } else {
             m_state.health.noteSuccess(now, run.id, took, m_state.expectedPlainLatency(m_service));
             m_state.notePlainLatency(m_service, took);
+            m_state.noteCallTime(m_service, m_call.matchedRoute().kind, took);
         }
         return {verdict::Ran, std::move(result.answer), "ok"};
     }
@@ -253,8 +267,9 @@
             if (!m_waitedFor.empty()) {
                 wait = std::max(wait, m_state.nextReturn(m_service, m_waitedFor));
             }
-            co_await m_call.sendError(
-                net::status::kUnavailable, reason, retryAfterDelay(m_state.retryAfterSettings, wait, m_call.timeLeft(), m_state.sampleUniform()));
+            const auto retryAfter = reason == kStoppingReason ? m_state.retryElsewhereAfter(m_call.timeLeft())
+                                                              : retryAfterDelay(m_state.retryAfterSettings, wait, m_call.timeLeft(), m_state.sampleUniform());
+            co_await m_call.sendError(net::status::kUnavailable, reason, retryAfter);
             m_call.finish({"refused", net::status::kUnavailable, reason, execution, m_upstream});
             co_return;
         }
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -36,17 +36,6 @@
 constexpr std::chrono::milliseconds kTickInterval{100};
 /// How long callers may cache an answer of the directory.
 constexpr std::chrono::seconds kDirectoryLifetime{3};
-/// Time from the stop signal until idle caller connections are closed. The others close after their next answer.
-constexpr std::chrono::milliseconds kDrainAfter{600};
-/// Time from the stop signal until the caller port is closed. Callers with a cached directory answer that still lists this entry are
-/// served until then, and streams that start by then end within the grace period.
-constexpr std::chrono::milliseconds kStopAcceptingAfter{2'500};
-/// Time after closing the port in which requests that callers were already sending may still arrive.
-constexpr std::chrono::milliseconds kLastRequestGrace{800};
-/// Time before the end of the grace period at which the remaining requests are aborted.
-constexpr std::chrono::milliseconds kStopMargin{700};
-/// Time after aborting requests for the last answers to callers and for the calls that release memory on engines.
-constexpr std::chrono::milliseconds kAbortTime{200};
 /// Minimum Retry-After delay while this entry has no configuration yet.
 constexpr duration kStartingRetryAfter = std::chrono::milliseconds(400);
 constexpr std::uint32_t kFullLoadPermille = 1000;
@@ -85,6 +74,9 @@
         , m_tick(context)
         , m_stopTimer(context)
     {
+        stop_settings stop;
+        stop.grace = m_settings.stopGrace;
+        m_state.stop = stop_plan::make(stop);
         m_state.writeLog = std::move(log);
         m_state.recordCrashes = [this](crash_evidence evidence) { post(m_toStore, store_event(crashes_to_record{std::move(evidence)})); };
         m_state.recordOrigins = [this](const std::vector<stream_origin> &origins) {
@@ -140,7 +132,7 @@
 
     void stop(std::function<void()> onStopped)
     {
-        m_stoppingSince = coreNow();
+        m_state.stop.begin(bootNow());
         m_onStopped = std::move(onStopped);
         updateRank();
         m_state.log(log_level::Info, "stopping", {{"in_flight", std::to_string(m_callsInFlight.size())}});
@@ -159,7 +151,7 @@
 private:
     bool isReady() const
     {
-        return m_state.routes != nullptr && m_state.registry.isComplete() && !m_stoppingSince;
+        return m_state.routes != nullptr && m_state.registry.isComplete() && !m_state.stop.isStopping();
     }
 
     // Callers.
@@ -494,7 +486,7 @@
 
     void announceLease(bool holds)
     {
-        const bool isReleased = m_holdsLease && !holds && (m_stoppingSince || isCutOffFromEngines());
+        const bool isReleased = m_holdsLease && !holds && (m_state.stop.isStopping() || isCutOffFromEngines());
         m_state.gossip.setLease(holds ? lease_claim::Held : (isReleased ? lease_claim::Released : lease_claim::None));
         m_holdsLease = holds;
     }
@@ -509,7 +501,7 @@
         }
         m_rank = rank;
         m_state.crashes.setRank(rank);
-        m_state.gossip.setRank(m_stoppingSince ? m_otherEntries.size() : rank);
+        m_state.gossip.setRank(m_state.stop.isStopping() ? m_otherEntries.size() : rank);
         m_leaseCandidate.setRank(rank);
     }
 
@@ -533,7 +525,7 @@
 
     void updateLeaseCandidacy()
     {
-        const bool wanted = m_leaseCandidate.shouldTry(coreNow()) && !m_stoppingSince && !isCutOffFromEngines();
+        const bool wanted = m_leaseCandidate.shouldTry(coreNow()) && !m_state.stop.isStopping() && !isCutOffFromEngines();
         if (wanted != m_leaseWanted) {
             m_leaseWanted = wanted;
             post(m_toStore, store_event(lease_wanted{wanted}));
@@ -647,24 +639,23 @@
 
     void advanceStop()
     {
-        const duration sinceStop = coreNow() - *m_stoppingSince;
-        if (sinceStop >= kDrainAfter && !m_drained) {
-            m_drained = true;
+        const stop_phase phase = m_state.stop.advance(bootNow(), {m_callsInFlight.size(), m_callers->connectionCount()});
+        if (phase >= stop_phase::Draining && m_stopPhase < stop_phase::Draining) {
             m_callers->drain();
         }
-        if (sinceStop >= kStopAcceptingAfter && !m_closed) {
-            m_closed = true;
+        if (phase >= stop_phase::Closed && m_stopPhase < stop_phase::Closed) {
             m_callers->stopAccepting();
             // Drains the connections that were accepted after the first drain.
             m_callers->drain();
         }
-        const bool mayReceiveRequests = m_callers->connectionCount() > 0 && sinceStop < kStopAcceptingAfter + kLastRequestGrace;
-        const bool idle = m_callsInFlight.empty() && m_closed && !mayReceiveRequests;
-        const duration abortAt = m_settings.stopGrace - kStopMargin;
-        if (sinceStop >= abortAt) {
+        if (phase >= stop_phase::Aborting) {
             abortAll();
         }
-        if (idle || sinceStop >= abortAt + kAbortTime) {
+        if (phase != m_stopPhase) {
+            m_state.log(log_level::Info, "stop_phase", {{"phase", toString(phase)}, {"in_flight", std::to_string(m_callsInFlight.size())}});
+            m_stopPhase = phase;
+        }
+        if (phase == stop_phase::Ended) {
             m_state.log(log_level::Info, "stopped", {{"aborted", std::to_string(m_aborted)}, {"unfinished", std::to_string(m_callsInFlight.size())}});
             m_onStopped();
             return;
@@ -707,10 +698,8 @@
     std::size_t m_rank = 0; ///< Number of live entries that precede this one by name.
     std::set<relay_call *> m_callsInFlight;
     std::size_t m_aborted = 0;
-    std::optional<instant> m_stoppingSince;
     std::function<void()> m_onStopped;
-    bool m_drained = false;
-    bool m_closed = false;
+    stop_phase m_stopPhase = stop_phase::Running; ///< That was carried out last.
     bool m_announcedReady = false;
     bool m_leaseWanted = false;
     bool m_holdsLease = false;
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <utility>
 
+#include "node/boot_clock.h"
+
 namespace heatherroute::node
 {
 
@@ -21,6 +23,8 @@
 constexpr double kPlainLatencyGain = 0.1; ///< Weight of the latest sample in the moving average of plain request latency.
 /// Memory for answers of upstreams that are collected before they are passed on. A VM has 96 MB.
 constexpr std::size_t kBodyMemoryBytes = std::size_t{24} * 1024 * 1024;
+/// For a request that another entry can serve at once; long enough for the caller to leave this one.
+constexpr retry_after_settings kElsewhereRetryAfter{std::chrono::milliseconds(10), std::chrono::milliseconds(50), std::chrono::milliseconds(0), 0.33};
 constexpr double kDefaultPlainSeconds = 0.02; ///< Assumed latency of plain requests before the first sample.
 
 } // namespace
@@ -376,4 +380,25 @@
     plainLatencies[service].observe(std::chrono::duration<double>(took).count(), kPlainLatencyGain);
 }
 
+bool relay_state::mayBegin(const std::string &service, route_kind kind, duration timeLeft, duration before) const
+{
+    if (!stop.isStopping()) {
+        return true;
+    }
+    const auto known = m_callTimes.find({service, kind});
+    const std::optional<duration> usual = known == m_callTimes.end() ? std::nullopt : known->second.upperBound();
+    return stop.mayBegin(bootNow(), std::min(before + timeNeededFor(kind, timeLeft, usual), timeLeft));
+}
+
+void relay_state::noteCallTime(const std::string &service, route_kind kind, duration took)
+{
+    const auto [known, isNew] = m_callTimes.try_emplace({service, kind}, call_time_estimate::make({}));
+    known->second.note(took);
+}
+
+std::optional<duration> relay_state::retryElsewhereAfter(duration timeLeft)
+{
+    return retryAfterDelay(kElsewhereRetryAfter, duration::zero(), timeLeft, sampleUniform());
+}
+
 } // namespace heatherroute::node
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -18,6 +18,7 @@
 #include "node/reach_monitor.h"
 #include "node/stream_origins.h"
 #include "node/upstream_permits.h"
+#include "relay/call_time_estimate.h"
 #include "relay/engine_scheduler.h"
 #include "relay/fleet_retry_budget.h"
 #include "relay/phase_planner.h"
@@ -25,6 +26,7 @@
 #include "relay/request_forwarding.h"
 #include "relay/retry_after.h"
 #include "relay/send_permission.h"
+#include "relay/stop_plan.h"
 #include "relay/store_gossip.h"
 #include "relay/upstream_health_tracker.h"
 #include "relay/upstream_pauses.h"
@@ -39,6 +41,9 @@
 inline constexpr const char *kAtLimitReason = "upstreams_at_limit";
 inline constexpr const char *kPausingReason = "upstreams_pausing"; ///< None of them is only at its limit.
 
+/// The reason for refusing a request that would be cut by the planned stop of this entry.
+inline constexpr const char *kStoppingReason = "stopping";
+
 /// The failure of a call that wasn't made, since its upstream pauses or takes no work any more.
 inline constexpr const char *kNotSentReason = "not sent: the upstream pauses or leaves";
 
@@ -113,6 +118,14 @@
     /// Adds the latency of a finished plain request to the average of @p service.
     void notePlainLatency(const std::string &service, duration took);
 
+    /// Whether work of @p kind at @p service may be sent to an upstream now, or would be cut by the planned stop of this entry. @p timeLeft: until
+    /// the caller's deadline. @p before: time that passes before the upstream begins with it.
+    bool mayBegin(const std::string &service, route_kind kind, duration timeLeft, duration before = duration::zero()) const;
+    /// Records how long an upstream of @p service took for a complete answer.
+    void noteCallTime(const std::string &service, route_kind kind, duration took);
+    /// Returns the Retry-After delay of a request that another entry can serve at once.
+    std::optional<duration> retryElsewhereAfter(duration timeLeft);
+
     boost::asio::any_io_executor executor;
     platform_dialect dialect;
     std::string entryName;
@@ -145,6 +158,7 @@
     stream_origins origins;
     reach_monitor reach;
     request_forwarding forwarding;
+    stop_plan stop = stop_plan::make({}); ///< Of this entry; its instants are those of bootNow().
 
 private:
     void logMalformedPause(const registration &run, const std::string &value);
@@ -153,6 +167,7 @@
     stream_origins_hooks originHooks();
     reach_monitor_hooks reachHooks();
 
+    std::map<std::pair<std::string, route_kind>, call_time_estimate> m_callTimes; ///< By service and kind.
     std::map<std::string, std::string> m_malformedPauses; ///< The last malformed time of an upstream, by id, so that each is logged once.
 };
 
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -147,7 +147,7 @@
                 releaseReservation();
                 continue;
             }
-            if (endIfQuarantined()) {
+            if (endIfQuarantined() || endIfStopping(duration::zero())) {
                 break;
             }
             ++decodes;
@@ -189,6 +189,9 @@
 
     bool admit()
     {
+        if (endIfStopping(m_state.scheduler.computeTime(m_prompt.promptTokens))) {
+            return false;
+        }
         const quarantine_admission admission = m_state.crashes.admit(m_call.fingerprints());
         m_isTrial = admission.isTrial;
         return !endIf(admission.refusedFor);
@@ -200,6 +203,16 @@
         return endIf(m_state.crashes.quarantinedFor(m_call.fingerprints(), m_isTrial));
     }
 
+    /// Whether the stream would be cut by the planned stop of this entry, so that it must not begin. @p before: time until its decode begins.
+    bool endIfStopping(duration before)
+    {
+        if (m_state.mayBegin(m_service, m_call.matchedRoute().kind, m_call.timeLeft(), before)) {
+            return false;
+        }
+        m_reason = kStoppingReason;
+        return true;
+    }
+
     bool endIf(duration quarantined)
     {
         if (quarantined <= duration::zero()) {
@@ -666,6 +679,7 @@
             }
             m_streamComplete = result.answer.has_value();
             if (m_streamComplete) {
+                m_state.noteCallTime(m_service, m_call.matchedRoute().kind, m_decodeTook);
                 m_state.crashes.noteCompleted(m_call.fingerprints());
                 co_await m_call.responder().endStream();
             } else if (!m_call.isEnded()) {
@@ -789,7 +803,8 @@
         if (isAskedToWait()) {
             wait = std::max(wait, m_state.nextReturn(m_service, m_state.askingToWait(m_state.registry.usable(m_service))));
         }
-        const auto retryAfter = retryAfterDelay(m_state.retryAfterSettings, wait, m_call.timeLeft(), m_state.sampleUniform());
+        const auto retryAfter = m_reason == kStoppingReason ? m_state.retryElsewhereAfter(m_call.timeLeft())
+                                                            : retryAfterDelay(m_state.retryAfterSettings, wait, m_call.timeLeft(), m_state.sampleUniform());
         co_await m_call.sendError(net::status::kUnavailable, m_reason, retryAfter);
         m_call.finish({"refused", net::status::kUnavailable, m_reason, verdict::NotRun, m_upstream});
     }
--- a/tests/support/relay_site.cpp
+++ b/tests/support/relay_site.cpp
@@ -34,7 +34,6 @@
 namespace
 {
 
-constexpr const char *kHost = "site.example";
 constexpr milliseconds kAnswerSlack{700}; ///< How long after its deadline a caller waits for an answer.
 
 /// Claims one of a few port ranges for this process, which holds it until it ends. Without a free one, the first is shared.
@@ -80,7 +79,7 @@
 
 std::string makeRoute(const std::string &prefix, const std::string &kind, const std::string &service, bool generates)
 {
-    return std::string(R"({"Name":"r","Host":")") + kHost + R"(","PathPrefix":")" + prefix + R"(","Kind":")" + kind
+    return std::string(R"({"Name":"r","Host":")") + kSiteHost + R"(","PathPrefix":")" + prefix + R"(","Kind":")" + kind
            + R"(","TimeoutMs":5000,"TargetLatencyMs":200,"Priority":1,"Service":")" + service + R"(","MaxAttempts":2,"Sticky":)"
            + (generates ? "true" : "false") + "}";
 }
@@ -333,7 +332,7 @@
     asio::ip::tcp::socket socket(m_context, asio::ip::tcp::v4());
     socket.bind({asio::ip::address_v4({127, 0, 0, host}), 0});
     const std::string method = path.starts_with("/look/") ? "GET" : "POST";
-    const std::string request = method + " " + path + " HTTP/1.1\r\nHost: " + kHost + "\r\nX-Attempt-Id: r" + std::to_string(++m_requests)
+    const std::string request = method + " " + path + " HTTP/1.1\r\nHost: " + kSiteHost + "\r\nX-Attempt-Id: r" + std::to_string(++m_requests)
                                 + "\r\nX-Deadline-Ms: " + std::to_string(timeLeft.count()) + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
     std::string answer;
     boost::system::error_code error;
@@ -363,7 +362,7 @@
         // A slow caller makes its answer last, and leaves at its deadline.
         call.totalTimeout = call.progressTimeout;
     }
-    call.fields = {{"Host", kHost}, {"X-Attempt-Id", outcome.id}, {"X-Deadline-Ms", std::to_string(timeLeft.count())}};
+    call.fields = {{"Host", kSiteHost}, {"X-Attempt-Id", outcome.id}, {"X-Deadline-Ms", std::to_string(timeLeft.count())}};
     const bool streamed = path.starts_with("/gen/");
     if (streamed) {
         call.fields.push_back({"X-Model", "m"});
--- a/tests/support/relay_site.h
+++ b/tests/support/relay_site.h
@@ -61,6 +61,8 @@
     std::string fault; ///< Which guarantee the answer, or its absence, violates; empty when it violates none.
 };
 
+/// The host of the requests that a relay_site routes.
+inline constexpr const char *kSiteHost = "site.example";
 /// Paths of the requests that a relay_site routes: an idempotent lookup, a non-idempotent booking and a stream.
 inline constexpr const char *kLookupPath = "/look/1";
 inline constexpr const char *kBookingPath = "/book/1";
