A request that is passed on counts its runs at both entries

A lookup had run once and failed when its entry suspected the pool of being cut off; the entry that it was passed to let it run twice more.

Cause: the number of runs stayed at the first entry. The same number was also forgotten when an entry that had been given a request was lost.

Change: the request names the number of upstreams that may have run it (Heatherroute-Earlier-Runs); the other entry counts on from there. A build that doesn't know the field ignores it, one that doesn't send it counts as none. An entry that is lost with a request may have used all runs that were left, so the request isn't passed on again. A refusal of the other entry after a run becomes 502, as it isn't true of the whole request.

--- a/src/node/entry_forwarder.cpp
+++ b/src/node/entry_forwarder.cpp
@@ -50,8 +50,9 @@
     return std::any_of(pools.begin(), pools.end(), [this](const upstream_pool &pool) { return m_state.reach.isCutOff(pool); });
 }
 
-asio::awaitable<bool> entry_forwarder::run(const std::vector<upstream_pool> &pools)
+asio::awaitable<bool> entry_forwarder::run(const std::vector<upstream_pool> &pools, std::uint32_t mayHaveRun)
 {
+    m_mayHaveRunCount = mayHaveRun;
     if (m_call.isFromEntry()) {
         co_await m_call.decline(isCutOff(pools) ? forward_decline::CutOff : forward_decline::Suspected);
         co_return true;
@@ -78,7 +79,7 @@
 asio::awaitable<void> entry_forwarder::passTo(forwarding_decision decision, std::set<std::string> pools)
 {
     const instant startedAt = coreNow();
-    http_call call = m_call.makeEntryCall(decision.address, m_service);
+    http_call call = m_call.makeEntryCall(decision.address, m_service, m_mayHaveRunCount);
     if (const auto limit = attemptLimit()) {
         call.progressTimeout = std::chrono::duration_cast<std::chrono::milliseconds>(*limit);
     }
@@ -144,6 +145,13 @@
 {
     m_isEnded = true;
     const unsigned status = answer.status;
+    const bool isRefusal = status == net::status::kUnavailable && !m_state.dialect.readAnswer(answer, "").sealed;
+    if (isRefusal && m_mayHaveRunCount > 0) {
+        // The other entry knows only that it has not run the request itself.
+        co_await m_call.sendError(net::status::kBadGateway, "failed", std::nullopt);
+        m_call.finish({"failed", net::status::kBadGateway, "refused by the other entry after a run", verdict::MayHaveRun, ""});
+        co_return;
+    }
     co_await m_call.forwardAnswer(std::move(answer));
     if (status == net::status::kUnavailable) {
         m_call.finish({"refused", status, "refused by the other entry", verdict::NotRun, ""});
@@ -165,11 +173,7 @@
     if (result.timedOut) {
         m_state.forwarding.noteUnreachable(coreNow(), decision.peerAddress);
     }
-    m_mayHaveRunCount += 1;
-    if (!m_call.isEnded() && mayRetry({}, m_call.matchedRoute(), {0, m_mayHaveRunCount, m_call.timeLeft()}, verdict::MayHaveRun)
-        && m_state.tryRetry(m_service)) {
-        co_return;
-    }
+    // It may have run there on as many upstreams as its route allows.
     m_isEnded = true;
     if (m_call.isCallerGone()) {
         m_call.finish({"caller_gone", 0, "the caller closed its connection", verdict::MayHaveRun, ""});
--- a/src/node/entry_forwarder.h
+++ b/src/node/entry_forwarder.h
@@ -34,8 +34,8 @@
     bool isNeeded(const std::vector<upstream_pool> &pools, bool hasCandidates = true) const;
     /// Passes the request on, or declines one that came from an entry. Returns whether it has ended: it was answered, may have run or was
     /// declined. Otherwise it hasn't run, and no other entry is known that could serve it. Preconditions: isNeeded(); nothing was sent to the
-    /// caller; the request may be sent to one more upstream.
-    boost::asio::awaitable<bool> run(const std::vector<upstream_pool> &pools);
+    /// caller; the request may be sent to one more upstream. @p mayHaveRun: the number of upstreams that may have run it.
+    boost::asio::awaitable<bool> run(const std::vector<upstream_pool> &pools, std::uint32_t mayHaveRun = 0);
     /// Whether this entry is known not to reach one of @p pools.
     bool isCutOff(const std::vector<upstream_pool> &pools) const;
 
@@ -53,7 +53,7 @@
     relay_state &m_state;
     std::string m_service;
     std::set<std::string> m_asked; ///< Peer addresses of the entries that were asked.
-    std::uint32_t m_mayHaveRunCount = 0;
+    std::uint32_t m_mayHaveRunCount = 0; ///< Upstreams that may have run the request before it was passed on.
     bool m_isStreaming = false;
     bool m_isEnded = false;
 };
--- a/src/node/plain_relay.cpp
+++ b/src/node/plain_relay.cpp
@@ -38,6 +38,7 @@
     explicit plain_relay(relay_call &call)
         : m_call(call)
         , m_state(call.state())
+        , m_mayHaveRunCount(call.earlierRuns())
     { }
 
     asio::awaitable<void> run()
@@ -166,7 +167,7 @@
         if (m_hasArrived && (m_call.isFromEntry() || !m_state.tryRetry(m_service))) {
             co_return false;
         }
-        m_isForwarded = co_await m_forwarder->run(pools);
+        m_isForwarded = co_await m_forwarder->run(pools, m_mayHaveRunCount);
         co_return m_isForwarded;
     }
 
@@ -298,7 +299,7 @@
     duration m_quarantined{}; ///< For how long the request is quarantined.
     std::optional<http_answer> m_lastAnswer;
     std::uint32_t m_notRunCount = 0;
-    std::uint32_t m_mayHaveRunCount = 0;
+    std::uint32_t m_mayHaveRunCount; ///< Upstreams that may have run the request, also for the entry that passed it on.
     std::uint32_t m_notConnectedCount = 0;
     std::optional<entry_forwarder> m_forwarder; ///< Set by run().
     bool m_hasArrived = false; ///< At an upstream, which may have refused it.
--- a/src/node/relay_call.cpp
+++ b/src/node/relay_call.cpp
@@ -28,13 +28,14 @@
 /// Header fields between entries. Neither callers nor upstreams get or set them.
 constexpr const char *kConfigVersionField = "Heatherroute-Config-Version"; ///< Of the entry that passes a request on.
 constexpr const char *kServiceField = "Heatherroute-Service"; ///< That its configuration routes the request to.
+constexpr const char *kEarlierRunsField = "Heatherroute-Earlier-Runs"; ///< Upstreams that may have run a request before it was passed on.
 constexpr const char *kDeclinedField = "Heatherroute-Declined"; ///< Why an entry doesn't serve it.
 
 void removeEntryFields(std::vector<net::http_field> &fields)
 {
     std::erase_if(fields, [](const net::http_field &field) {
         return boost::beast::iequals(field.name, kConfigVersionField) || boost::beast::iequals(field.name, kServiceField)
-               || boost::beast::iequals(field.name, kDeclinedField);
+               || boost::beast::iequals(field.name, kEarlierRunsField) || boost::beast::iequals(field.name, kDeclinedField);
     });
 }
 
@@ -77,6 +78,7 @@
     : m_state(state)
     , m_sender(sender)
     , m_sendersConfigVersion(sender == request_sender::Entry ? numberIn(request.header(kConfigVersionField)) : 0)
+    , m_earlierRuns(sender == request_sender::Entry ? static_cast<std::uint32_t>(numberIn(request.header(kEarlierRunsField))) : 0)
     , m_sendersService(sender == request_sender::Entry ? request.header(kServiceField) : std::string_view())
     , m_request(std::move(request))
     , m_facts(state.dialect.readRequest(m_request))
@@ -202,7 +204,7 @@
     co_return result;
 }
 
-http_call relay_call::makeEntryCall(const std::string &address, const std::string &service) const
+http_call relay_call::makeEntryCall(const std::string &address, const std::string &service, std::uint32_t earlierRuns) const
 {
     http_call call = prepareCall(m_state, address, {}, std::max(toMilliseconds(timeLeft()), m_state.timing.minProgressTimeout));
     call.method = m_request.method;
@@ -211,6 +213,7 @@
     call.contentType.clear();
     call.fields = m_state.dialect.entryFields(m_request, timeLeft());
     call.fields.push_back({kServiceField, service});
+    call.fields.push_back({kEarlierRunsField, std::to_string(earlierRuns)});
     call.fields.push_back({kConfigVersionField, std::to_string(m_routes ? m_routes->version() : 0)});
     return call;
 }
--- a/src/node/relay_call.h
+++ b/src/node/relay_call.h
@@ -82,6 +82,11 @@
     {
         return m_sendersConfigVersion;
     }
+    /// The number of upstreams that may have run the request before another entry passed it on; 0 if that entry doesn't say.
+    std::uint32_t earlierRuns() const noexcept
+    {
+        return m_earlierRuns;
+    }
     /// Whether this entry's configuration routes the request to the service that the other entry has picked. With a newer one that doesn't, the
     /// caller would see an effect of it at an entry that serves its next request by the older one. Precondition: isFromEntry().
     bool agreesWithSender() const;
@@ -127,8 +132,9 @@
     perform(registration run, net::http_call call, net::http_exchange::head_hook onHead, net::http_exchange::body_hook onBody);
     /// Performs @p call to another entry, under the same conditions. Its answer says nothing of an upstream.
     boost::asio::awaitable<net::http_result> performAtEntry(net::http_call call, net::http_exchange::head_hook onHead, net::http_exchange::body_hook onBody);
-    /// Makes the call that passes the caller's request for @p service to the entry at @p address, ready for performAtEntry().
-    net::http_call makeEntryCall(const std::string &address, const std::string &service) const;
+    /// Makes the call that passes the caller's request for @p service to the entry at @p address, ready for performAtEntry(). @p earlierRuns: the
+    /// number of upstreams that may have run it.
+    net::http_call makeEntryCall(const std::string &address, const std::string &service, std::uint32_t earlierRuns) const;
     /// Makes the call that passes the caller's request to the upstream @p run with @p directions, ready for perform().
     net::http_call makeUpstreamCall(const registration &run, const upstream_directions &directions) const;
     /// Waits for @p time. The wait ends early under the same conditions as perform().
@@ -174,6 +180,7 @@
     relay_state &m_state;
     request_sender m_sender;
     std::uint64_t m_sendersConfigVersion = 0;
+    std::uint32_t m_earlierRuns = 0;
     std::string m_sendersService;
     net::http_request m_request;
     relay_request m_facts;
--- a/tests/process_cut_off_test.cpp
+++ b/tests/process_cut_off_test.cpp
@@ -23,6 +23,7 @@
 
 constexpr milliseconds kPlainDeadline{600};
 constexpr milliseconds kStreamDeadline{14'000};
+constexpr int kMaxLookupRuns = 2; ///< The route's limit of upstreams for one attempt of a caller.
 constexpr milliseconds kStabilityWindow{3'000}; ///< The platform's bound for noticing a change.
 
 relay_site_settings siteWithLinks()
@@ -192,6 +193,37 @@
     });
 }
 
+// A lookup that an upstream had run and failed was passed to another entry when its own lost its links, and ran there as often as if it were new.
+TEST(ProcessCutOff, FailedLookupRunsOnNoMoreUpstreamsThanItsRouteAllowsWhenItIsPassedOn)
+{
+    runOnSite(siteWithLinks(), [](relay_site &site) -> asio::awaitable<void> {
+        standins::upstream_faults faults;
+        faults.hang = true;
+        setFaultsOfAll(site, faults);
+        std::optional<caller_result> result;
+        asio::co_spawn(
+            site.executor(),
+            [&site, &result]() -> asio::awaitable<void> {
+                caller_result got = co_await site.call(0, kLookupPath, seconds(3));
+                result = std::move(got);
+            },
+            asio::detached);
+        co_await pauseFor(milliseconds(100));
+        site.cutFromUpstreams(0, true);
+        faults.hang = false;
+        faults.fail = true;
+        setFaultsOfAll(site, faults);
+        for (int i = 0; i < 200 && !result; ++i) {
+            co_await pauseFor(milliseconds(20));
+        }
+        EXPECT_TRUE(result.has_value());
+        if (result) {
+            EXPECT_LE(site.runCountOf(result->id), kMaxLookupRuns);
+            EXPECT_NE(site.logOf(0).find("\"event\":\"request_forwarded\""), std::string::npos) << "the case wasn't met";
+        }
+    });
+}
+
 TEST(ProcessCutOff, CallerThatLeavesCancelsItsRequestAtTheSecondEntry)
 {
     relay_site_settings settings = siteWithLinks();
