A bounded number of entries reads the store when its readers fail

Cause: the three readers were the first by name, so all of one availability zone, and when they failed all other entries read the store themselves. Entries that had just started ranked first, as they knew no others yet.

Change: store_gossip orders readers by a hash of the name, lets 3 and then 6 more entries take over when the readers fall silent, and the rest only after that. A large fleet retries a failed read the less often the more entries it has; the configuration is tried again when the registrations can be read. Entries wait 1.5 s after the start before they poll. Infrequent reads are spaced by the number of entries. A reader tells of a read within half a second.

Measured: unit tests replay 295 entries (FewEntriesTakeOver..., RetriesOfALarge Fleet...).

--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -36,6 +36,8 @@
 constexpr std::chrono::milliseconds kTickInterval{100};
 /// How long callers may cache an answer of the directory.
 constexpr std::chrono::seconds kDirectoryLifetime{3};
+/// Time from the start in which the first reads of the store are expected to end.
+constexpr duration kFirstReadTime = std::chrono::milliseconds(1'500);
 /// Minimum Retry-After delay while this entry has no configuration yet.
 constexpr duration kStartingRetryAfter = std::chrono::milliseconds(400);
 constexpr std::uint32_t kFullLoadPermille = 1000;
@@ -122,6 +124,8 @@
 
     void start()
     {
+        m_startedAt = coreNow();
+        m_state.gossip.noteStarted(m_startedAt);
         asio::post(m_context, [this] { tick(); });
     }
 
@@ -469,10 +473,15 @@
     /// Decides whether this entry reads the store frequently or relies on updates from other entries, and sends the updates that are due.
     void exchangeGossip(instant now)
     {
-        const bool frequent = m_state.gossip.shouldRead(now) || !m_state.routes || !m_state.registry.isComplete() || m_missedChanges;
-        if (frequent != m_pollsFrequently) {
-            m_pollsFrequently = frequent;
-            post(m_toStore, store_event(store_polling_changed{frequent}));
+        // What the store duty reads by itself at the start is on its way for a moment.
+        const bool isLoaded = m_state.routes && m_state.registry.isComplete();
+        const bool isLoading = !isLoaded && now - m_startedAt >= kFirstReadTime;
+        store_polling_changed polling;
+        polling.frequent = m_state.gossip.shouldRead(now) || isLoading || m_missedChanges;
+        polling.minRetryDelay = isLoaded ? m_state.gossip.retryDelay() : duration::zero();
+        if (polling != m_polling) {
+            m_polling = polling;
+            post(m_toStore, store_event(polling));
         }
         for (store_update &message : m_state.gossip.dueMessages(now, m_state.routes ? m_state.routes->version() : 0)) {
             post(m_toMembers, member_event(store_update_broadcast{std::move(message), m_storeEra}));
@@ -491,17 +500,21 @@
         m_holdsLease = holds;
     }
 
-    /// Updates this entry's rank by name among the entries that are alive. The first ones read the store for the others and are
-    /// candidates for the lease. A stopping entry ranks last for reading the store.
+    /// Updates this entry's ranks among the entries that are alive. The first ones by name are candidates for the lease, and the first ones in an
+    /// order of its own read the store for the others. A stopping entry ranks last for reading the store.
     void updateRank()
     {
         std::size_t rank = 0;
+        std::size_t readingRank = 0;
         for (const member &other : m_otherEntries) {
-            rank += other.state == member_state::Alive && other.id.name < m_settings.entryName ? 1 : 0;
+            const bool isAlive = other.state == member_state::Alive;
+            rank += isAlive && other.id.name < m_settings.entryName ? 1 : 0;
+            readingRank += isAlive && precedesInReading(other.id.name, m_settings.entryName) ? 1 : 0;
         }
         m_rank = rank;
+        m_state.gossip.setEntries(m_otherEntries.size() + 1);
         m_state.crashes.setRank(rank);
-        m_state.gossip.setRank(m_state.stop.isStopping() ? m_otherEntries.size() : rank);
+        m_state.gossip.setRank(m_state.stop.isStopping() ? m_otherEntries.size() : readingRank);
         m_leaseCandidate.setRank(rank);
     }
 
@@ -704,7 +717,8 @@
     bool m_leaseWanted = false;
     bool m_holdsLease = false;
     std::uint64_t m_storeEra = 0; ///< 0 when the store sends none, or none is known yet.
-    bool m_pollsFrequently = true;
+    store_polling_changed m_polling{false, {}}; ///< What the store duty was told last.
+    instant m_startedAt{};
     bool m_missedChanges = false; ///< This entry hasn't read the registrations since the store came back from an older copy.
 };
 
--- a/src/node/relay_event.h
+++ b/src/node/relay_event.h
@@ -161,6 +161,9 @@
 struct store_polling_changed
 {
     bool frequent = true;
+    duration minRetryDelay{}; ///< After a failed read.
+
+    bool operator==(const store_polling_changed &) const = default;
 };
 
 /// Another entry has a newer configuration.
--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -74,12 +74,7 @@
         if (const auto *wanted = std::get_if<lease_wanted>(&event)) {
             m_leaseWanted = wanted->wanted;
         } else if (const auto *polling = std::get_if<store_polling_changed>(&event)) {
-            m_pollsFrequently = polling->frequent;
-            log(log_level::Info, m_pollsFrequently ? "store_polling_frequent" : "store_polling_infrequent", {});
-            if (m_pollsFrequently) {
-                wake(store_stream::Configuration);
-                wake(store_stream::Registrations);
-            }
+            onPollingChanged(*polling);
         } else if (std::holds_alternative<config_outdated>(event)) {
             scheduleConfigRead();
         } else if (const auto *newer = std::get_if<newer_era_seen>(&event)) {
@@ -90,7 +85,9 @@
             appendOrigins(origins->record);
         } else if (std::holds_alternative<registrations_wanted>(event)) {
             m_registrationsWanted = true;
-            wake(store_stream::Registrations);
+            if (m_reachable) {
+                wake(store_stream::Registrations);
+            }
         } else if (std::holds_alternative<recorded_origins_wanted>(event)) {
             readOrigins();
         } else {
@@ -100,6 +97,24 @@
     }
 
 private:
+    void onPollingChanged(const store_polling_changed &polling)
+    {
+        const auto minRetryDelay = std::chrono::duration_cast<std::chrono::milliseconds>(polling.minRetryDelay);
+        const bool mayRetrySooner = minRetryDelay < std::exchange(m_minRetryDelay, minRetryDelay);
+        if (polling.frequent == m_pollsFrequently) {
+            if (mayRetrySooner && !m_reachable) {
+                wake(store_stream::Registrations);
+            }
+            return;
+        }
+        m_pollsFrequently = polling.frequent;
+        log(log_level::Info, m_pollsFrequently ? "store_polling_frequent" : "store_polling_infrequent", {});
+        if (m_pollsFrequently) {
+            // The configuration follows when this read has succeeded.
+            wake(store_stream::Registrations);
+        }
+    }
+
     /// A reader of one stream of the store.
     struct stream_cursor
     {
@@ -218,6 +233,7 @@
         m_lastAnswer = coreNow();
         if (!m_reachable) {
             m_reachable = true;
+            wake(store_stream::Configuration);
             log(log_level::Info, "store_regained", {});
             relay_event event = store_reachability{true};
             co_await m_toRelay.push(std::move(event));
@@ -244,14 +260,16 @@
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
 
-    /// Waits for @p time. wake() ends the wait early when this entry has to read the store itself or its configuration is outdated.
-    asio::awaitable<void> pauseUntilWoken(store_stream stream, std::chrono::milliseconds time)
+    /// Waits for @p time. wake() ends the wait early when this entry has to read the store itself or its configuration is outdated. Returns
+    /// whether it did.
+    asio::awaitable<bool> pauseUntilWoken(store_stream stream, std::chrono::milliseconds time)
     {
         asio::steady_timer timer(m_context, time);
         m_pausedReads[stream] = &timer;
-        boost::system::error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        boost::system::error_code error;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
         m_pausedReads.erase(stream);
+        co_return error == asio::error::operation_aborted;
     }
 
     /// Schedules a read of the configuration, unless one is already scheduled.
@@ -278,10 +296,16 @@
         }
     }
 
+    /// Returns the mean interval of infrequent reads, which grows with the number of entries, so that their number doesn't.
+    std::chrono::milliseconds infrequentInterval() const
+    {
+        return std::max<std::chrono::milliseconds>(m_settings.infrequentInterval, m_entryAddresses.size() * m_settings.infrequentSpacing);
+    }
+
     /// Returns a random delay around the infrequent interval, so that the reads of different entries don't coincide.
     std::chrono::milliseconds infrequentDelay()
     {
-        const std::int64_t mean = m_settings.infrequentInterval.count();
+        const std::int64_t mean = infrequentInterval().count();
         return std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(mean / 2, mean * 3 / 2)(m_random));
     }
 
@@ -289,8 +313,9 @@
     std::chrono::milliseconds backoffDelay(const stream_cursor &cursor)
     {
         constexpr std::uint32_t kMaxDoublings = 5;
-        const auto grown = m_settings.minBackoff * (1U << std::min(cursor.failures, kMaxDoublings));
-        const auto bound = std::min<std::chrono::milliseconds>(grown, m_settings.maxBackoff);
+        constexpr int kMaxRetryDelays = 4;
+        const auto grown = std::max(m_settings.minBackoff, m_minRetryDelay) * (1U << std::min(cursor.failures, kMaxDoublings));
+        const auto bound = std::min<std::chrono::milliseconds>(grown, std::max(m_settings.maxBackoff, kMaxRetryDelays * m_minRetryDelay));
         return std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(bound.count() / 2, bound.count())(m_random));
     }
 
@@ -309,13 +334,18 @@
         cursor.stream = store_stream::Configuration;
         while (!self->m_stopping) {
             bool isSnapshot = false;
-            const std::chrono::milliseconds wait = self->m_pollsFrequently ? self->m_settings.configWait : std::chrono::milliseconds(0);
+            const bool waits = self->m_pollsFrequently || self->m_configVersion == 0;
+            const std::chrono::milliseconds wait = waits ? self->m_settings.configWait : std::chrono::milliseconds(0);
             self->m_configOutdated = false;
             const keyed_page page = co_await self->readNext(cursor, wait, isSnapshot);
             for (const keyed_record &record : page.records) {
                 co_await self->applyConfigRecord(record);
             }
-            if (page.outcome == store_outcome::Unavailable) {
+            if (page.outcome == store_outcome::Unavailable && self->m_configVersion > 0 && !self->m_reachable) {
+                // The registrations are tried more often, and end this pause when they can be read.
+                constexpr int kBackoffFactor = 4;
+                co_await self->pauseUntilWoken(cursor.stream, kBackoffFactor * self->backoffDelay(cursor));
+            } else if (page.outcome == store_outcome::Unavailable) {
                 co_await self->pause(self->backoffDelay(cursor));
             } else if (page.outcome == store_outcome::Done && !cursor.position.isKnown()) {
                 // Without a position, the next read is a snapshot again, which doesn't wait at the store.
@@ -323,7 +353,7 @@
             } else if (isSnapshot && self->m_configVersion == 0) {
                 // No configuration has been published yet; the next read waits for one.
                 co_await self->pause(self->m_settings.minBackoff);
-            } else if (page.outcome == store_outcome::Done && !self->m_pollsFrequently && !self->m_configOutdated) {
+            } else if (page.outcome == store_outcome::Done && self->m_configVersion > 0 && !self->m_pollsFrequently && !self->m_configOutdated) {
                 co_await self->pauseUntilWoken(cursor.stream, self->infrequentDelay());
             }
         }
@@ -367,12 +397,20 @@
                 reported.readBegunAt = begunAt;
                 relay_event event = std::move(reported);
                 co_await self->m_toRelay.push(std::move(event));
+                if (self->m_pollsFrequently) {
+                    self->wake(store_stream::Configuration);
+                }
                 if (self->m_registrationsWanted) {
                     continue;
                 }
-                co_await self->pauseUntilWoken(cursor.stream, self->m_pollsFrequently ? self->m_settings.registrationInterval : self->infrequentDelay());
+                const bool wasFrequent = self->m_pollsFrequently;
+                const bool isWoken =
+                    co_await self->pauseUntilWoken(cursor.stream, wasFrequent ? self->m_settings.registrationInterval : self->infrequentDelay());
+                if (!isWoken && wasFrequent && !self->m_pollsFrequently) {
+                    co_await self->pauseUntilWoken(cursor.stream, self->infrequentDelay());
+                }
             } else if (page.outcome == store_outcome::Unavailable) {
-                co_await self->pause(self->backoffDelay(cursor));
+                co_await self->pauseUntilWoken(cursor.stream, self->backoffDelay(cursor));
             }
         }
     }
@@ -434,7 +472,7 @@
             if (page.outcome == store_outcome::Unavailable) {
                 co_await self->pause(self->backoffDelay(cursor));
             } else if (page.outcome == store_outcome::Done) {
-                co_await self->pauseUntilWoken(cursor.stream, self->m_published ? self->m_settings.entriesInterval : self->backoffDelay(cursor));
+                co_await self->pauseUntilWoken(cursor.stream, self->m_published ? self->infrequentInterval() : self->backoffDelay(cursor));
             }
         }
     }
@@ -668,7 +706,8 @@
     bool m_stopping = false;
     bool m_leaseWanted = false;
     bool m_registrationsWanted = false; ///< Since the last read of the registrations began.
-    bool m_pollsFrequently = true;
+    bool m_pollsFrequently = false;
+    std::chrono::milliseconds m_minRetryDelay{0};
     bool m_configOutdated = false;
     std::map<store_stream, asio::steady_timer *> m_pausedReads; ///< Timers of the streams that wait between two reads.
     bool m_inLeaseGroup = false;
--- a/src/node/store_duty.h
+++ b/src/node/store_duty.h
@@ -23,7 +23,9 @@
     /// Long-poll timeout of a configuration read. It is short because the store may drop the awaited record from its history meanwhile.
     std::chrono::milliseconds configWait{1'000};
     std::chrono::milliseconds registrationInterval{900}; ///< Between two reads of the registrations; the platform charges for each read.
-    std::chrono::milliseconds infrequentInterval{30'000}; ///< Mean interval between two reads while other entries send updates.
+    std::chrono::milliseconds infrequentInterval{30'000}; ///< Minimum mean interval between two reads while other entries send updates.
+    /// Mean interval between two infrequent reads of all entries together.
+    std::chrono::milliseconds infrequentSpacing{300};
     /// If the last read is older than this, the newest record of each upstream is read instead of the history since then. An upstream
     /// reports about once a second, so the history would be longer.
     std::chrono::milliseconds maxHistoryAge{3'000};
@@ -32,7 +34,6 @@
     std::chrono::milliseconds maxOutdatedReadDelay{600};
     /// Maximum delay of the reads and writes that follow when the store comes back from an older copy.
     std::chrono::milliseconds maxRestoredReadDelay{600};
-    std::chrono::milliseconds entriesInterval{30'000}; ///< Between two reads of the entries' addresses; the membership spreads them anyway.
     std::chrono::milliseconds minBackoff{150}; ///< Minimum delay after the first failed read; doubles with each further failure.
     std::chrono::milliseconds maxBackoff{1'000};
     /// Timeout for reading a snapshot: initially short, so that a lost connection is detected early, and doubled with each failure up
--- a/src/relay/store_gossip.cpp
+++ b/src/relay/store_gossip.cpp
@@ -1,10 +1,18 @@
 #include "relay/store_gossip.h"
 
 #include <algorithm>
+#include <utility>
+
+#include "heatherroute/ownership.h"
 
 namespace heatherroute
 {
 
+bool precedesInReading(const std::string &left, const std::string &right)
+{
+    return std::pair(rendezvousHash(left), std::string_view(left)) < std::pair(rendezvousHash(right), std::string_view(right));
+}
+
 store_gossip store_gossip::make(const store_gossip_settings &settings)
 {
     return store_gossip(settings);
@@ -14,11 +22,21 @@
     : m_settings(settings)
 { }
 
+void store_gossip::noteStarted(instant now)
+{
+    m_startedAt = now;
+}
+
 void store_gossip::setRank(std::size_t rank)
 {
     m_rank = rank;
 }
 
+void store_gossip::setEntries(std::size_t count)
+{
+    m_entries = count;
+}
+
 void store_gossip::setLease(lease_claim claim)
 {
     if (m_lease != claim) {
@@ -30,6 +48,7 @@
 void store_gossip::noteRead(instant now)
 {
     m_readAt = now;
+    m_hasUnsentRead = true;
 }
 
 void store_gossip::noteReceived(instant now, duration readAge)
@@ -59,22 +78,45 @@
     m_peerReadAt.reset();
 }
 
+bool store_gossip::maySend() const noexcept
+{
+    return m_rank < m_settings.readers + m_settings.substitutes;
+}
+
+duration store_gossip::maxPeerReadAge() const noexcept
+{
+    if (m_rank < m_settings.readers + m_settings.firstSubstitutes) {
+        return m_settings.firstTakeoverAge;
+    }
+    return maySend() ? m_settings.takeoverAge : m_settings.maxPeerReadAge;
+}
+
 bool store_gossip::shouldRead(instant now) const
 {
-    const bool peerIsFresh = m_peerReadAt && now - *m_peerReadAt <= m_settings.maxPeerReadAge;
-    return m_rank < m_settings.readers || !peerIsFresh;
+    if (m_startedAt && now - *m_startedAt < m_settings.settleTime) {
+        return false;
+    }
+    const bool peerIsFresh = m_peerReadAt && now - *m_peerReadAt <= maxPeerReadAge();
+    const bool isStarting = m_startedAt && now - *m_startedAt < m_settings.settleTime + m_settings.maxPeerReadAge;
+    return m_rank < m_settings.readers || (!peerIsFresh && !isStarting);
+}
+
+duration store_gossip::retryDelay() const
+{
+    return maySend() ? duration::zero() : static_cast<duration::rep>(m_entries) * m_settings.retrySpacing;
 }
 
 std::vector<store_update> store_gossip::dueMessages(instant now, std::uint64_t configVersion)
 {
     std::erase_if(m_changes, [&](const noted_change &known) {
-        // A reader that isn't sure of its list yet, after an outage, keeps them until it may send them.
-        const duration maxWait = m_rank < m_settings.readers ? m_settings.maxUnsentTime : m_settings.resendFor;
+        // An entry that may read for others, but isn't sure of its list after an outage, keeps them until it may send them.
+        const duration maxWait = maySend() ? m_settings.maxUnsentTime : m_settings.resendFor;
         return known.sentSince ? now - *known.sentSince > m_settings.resendFor : now - known.notedAt > maxWait;
     });
     const bool fresh = m_readAt && now - *m_readAt <= m_settings.maxOwnReadAge;
-    const bool isDue = !m_sentAt || now - *m_sentAt >= m_settings.interval;
-    const bool reads = m_rank < m_settings.readers && fresh;
+    const duration interval = m_hasUnsentRead ? m_settings.minSpacing : m_settings.interval;
+    const bool isDue = !m_sentAt || now - *m_sentAt >= interval;
+    const bool reads = maySend() && shouldRead(now) && fresh;
     const bool isUncertain = m_rank < m_settings.readers && !fresh;
     const auto isNew = [&](const noted_change &known) { return now - known.notedAt <= m_settings.resendFor; };
     const bool tellsEarly = isUncertain && std::any_of(m_changes.begin(), m_changes.end(), isNew);
@@ -82,6 +124,7 @@
         return {};
     }
     m_sentAt = now;
+    m_hasUnsentRead = false;
     std::vector<store_update> messages(1);
     for (noted_change &known : m_changes) {
         if (isUncertain && !isNew(known)) {
--- a/tests/store_gossip_test.cpp
+++ b/tests/store_gossip_test.cpp
@@ -1,5 +1,10 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <vector>
+
 #include "relay/store_gossip.h"
 
 using namespace heatherroute;
@@ -44,6 +49,134 @@
     EXPECT_TRUE(gossip.shouldRead(instant{} + seconds(2)));
 }
 
+namespace
+{
+
+/// What happened in a fleet of entries that read a store.
+struct fleet_outcome
+{
+    std::set<std::size_t> readers; ///< Ranks of the entries that tried to read.
+    std::size_t attempts = 0;
+    std::size_t senders = 0; ///< Entries that sent updates to all others.
+    duration oldest{}; ///< Greatest age of what an entry knew.
+};
+
+/// Plays a fleet of @p count entries whose first @p lost ranks are gone, but still counted as alive, for @p length. The entries know a read
+/// that is as old as the last one of a reader may be. If the store fails, retries follow the minimum delay of each entry.
+fleet_outcome playFleet(std::size_t count, std::size_t lost, bool storeFails, duration length)
+{
+    struct entry
+    {
+        store_gossip gossip = store_gossip::make({});
+        instant nextRead{};
+        instant knownAt{};
+        bool hasSent = false;
+    };
+    std::vector<entry> entries(count);
+    for (std::size_t rank = 0; rank < count; ++rank) {
+        entries[rank].gossip.setRank(rank);
+        entries[rank].gossip.setEntries(count);
+        entries[rank].gossip.noteReceived(instant{}, {});
+    }
+    constexpr milliseconds kTick{100};
+    constexpr milliseconds kReadInterval{900};
+    constexpr milliseconds kRetryInterval{300};
+    fleet_outcome outcome;
+    for (instant now{}; now < instant{} + length; now += kTick) {
+        std::vector<store_update> sent;
+        for (std::size_t rank = lost; rank < count; ++rank) {
+            entry &each = entries[rank];
+            outcome.oldest = std::max(outcome.oldest, now - each.knownAt);
+            if (each.gossip.shouldRead(now) && now >= each.nextRead) {
+                outcome.readers.insert(rank);
+                outcome.attempts += 1;
+                each.nextRead = now + (storeFails ? std::max<duration>(kRetryInterval, each.gossip.retryDelay()) : duration(kReadInterval));
+                if (!storeFails) {
+                    each.gossip.noteRead(now);
+                    each.knownAt = now;
+                }
+            }
+            for (store_update &update : each.gossip.dueMessages(now, 1)) {
+                outcome.senders += std::exchange(each.hasSent, true) ? 0 : 1;
+                sent.push_back(std::move(update));
+            }
+        }
+        for (const store_update &update : sent) {
+            for (std::size_t rank = lost; rank < count && update.readsStore; ++rank) {
+                const duration age = milliseconds(update.readAgeMs);
+                entries[rank].gossip.noteReceived(now, age);
+                entries[rank].knownAt = std::max(entries[rank].knownAt, now - age);
+            }
+        }
+    }
+    return outcome;
+}
+
+} // namespace
+
+// Load pattern: all readers of a fleet of 295 entries are killed, or the store refuses them, and it takes the membership some seconds to notice.
+// Before, all other entries read the store until then.
+TEST(StoreGossip, FewEntriesTakeOverWhenAllReadersAreLost)
+{
+    const fleet_outcome outcome = playFleet(295, 3, false, seconds(6));
+    EXPECT_LE(outcome.readers.size(), 9U);
+    EXPECT_LE(outcome.senders, 9U);
+    EXPECT_LE(outcome.oldest, milliseconds(1'650)) << "the platform allows 2 s until a leaving upstream must get no more requests";
+}
+
+// Load pattern: more than the readers and the first that take over are lost at once.
+TEST(StoreGossip, OtherEntriesTakeOverWhenTheFirstSubstitutesAreLostToo)
+{
+    const fleet_outcome outcome = playFleet(295, 6, false, seconds(6));
+    EXPECT_LE(outcome.readers.size(), 6U);
+    EXPECT_LE(outcome.oldest, milliseconds(1'650));
+}
+
+TEST(StoreGossip, EntriesReadForThemselvesWhenNobodyReadsForThem)
+{
+    const fleet_outcome outcome = playFleet(295, 12, false, seconds(6));
+    EXPECT_EQ(outcome.readers.size(), 283U);
+    EXPECT_EQ(outcome.senders, 0U);
+    EXPECT_LE(outcome.oldest, milliseconds(1'800));
+}
+
+// Load pattern: the store is away for eight seconds, and all calls to it are paid for. Before, each of 295 entries tried about once in 0.75 s.
+TEST(StoreGossip, RetriesOfALargeFleetAreBoundedWhileTheStoreFails)
+{
+    const fleet_outcome large = playFleet(295, 0, true, seconds(8));
+    EXPECT_LE(large.attempts, 1'500U);
+    const fleet_outcome small = playFleet(12, 0, true, seconds(8));
+    EXPECT_GE(small.attempts, 12U * 15U) << "a small fleet notices its return as soon as before";
+}
+
+TEST(StoreGossip, EntryThatHasJustStartedWaitsForTheOthers)
+{
+    store_gossip gossip = store_gossip::make({});
+    gossip.noteStarted(instant{});
+    EXPECT_FALSE(gossip.shouldRead(instant{} + milliseconds(1'400))) << "without any other known it ranks first";
+    EXPECT_TRUE(gossip.shouldRead(instant{} + milliseconds(1'500)));
+    gossip.setRank(50);
+    EXPECT_FALSE(gossip.shouldRead(instant{} + milliseconds(3'100)));
+    EXPECT_TRUE(gossip.shouldRead(instant{} + milliseconds(3'200)));
+}
+
+// Names begin with the availability zone, so the first ones by name are lost together.
+TEST(StoreGossip, ReadersAreSpreadOverTheZones)
+{
+    std::vector<std::string> names;
+    for (const char *zone : {"cam-le", "hai-chau", "lien-chieu", "ngu-hanh", "son-tra", "thanh-khe"}) {
+        for (int i = 1; i <= 50; ++i) {
+            names.push_back("front-" + std::string(zone) + "-" + std::to_string(i));
+        }
+    }
+    std::sort(names.begin(), names.end(), precedesInReading);
+    std::set<std::string> zones;
+    for (std::size_t i = 0; i < 6; ++i) {
+        zones.insert(names[i].substr(0, names[i].rfind('-')));
+    }
+    EXPECT_GE(zones.size(), 3U);
+}
+
 // Load pattern: a reader's list is uncertain for two seconds after an outage of the store, and others rely on it afterwards.
 TEST(StoreGossip, ChangesThatAReaderCannotSendYetAreSentOnceItCan)
 {
