Test: errors of the next engines don't appear in a stream of the own interface

On the platform's path a second upstream can't answer into a stream. On the own interface the test kills the engine of a stream after three tokens while all others refuse: the caller gets a prefix of its text and an error event, not an end.

--- a/tests/process_answers_test.cpp
+++ b/tests/process_answers_test.cpp
@@ -197,6 +197,31 @@
     expectCompletionDespite("silk and linen, cut to size", 3, [this](const std::string &name) { ASSERT_TRUE(m_fleet->setFault(name, R"({"silent":true})")); });
 }
 
+// The stream has begun and breaks off, and all engines that could go on answer with an error. None of that may reach the caller as a part of its
+// stream, and the stream must not appear complete.
+TEST_F(answers, endWithAnErrorEventWhenTheNextEnginesAnswerWithErrors)
+{
+    const std::string prompt = "a tailor who mends what others throw away";
+    const auto stream = openStream(entry(), prompt);
+    ASSERT_TRUE(stream);
+    caller_view view;
+    readTokens(*stream, view, 3);
+    const std::string used = engineInUse();
+    ASSERT_FALSE(used.empty());
+    for (const std::string &name : kDecodes) {
+        if (name != used) {
+            ASSERT_TRUE(m_fleet->setFault(name, R"({"refuse":true})"));
+        }
+    }
+    m_fleet->member(used).process->signal(SIGKILL);
+    readToEnd(*stream, view);
+    EXPECT_FALSE(view.done);
+    EXPECT_FALSE(view.errorVerdict.empty());
+    EXPECT_TRUE(view.contiguous);
+    EXPECT_GE(view.tokens, 3U);
+    EXPECT_TRUE(standins::expected_answer(kModel, prompt, kMaxTokens).text().starts_with(view.text)) << view.text;
+}
+
 TEST_F(answers, leaveNoMemoryHeldWhenTheCallerCloses)
 {
     auto stream = openStream(entry(), "lanterns for the festival");
