An entry that knows of a newer configuration retries soon after a failed read

This entry had no reason to read the registrations, as others sent it updates, so its next try came after seven seconds.

Change: while the configuration is known to be outdated, which others have read, the backoff is the short one. After a restore of the store, too.

--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -478,7 +478,7 @@
         const bool isLoading = !isLoaded && now - m_startedAt >= kFirstReadTime;
         store_polling_changed polling;
         polling.frequent = m_state.gossip.shouldRead(now) || isLoading || m_missedChanges;
-        polling.minRetryDelay = isLoaded ? m_state.gossip.retryDelay() : duration::zero();
+        polling.minRetryDelay = isLoaded && !m_missedChanges ? m_state.gossip.retryDelay() : duration::zero();
         if (polling != m_polling) {
             m_polling = polling;
             post(m_toStore, store_event(polling));
--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -309,13 +309,14 @@
         return std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(mean / 2, mean * 3 / 2)(m_random));
     }
 
-    /// Returns the delay after a failed read: exponential backoff with random jitter, so that the entries don't all retry at once.
-    std::chrono::milliseconds backoffDelay(const stream_cursor &cursor)
+    /// Returns the delay after a failed read, @p minDelay or more: exponential backoff with random jitter, so that the entries don't all
+    /// retry at once.
+    std::chrono::milliseconds backoffDelay(const stream_cursor &cursor, std::chrono::milliseconds minDelay = std::chrono::milliseconds(0))
     {
         constexpr std::uint32_t kMaxDoublings = 5;
         constexpr int kMaxRetryDelays = 4;
-        const auto grown = std::max(m_settings.minBackoff, m_minRetryDelay) * (1U << std::min(cursor.failures, kMaxDoublings));
-        const auto bound = std::min<std::chrono::milliseconds>(grown, std::max(m_settings.maxBackoff, kMaxRetryDelays * m_minRetryDelay));
+        const auto grown = std::max(m_settings.minBackoff, minDelay) * (1U << std::min(cursor.failures, kMaxDoublings));
+        const auto bound = std::min<std::chrono::milliseconds>(grown, std::max(m_settings.maxBackoff, kMaxRetryDelays * minDelay));
         return std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(bound.count() / 2, bound.count())(m_random));
     }
 
@@ -336,17 +337,21 @@
             bool isSnapshot = false;
             const bool waits = self->m_pollsFrequently || self->m_configVersion == 0;
             const std::chrono::milliseconds wait = waits ? self->m_settings.configWait : std::chrono::milliseconds(0);
-            self->m_configOutdated = false;
+            const bool isOutdated = std::exchange(self->m_configOutdated, false);
             const keyed_page page = co_await self->readNext(cursor, wait, isSnapshot);
             for (const keyed_record &record : page.records) {
                 co_await self->applyConfigRecord(record);
             }
-            if (page.outcome == store_outcome::Unavailable && self->m_configVersion > 0 && !self->m_reachable) {
+            if (page.outcome == store_outcome::Unavailable && (isOutdated || self->m_configOutdated)) {
+                // Others can read the store, so this entry alone must find out when it can, too.
+                self->m_configOutdated = true;
+                co_await self->pause(self->backoffDelay(cursor, std::chrono::milliseconds(0)));
+            } else if (page.outcome == store_outcome::Unavailable && self->m_configVersion > 0 && !self->m_reachable) {
                 // The registrations are tried more often, and end this pause when they can be read.
                 constexpr int kBackoffFactor = 4;
-                co_await self->pauseUntilWoken(cursor.stream, kBackoffFactor * self->backoffDelay(cursor));
+                co_await self->pauseUntilWoken(cursor.stream, kBackoffFactor * self->backoffDelay(cursor, self->m_minRetryDelay));
             } else if (page.outcome == store_outcome::Unavailable) {
-                co_await self->pause(self->backoffDelay(cursor));
+                co_await self->pause(self->backoffDelay(cursor, self->m_minRetryDelay));
             } else if (page.outcome == store_outcome::Done && !cursor.position.isKnown()) {
                 // Without a position, the next read is a snapshot again, which doesn't wait at the store.
                 co_await self->pause(self->m_settings.configWait);
@@ -410,7 +415,7 @@
                     co_await self->pauseUntilWoken(cursor.stream, self->infrequentDelay());
                 }
             } else if (page.outcome == store_outcome::Unavailable) {
-                co_await self->pauseUntilWoken(cursor.stream, self->backoffDelay(cursor));
+                co_await self->pauseUntilWoken(cursor.stream, self->backoffDelay(cursor, self->m_minRetryDelay));
             }
         }
     }
--- a/tests/process_relay_test.cpp
+++ b/tests/process_relay_test.cpp
@@ -6,8 +6,12 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <csignal>
+#include <numeric>
+#include <vector>
 
+#include "relay/store_gossip.h"
 #include "support/relay_site.h"
 #include "support/site_run.h"
 
@@ -21,6 +25,7 @@
 {
 
 constexpr milliseconds kRequestDeadline{3'000};
+constexpr milliseconds kMaxBackoff{1'000}; ///< Between two attempts of an entry to read what it knows to be outdated.
 
 /// Sends a request and expects a complete and successful answer.
 asio::awaitable<caller_result> expectSuccess(relay_site &site, std::size_t entry, std::string path)
@@ -212,6 +217,38 @@
     });
 }
 
+// Load pattern: an entry that doesn't read the store for others is cut off from it, learns from another entry that there is a newer configuration,
+// and comes back into touch. Its retries had become so rare by then that it served the older one for seconds.
+TEST(ProcessRelay, EntryThatKnowsOfANewerConfigurationReadsItSoonAfterACutFromTheStore)
+{
+    relay_site_settings settings;
+    settings.entries = 7;
+    runOnSite(settings, [](relay_site &site) -> asio::awaitable<void> {
+        std::vector<std::size_t> order(site.entryCount());
+        std::iota(order.begin(), order.end(), 0);
+        std::sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
+            return precedesInReading(relay_site::entryName(left), relay_site::entryName(right));
+        });
+        const std::vector<std::size_t> cut(order.begin() + static_cast<std::ptrdiff_t>(store_gossip_settings{}.readers), order.end());
+        co_await pauseFor(seconds(4)); // Until these rely on the others.
+        for (const std::size_t entry : cut) {
+            site.storeProxy(entry).setFault(proxy_fault::DropAll);
+            site.storeProxy(entry).resetAll();
+        }
+        site.publish(false);
+        co_await pauseFor(seconds(7));
+        for (const std::size_t entry : cut) {
+            site.storeProxy(entry).resetAll();
+            site.storeProxy(entry).setFault(proxy_fault::None);
+        }
+        co_await pauseFor(kMaxBackoff + milliseconds(300));
+        for (const std::size_t entry : cut) {
+            const caller_result result = co_await site.call(entry, kLookupPath, kRequestDeadline);
+            EXPECT_EQ(result.status, 404U) << "entry " << entry;
+        }
+    });
+}
+
 TEST(ProcessRelay, GracefulShutdownInterruptsNoStream)
 {
     runOnSite({}, [](relay_site &site) -> asio::awaitable<void> {
--- a/tests/support/relay_site.cpp
+++ b/tests/support/relay_site.cpp
@@ -230,7 +230,7 @@
         } while (!m_ports.insert(entry.ports[name]).second);
     }
     std::ofstream file(entry.settingsFile);
-    file << "name: entry-" << index << "\nhalf: fleet\nzone: z\nregion: r\nlisten:\n";
+    file << "name: " << entryName(index) << "\nhalf: fleet\nzone: z\nregion: r\nlisten:\n";
     for (const auto &[name, port] : entry.ports) {
         file << "  " << name << ": \"127.0.0.1:" << port << "\"\n";
     }
--- a/tests/support/relay_site.h
+++ b/tests/support/relay_site.h
@@ -100,6 +100,11 @@
     /// Sends a request without a body to entry @p index from a loopback address of caller @p caller, and waits until its connection ends. The
     /// answer isn't checked.
     boost::asio::awaitable<void> sendFrom(std::size_t caller, std::size_t index, std::string path, std::chrono::milliseconds timeLeft);
+    /// The name of entry @p index among the entries.
+    static std::string entryName(std::size_t index)
+    {
+        return "entry-" + std::to_string(index);
+    }
     /// Publishes a configuration with the next version, which routes `/look/` if @p lookups is set.
     void publish(bool lookups);
     /// The logs of all processes of entry @p index so far.
