Entries know their upstreams early after a start of the whole fleet

Cause: the holder of the lease, the first by name, was no reader any more, and the readers waited for their ranks and then read every 0.9 s, so that engines that register in the seconds after the start were known, and ordered, later.

Change: the holder of the lease reads the store itself. Readers read every 0.3 s in the first 8 s. Every entry reads the whole list once more 2 to 6 s after its start, as changes that were told before the others knew it have passed it by.

--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -477,7 +477,8 @@
         const bool isLoaded = m_state.routes && m_state.registry.isComplete();
         const bool isLoading = !isLoaded && now - m_startedAt >= kFirstReadTime;
         store_polling_changed polling;
-        polling.frequent = m_state.gossip.shouldRead(now) || isLoading || m_missedChanges;
+        // The holder of the lease plans by the upstreams that it knows.
+        polling.frequent = m_state.gossip.shouldRead(now) || m_holdsLease || isLoading || m_missedChanges;
         polling.minRetryDelay = isLoaded && !m_missedChanges ? m_state.gossip.retryDelay() : duration::zero();
         if (polling != m_polling) {
             m_polling = polling;
--- a/src/node/store_duty.h
+++ b/src/node/store_duty.h
@@ -23,6 +23,12 @@
     /// Long-poll timeout of a configuration read. It is short because the store may drop the awaited record from its history meanwhile.
     std::chrono::milliseconds configWait{1'000};
     std::chrono::milliseconds registrationInterval{900}; ///< Between two reads of the registrations; the platform charges for each read.
+    /// In the first seconds after the start, when the upstreams may start, too, there are reads in shorter intervals.
+    std::chrono::milliseconds startupTime{8'000};
+    std::chrono::milliseconds startupInterval{300};
+    /// Mean delay of the second complete read of an entry that doesn't read frequently: changes that were told before it was known to the other
+    /// entries have passed it by.
+    std::chrono::milliseconds secondReadDelay{4'000};
     std::chrono::milliseconds infrequentInterval{30'000}; ///< Minimum mean interval between two reads while other entries send updates.
     /// Mean interval between two infrequent reads of all entries together.
     std::chrono::milliseconds infrequentSpacing{300};
