--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -302,11 +302,10 @@
         return std::max<std::chrono::milliseconds>(m_settings.infrequentInterval, m_entryAddresses.size() * m_settings.infrequentSpacing);
     }
 
-    /// Returns a random delay around the infrequent interval, so that the reads of different entries don't coincide.
-    std::chrono::milliseconds infrequentDelay()
+    /// Returns a random delay around @p mean, so that the reads of different entries don't coincide.
+    std::chrono::milliseconds randomDelay(std::chrono::milliseconds mean)
     {
-        const std::int64_t mean = infrequentInterval().count();
-        return std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(mean / 2, mean * 3 / 2)(m_random));
+        return std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(mean.count() / 2, mean.count() * 3 / 2)(m_random));
     }
 
     /// Returns the delay after a failed read, @p minDelay or more: exponential backoff with random jitter, so that the entries don't all
@@ -359,7 +358,7 @@
                 // No configuration has been published yet; the next read waits for one.
                 co_await self->pause(self->m_settings.minBackoff);
             } else if (page.outcome == store_outcome::Done && self->m_configVersion > 0 && !self->m_pollsFrequently && !self->m_configOutdated) {
-                co_await self->pauseUntilWoken(cursor.stream, self->infrequentDelay());
+                co_await self->pauseUntilWoken(cursor.stream, self->randomDelay(self->infrequentInterval()));
             }
         }
     }
@@ -388,6 +387,8 @@
         stream_cursor cursor;
         cursor.stream = store_stream::Registrations;
         instant lastRead = coreNow();
+        const instant startedAt = coreNow();
+        bool isFirst = true;
         while (!self->m_stopping) {
             bool isSnapshot = false;
             if (coreNow() - lastRead > self->m_settings.maxHistoryAge) {
@@ -409,11 +410,14 @@
                     continue;
                 }
                 const bool wasFrequent = self->m_pollsFrequently;
-                const bool isWoken =
-                    co_await self->pauseUntilWoken(cursor.stream, wasFrequent ? self->m_settings.registrationInterval : self->infrequentDelay());
+                const bool isStarting = coreNow() - startedAt < self->m_settings.startupTime;
+                const auto interval = isStarting ? self->m_settings.startupInterval : self->m_settings.registrationInterval;
+                const auto rest = self->randomDelay(isFirst ? self->m_settings.secondReadDelay : self->infrequentInterval());
+                const bool isWoken = co_await self->pauseUntilWoken(cursor.stream, wasFrequent ? interval : rest);
                 if (!isWoken && wasFrequent && !self->m_pollsFrequently) {
-                    co_await self->pauseUntilWoken(cursor.stream, self->infrequentDelay());
+                    co_await self->pauseUntilWoken(cursor.stream, rest);
                 }
+                isFirst = false;
             } else if (page.outcome == store_outcome::Unavailable) {
                 co_await self->pauseUntilWoken(cursor.stream, self->backoffDelay(cursor, self->m_minRetryDelay));
             }
