A request that has arrived on an idle connection is answered when an entry stops

Cause: a connection counted as idle until its first byte was read. An entry with a sixth of a core reads some tens of milliseconds late.

Change: connections with unread bytes aren't closed; their request is answered, with the announcement of the close. What is still on its way can't be known.

Measured: HttpServer.RequestThatHasArrived... fails before (the end of the connection instead of an answer) and passes.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -76,6 +76,13 @@
     return count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+/// Whether bytes have arrived that were not read yet. Consumes none.
+bool hasUnreadBytes(tcp::socket &socket) noexcept
+{
+    char byte = 0;
+    return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 constexpr std::size_t kFirstReadBytes = 4096;
 constexpr unsigned kFirstVersionWithChunks = 11; ///< HTTP/1.1, as Beast counts versions.
 constexpr unsigned kTooManyConnectionsStatus = 503;
@@ -472,8 +479,11 @@
     {
         m_draining = true;
         for (tcp::socket *socket : m_idle) {
-            beast::error_code ignored;
-            socket->cancel(ignored);
+            // A request that has arrived is answered first, and its answer announces the end of the connection.
+            if (!hasUnreadBytes(*socket)) {
+                beast::error_code ignored;
+                socket->cancel(ignored);
+            }
         }
     }
 
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -230,3 +230,37 @@
         EXPECT_EQ(answer.empty(), target == "/whole") << answer;
     }
 }
+
+// Load pattern: an entry with little processor time stops, and requests have arrived on idle connections that it hasn't read yet.
+TEST(HttpServer, RequestThatHasArrivedOnAnIdleConnectionIsAnsweredWhenTheServerDrains)
+{
+    const auto handler = [](net::http_request, net::http_responder &out) -> asio::awaitable<void> {
+        net::http_answer answer;
+        co_await out.send(std::move(answer));
+    };
+    const auto refuse = [](unsigned status, std::string_view why) { return net::http_answer{status, std::string(why), "text/plain", {}}; };
+    asio::io_context context;
+    last_reason reason;
+    const auto server = net::http_server::make(context, {asio::ip::make_address("127.0.0.1"), 0}, {}, handler, refuse, &reason);
+    ASSERT_TRUE(server) << reason.text();
+    asio::io_context own;
+    asio::ip::tcp::socket asking(own);
+    asio::ip::tcp::socket silent(own);
+    asking.connect(server->endpoint());
+    silent.connect(server->endpoint());
+    context.run_for(std::chrono::milliseconds(50)); // The server accepts both and waits for requests.
+    asio::write(asking, asio::buffer(std::string_view("GET /x HTTP/1.1\r\nHost: h\r\n\r\n")));
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    server->drain();
+    context.run_for(std::chrono::milliseconds(1'000));
+    const auto readAll = [](asio::ip::tcp::socket &socket) {
+        std::string text;
+        boost::system::error_code error;
+        asio::read(socket, asio::dynamic_buffer(text), error);
+        return text;
+    };
+    const std::string answer = readAll(asking);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+    EXPECT_EQ(readAll(silent), "");
+}
