--- a/tests/process_planned_stop_test.cpp
+++ b/tests/process_planned_stop_test.cpp
@@ -56,8 +56,8 @@
     }
 
 private:
-    explicit slow_request(asio::any_io_executor executor)
-        : m_socket(std::move(executor))
+    explicit slow_request(const asio::any_io_executor &executor)
+        : m_socket(executor)
     { }
 
     asio::ip::tcp::socket m_socket;
