Test sites: entries with links of their own share one address of each upstream

Entries also tell each other addresses, so an entry whose links were sound connected to a new engine at the address of one that was cut off ("added ... 127.0.2.1" at 127.0.4.1's entry), and took the pool for lost.

Change: upstreams register one address for all; a library that is preloaded into the entry replaces it by that entry's link when it connects. The store answers all alike.

Measured: ProcessCutOff.EntryUsesItsOwnLinksToUpstreamsThatOthersTellOf served 0 of 3 streams at the one entry of four that doesn't read the store before, 3 after; all 13 tests of ProcessCutOff pass.

--- a/tests/process_cut_off_test.cpp
+++ b/tests/process_cut_off_test.cpp
@@ -109,6 +109,30 @@
     });
 }
 
+// With links of their own, entries took the addresses of new upstreams from others by gossip, and with them the others' links.
+TEST(ProcessCutOff, EntryUsesItsOwnLinksToUpstreamsThatOthersTellOf)
+{
+    for (const std::size_t intact : {0, 1, 2, 3}) {
+        relay_site_settings settings = siteWithLinks();
+        settings.upstreamDownTime = milliseconds(200);
+        runOnSite(std::move(settings), [intact](relay_site &site) -> asio::awaitable<void> {
+            for (const auto &upstream : site.upstreams()) {
+                upstream->release("v2", false);
+            }
+            const auto until = std::chrono::steady_clock::now() + kStabilityWindow;
+            while (std::chrono::steady_clock::now() < until) {
+                // Upstreams that have come back listen on sockets of their own.
+                for (std::size_t index = 0; index < site.entryCount(); ++index) {
+                    site.cutFromUpstreams(index, index != intact);
+                }
+                co_await pauseFor(milliseconds(100));
+            }
+            const int streams = co_await countServed(site, intact, kStreamPath, 3);
+            EXPECT_EQ(streams, 3) << "entry " << intact;
+        });
+    }
+}
+
 TEST(ProcessCutOff, EntryServesItsCallersItselfAgainOnceTheCutHasHealed)
 {
     runOnSite(siteWithLinks(), [](relay_site &site) -> asio::awaitable<void> {
--- a/tests/standins/site_store.cpp
+++ b/tests/standins/site_store.cpp
@@ -45,17 +45,6 @@
     return text;
 }
 
-/// Returns @p record of the topic that @p request reads, with the host of a registered upstream replaced by @p linkHost unless that is empty.
-std::string withLinkHost(const http_request &request, std::string record, const std::string &linkHost)
-{
-    constexpr std::string_view kHost = "127.0.0.1";
-    const auto found = linkHost.empty() || request.query("Topic") != "keyed.servers" ? std::string::npos : record.find(kHost);
-    if (found != std::string::npos) {
-        record.replace(found, kHost.size(), linkHost);
-    }
-    return record;
-}
-
 } // namespace
 
 http_answer jsonAnswer(const json::value &body, unsigned status)
@@ -142,7 +131,7 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
-asio::awaitable<void> site_store::serve(http_request request, net::http_responder &responder, std::string linkHost)
+asio::awaitable<void> site_store::serve(http_request request, net::http_responder &responder)
 {
     if (m_faults.delay.count() > 0) {
         co_await sleepFor(m_faults.delay);
@@ -154,9 +143,9 @@
     if (m_faults.busy) {
         answer.status = 503;
     } else if (request.path() == "/v1/log-newest") {
-        answer = newest(request, linkHost);
+        answer = newest(request);
     } else if (request.path() == "/v1/log-read") {
-        answer = co_await read(request, linkHost);
+        answer = co_await read(request);
     } else if (request.path() == "/v1/log-append") {
         answer = append(request);
     } else if (request.path() == "/v1/log-join") {
@@ -187,17 +176,17 @@
     co_await responder.endStream();
 }
 
-http_answer site_store::newest(const http_request &request, const std::string &linkHost)
+http_answer site_store::newest(const http_request &request)
 {
     const topic_log &log = m_topics[std::string(request.query("Topic"))];
     json::array items;
     for (const auto &[key, entry] : log.newest) {
-        items.push_back(json::object{{"Key", key}, {"Value", encodeBase64(withLinkHost(request, entry.first, linkHost))}, {"Offset", entry.second}});
+        items.push_back(json::object{{"Key", key}, {"Value", encodeBase64(entry.first)}, {"Offset", entry.second}});
     }
     return jsonAnswer(json::object{{"items", std::move(items)}, {"Truncated", false}, {"End", log.first + log.records.size()}});
 }
 
-asio::awaitable<http_answer> site_store::read(const http_request &request, std::string linkHost)
+asio::awaitable<http_answer> site_store::read(const http_request &request)
 {
     const std::string topic(request.query("Topic"));
     const std::uint64_t from = parseNumber(request.query("From"));
@@ -213,7 +202,7 @@
     answer.contentType = "application/octet-stream";
     answer.body = bigEndian(log.first + log.records.size(), 8) + bigEndian(log.first, 8);
     for (std::size_t i = from - log.first; i < log.records.size(); ++i) {
-        answer.body += withLinkHost(request, log.records[i], linkHost);
+        answer.body += log.records[i];
     }
     co_return answer;
 }
--- a/tests/standins/site_store.h
+++ b/tests/standins/site_store.h
@@ -53,9 +53,8 @@
     void restore(const copy &from);
     /// Returns the keys of @p topic that have a value.
     std::vector<std::string> keysOf(const std::string &topic) const;
-    /// Answers one call. If @p linkHost is set, registered upstreams have that host instead of 127.0.0.1, so that the caller uses links of
-    /// its own. It must be as long.
-    boost::asio::awaitable<void> serve(net::http_request request, net::http_responder &responder, std::string linkHost = {});
+    /// Answers one call.
+    boost::asio::awaitable<void> serve(net::http_request request, net::http_responder &responder);
 
 private:
     struct topic_log
@@ -65,8 +64,8 @@
         std::map<std::string, std::pair<std::string, std::uint64_t>> newest; ///< Newest value and its offset by key.
     };
 
-    net::http_answer newest(const net::http_request &request, const std::string &linkHost);
-    boost::asio::awaitable<net::http_answer> read(const net::http_request &request, std::string linkHost);
+    net::http_answer newest(const net::http_request &request);
+    boost::asio::awaitable<net::http_answer> read(const net::http_request &request);
     net::http_answer append(const net::http_request &request);
     net::http_answer join(const net::http_request &request);
     net::http_answer leave(const net::http_request &request);
--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -261,7 +261,7 @@
         return;
     }
     json::object entry{{"Service", m_settings.service},
-                       {"Address", "127.0.0.1:" + std::to_string(m_server->endpoint().port())},
+                       {"Address", m_settings.sharedHost + ":" + std::to_string(m_server->endpoint().port())},
                        {"Zone", "z"},
                        {"Version", m_settings.version},
                        {"Slots", 64},
--- a/tests/standins/site_upstream.h
+++ b/tests/standins/site_upstream.h
@@ -33,6 +33,7 @@
     /// Further loopback addresses to listen on, with the same port, so that each entry can have a link of its own. After a silent crash they
     /// refuse connections.
     std::vector<std::string> linkHosts = {};
+    std::string sharedHost = "127.0.0.1"; ///< The host in the registration. Callers with links of their own replace it by their link host.
 };
 
 /// A request whose target has this text crashes each upstream that begins to run it.
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -23,7 +23,8 @@
 
 } // namespace
 
-std::unique_ptr<child_process> child_process::make(const std::string &program, const std::vector<std::string> &arguments, last_reason *reason, bool quiet)
+std::unique_ptr<child_process>
+child_process::make(const std::string &program, const std::vector<std::string> &arguments, last_reason *reason, bool quiet, std::vector<std::string> variables)
 {
     file_pointer output(std::tmpfile());
     if (!output) {
@@ -56,6 +57,9 @@
     // This variable makes glibc overwrite freed memory, so that a use after free becomes visible.
     char perturb[] = "MALLOC_PERTURB_=165";
     std::vector<char *> environment{perturb};
+    for (std::string &variable : variables) {
+        environment.push_back(variable.data());
+    }
     for (char **variable = environ; *variable != nullptr; ++variable) {
         environment.push_back(*variable);
     }
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -24,7 +24,12 @@
 {
 public:
     /// Starts @p program with @p arguments; a name without a slash is searched in PATH. Null with @p reason on failure.
-    static std::unique_ptr<child_process> make(const std::string &program, const std::vector<std::string> &arguments, last_reason *reason, bool quiet = false);
+    /// @p variables are added to its environment, as NAME=VALUE.
+    static std::unique_ptr<child_process> make(const std::string &program,
+                                               const std::vector<std::string> &arguments,
+                                               last_reason *reason,
+                                               bool quiet = false,
+                                               std::vector<std::string> variables = {});
     ~child_process();
     child_process(const child_process &) = delete;
     child_process &operator=(const child_process &) = delete;
--- a/tests/support/relay_site.cpp
+++ b/tests/support/relay_site.cpp
@@ -19,6 +19,7 @@
 
 #include "net/http_status.h"
 #include "support/link_cut.h"
+#include "support/link_hosts.h"
 
 namespace heatherroute::support
 {
@@ -115,6 +116,12 @@
     return "127.0." + std::to_string(index + 1) + ".1";
 }
 
+/// The library beside @p program that gives an entry links of its own.
+std::string preloadOf(const std::string &program)
+{
+    return std::filesystem::absolute(std::filesystem::path(program).parent_path() / "liblink_preload.so").string();
+}
+
 } // namespace
 
 relay_site::relay_site(asio::io_context &context, relay_site_settings settings)
@@ -164,19 +171,14 @@
 {
     m_store = std::make_unique<standins::site_store>(m_context);
     m_store->setEra(m_settings.storeEra);
-    m_storeServer = serveStore({}, reason);
-    return m_storeServer != nullptr;
-}
-
-std::unique_ptr<net::http_server> relay_site::serveStore(const std::string &linkHost, last_reason *reason)
-{
-    const auto handler = [this, linkHost](http_request request, http_responder &responder) { return m_store->serve(std::move(request), responder, linkHost); };
+    const auto handler = [this](http_request request, http_responder &responder) { return m_store->serve(std::move(request), responder); };
     const auto makeErrorAnswer = [](unsigned status, std::string_view) {
         http_answer answer;
         answer.status = status;
         return answer;
     };
-    return net::http_server::make(m_context, tcp::endpoint(asio::ip::address_v4::loopback(), 0), {}, handler, makeErrorAnswer, reason);
+    m_storeServer = net::http_server::make(m_context, tcp::endpoint(asio::ip::address_v4::loopback(), 0), {}, handler, makeErrorAnswer, reason);
+    return m_storeServer != nullptr;
 }
 
 bool relay_site::addUpstream(const std::string &service, const std::string &phase, const std::string &version, last_reason *reason)
@@ -188,6 +190,9 @@
     settings.version = version;
     settings.eventInterval = m_settings.eventInterval;
     settings.downTime = m_settings.upstreamDownTime;
+    if (m_settings.hasOwnLinks) {
+        settings.sharedHost = kSharedLinkHost;
+    }
     for (std::size_t i = 0; m_settings.hasOwnLinks && i < m_settings.entries; ++i) {
         settings.linkHosts.push_back(linkHostOf(i));
     }
@@ -216,13 +221,7 @@
 bool relay_site::addEntry(std::size_t index, last_reason *reason)
 {
     running_entry entry;
-    if (m_settings.hasOwnLinks) {
-        entry.store = serveStore(linkHostOf(index), reason);
-        if (!entry.store) {
-            return false;
-        }
-    }
-    entry.proxy = std::make_unique<fault_proxy>(m_context, (entry.store ? entry.store : m_storeServer)->endpoint());
+    entry.proxy = std::make_unique<fault_proxy>(m_context, m_storeServer->endpoint());
     entry.settingsFile = m_folder + "/entry-" + std::to_string(index) + ".yaml";
     for (const char *name : {"callers", "readiness", "directory", "operators", "peers", "entries"}) {
         do {
@@ -250,7 +249,12 @@
 bool relay_site::restart(std::size_t index, last_reason *reason)
 {
     running_entry &entry = m_entries.at(index);
-    auto process = child_process::make(m_settings.program, {"--relay", "--settings", entry.settingsFile}, reason, m_settings.discardStandardError);
+    std::vector<std::string> environment;
+    if (m_settings.hasOwnLinks) {
+        environment = {"LD_PRELOAD=" + preloadOf(m_settings.program), std::string(kLinkHostVariable) + "=" + linkHostOf(index)};
+    }
+    auto process =
+        child_process::make(m_settings.program, {"--relay", "--settings", entry.settingsFile}, reason, m_settings.discardStandardError, std::move(environment));
     if (!process) {
         return false;
     }
--- a/tests/support/relay_site.h
+++ b/tests/support/relay_site.h
@@ -155,7 +155,6 @@
     struct running_entry
     {
         std::unique_ptr<child_process> process;
-        std::unique_ptr<net::http_server> store; ///< The store as this entry sees it, if it has links of its own.
         std::unique_ptr<fault_proxy> proxy;
         std::string settingsFile;
         std::string earlierLog; ///< Of the processes before the current one.
@@ -165,7 +164,6 @@
     relay_site(boost::asio::io_context &context, relay_site_settings settings);
     bool start(last_reason *reason);
     bool startStore(last_reason *reason);
-    std::unique_ptr<net::http_server> serveStore(const std::string &linkHost, last_reason *reason);
     bool addUpstream(const std::string &service, const std::string &phase, const std::string &version, last_reason *reason);
     bool addEntry(std::size_t index, last_reason *reason);
     boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
