Soak compares cut-off entries with the others at the same time and for the same path

The two entries with links refused every stream of their own callers, 0 of 45 served from 18.6 to 20.1 s, but had been restarted within the 3 s before, so that only attempts at other times were compared with.

Change: an attempt is compared with those for its path at entries with links in the same half second, at calm ones if there are any, and with all at calm entries if there are none, as before. The bound of two thirds and the failures allowed are unchanged.

Measured: two new tests of the audit; the old one passes with its figures.

--- a/bench/heatherbench_soak.cpp
+++ b/bench/heatherbench_soak.cpp
@@ -198,7 +198,8 @@
             const bool steady = isSteady(entry, sent);
             const bool isJudged = m_linksCutAt && sent - *m_linksCutAt > kStabilityWindow;
             const bool isCutOff = m_cutEntries.contains(entry);
-            const bool undisturbed = !m_disturbedEntries.contains(entry) && sent - m_entryCalmSince[entry] > kStabilityWindow;
+            const bool wasDisturbed = m_disturbedEntries.contains(entry);
+            const bool undisturbed = !wasDisturbed && sent - m_entryCalmSince[entry] > kStabilityWindow;
             caller_request request;
             request.path = std::move(path);
             request.timeLeft = kRequestTimeout;
@@ -216,8 +217,8 @@
                 m_audit.recordLookup(process, sent, std::chrono::steady_clock::now(), result.status == kOk, steady);
             }
             m_audit.recordSender(result.id, process + ", disturbance " + std::to_string(before), sent);
-            if (isJudged && m_linksCutAt && undisturbed && m_disturbanceCounts[entry] == before) {
-                m_audit.recordFirstTry(isCutOff, result.status == kOk);
+            if (isJudged && m_linksCutAt && !wasDisturbed && m_disturbanceCounts[entry] == before) {
+                m_audit.recordFirstTry({result.path, sent, isCutOff, undisturbed, result.status == kOk});
             }
             m_audit.recordUndisturbed(result.id, undisturbed && m_disturbanceCounts[entry] == before);
             m_audit.recordResult(result, !m_options.checkDurations || m_disturbedEntries.count(entry) > 0 || m_disturbanceCounts[entry] != before);
--- a/tests/soak_audit_test.cpp
+++ b/tests/soak_audit_test.cpp
@@ -27,6 +27,13 @@
     return audit.violations();
 }
 
+/// A first attempt @p ms after the start, at a calm entry.
+first_try tryAt(int ms, bool isCutOff, bool isServed)
+{
+    const std::chrono::steady_clock::time_point start{std::chrono::hours(1)};
+    return {kStreamPath, start + std::chrono::milliseconds(ms), isCutOff, true, isServed};
+}
+
 } // namespace
 
 // For each guarantee, the audit must find a violation of it and accept a similar case that is allowed.
@@ -256,10 +263,10 @@
     const auto judge = [](int cutOff, int served) {
         soak_audit audit;
         for (int i = 0; i < 100; ++i) {
-            audit.recordFirstTry(false, true);
+            audit.recordFirstTry(tryAt(0, false, true));
         }
         for (int i = 0; i < cutOff; ++i) {
-            audit.recordFirstTry(true, i < served);
+            audit.recordFirstTry(tryAt(0, true, i < served));
         }
         audit.checkFirstTries();
         return audit.violations().size();
@@ -272,6 +279,45 @@
     EXPECT_EQ(judge(0, 0), 0U);
 }
 
+// Entries with links that had restarted a moment ago refused every stream while no engine ran, but weren't compared with.
+TEST(SoakAudit, EntriesThatAreCutOffNeedNotServeWhatTheOthersCannotServe)
+{
+    const auto judge = [](int outageMs, int othersServed, bool othersAreCalm) {
+        soak_audit audit;
+        for (int i = 0; i < 20; ++i) {
+            audit.recordFirstTry(tryAt(0, false, true));
+            audit.recordFirstTry(tryAt(0, true, true));
+        }
+        for (int i = 0; i < 20; ++i) {
+            first_try other = tryAt(outageMs, false, i < othersServed);
+            other.isCalm = othersAreCalm;
+            audit.recordFirstTry(other);
+            audit.recordFirstTry(tryAt(1'000, true, false));
+        }
+        audit.checkFirstTries();
+        return audit.violations().size();
+    };
+    EXPECT_EQ(judge(1'000, 0, false), 0U);
+    EXPECT_EQ(judge(1'000, 0, true), 0U);
+    EXPECT_EQ(judge(1'000, 20, false), 1U);
+    EXPECT_EQ(judge(1'000, 11, false), 1U);
+    EXPECT_EQ(judge(2'000, 0, false), 1U) << "they failed at another time";
+}
+
+TEST(SoakAudit, CalmEntriesDecideWhatCouldHaveBeenServed)
+{
+    soak_audit audit;
+    audit.recordFirstTry(tryAt(0, false, true));
+    for (int i = 0; i < 20; ++i) {
+        first_try restarted = tryAt(0, false, false);
+        restarted.isCalm = false;
+        audit.recordFirstTry(restarted);
+        audit.recordFirstTry(tryAt(0, true, false));
+    }
+    audit.checkFirstTries();
+    EXPECT_EQ(audit.violations().size(), 1U);
+}
+
 TEST(SoakAudit, RequestsThatAnotherEntryServedAreNotChargedToTheFirst)
 {
     soak_audit audit;
--- a/tests/support/soak_audit.cpp
+++ b/tests/support/soak_audit.cpp
@@ -3,6 +3,7 @@
 #include "support/limit_audit.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 #include <set>
 
@@ -328,22 +329,66 @@
     m_violations.push_back("recovery: entry " + std::to_string(entry) + " did not serve again");
 }
 
-void soak_audit::recordFirstTry(bool isCutOff, bool isServed)
+void soak_audit::recordFirstTry(first_try attempt)
 {
-    first_tries &tries = isCutOff ? m_cutOffTries : m_otherTries;
-    tries.sent += 1;
-    tries.served += isServed ? 1 : 0;
+    m_firstTries.push_back(std::move(attempt));
+}
+
+double soak_audit::servedShareElsewhere(const first_try &attempt) const
+{
+    const auto sliceOf = [](const first_try &one) { return one.sentAt.time_since_epoch() / kTrySlice; };
+    try_count calmInSlice;
+    try_count allInSlice;
+    try_count calm;
+    for (const first_try &other : m_firstTries) {
+        if (other.isCutOff) {
+            continue;
+        }
+        const bool isInSlice = other.path == attempt.path && sliceOf(other) == sliceOf(attempt);
+        const auto countIn = [&other](try_count &count) {
+            count.sent += 1;
+            count.served += other.isServed ? 1 : 0;
+        };
+        if (isInSlice) {
+            countIn(allInSlice);
+        }
+        if (other.isCalm) {
+            countIn(calm);
+        }
+        if (isInSlice && other.isCalm) {
+            countIn(calmInSlice);
+        }
+    }
+    for (const try_count &count : {calmInSlice, allInSlice, calm}) {
+        if (count.sent > 0) {
+            return static_cast<double>(count.served) / static_cast<double>(count.sent);
+        }
+    }
+    return 0.0;
 }
 
 void soak_audit::checkFirstTries()
 {
-    const std::size_t failed = m_cutOffTries.sent - m_cutOffTries.served;
-    const std::size_t allowed = kFewFailedTries + (m_cutOffTries.sent + m_otherTries.sent) / kTriesPerFailure;
-    const auto shareOf = [](const first_tries &tries) { return tries.sent == 0 ? 0.0 : static_cast<double>(tries.served) / static_cast<double>(tries.sent); };
-    if (failed > allowed && shareOf(m_cutOffTries) < kMinServedShare * shareOf(m_otherTries)) {
-        m_violations.push_back("RECOVER: entries that are cut off from upstreams served " + std::to_string(m_cutOffTries.served) + " of "
-                               + std::to_string(m_cutOffTries.sent) + " first attempts, the others " + std::to_string(m_otherTries.served) + " of "
-                               + std::to_string(m_otherTries.sent));
+    try_count cutOff;
+    std::size_t calmElsewhere = 0;
+    double expected = 0.0;
+    for (const first_try &attempt : m_firstTries) {
+        if (!attempt.isCalm) {
+            continue;
+        }
+        if (!attempt.isCutOff) {
+            calmElsewhere += 1;
+            continue;
+        }
+        cutOff.sent += 1;
+        cutOff.served += attempt.isServed ? 1 : 0;
+        expected += servedShareElsewhere(attempt);
+    }
+    const std::size_t failed = cutOff.sent - cutOff.served;
+    const std::size_t allowed = kFewFailedTries + (cutOff.sent + calmElsewhere) / kTriesPerFailure;
+    if (failed > allowed && static_cast<double>(cutOff.served) < kMinServedShare * expected) {
+        m_violations.push_back("RECOVER: entries that are cut off from upstreams served " + std::to_string(cutOff.served) + " of " + std::to_string(cutOff.sent)
+                               + " first attempts, the others would have served " + std::to_string(std::lround(expected)));
     }
 }
 
--- a/tests/support/soak_audit.h
+++ b/tests/support/soak_audit.h
@@ -29,9 +29,20 @@
 inline constexpr double kMinServedShare = 2.0 / 3.0; ///< First attempts served at entries that are cut off, relative to those at the others.
 inline constexpr std::size_t kFewFailedTries = 10; ///< As many may fail there, and 1 in kTriesPerFailure of all.
 inline constexpr std::size_t kTriesPerFailure = 50;
+inline constexpr std::chrono::milliseconds kTrySlice{500}; ///< Attempts in the same slice of time are compared.
 inline constexpr double kRetryShare = 0.2; ///< As relay_site sets it for its entries.
 inline constexpr double kRetrySlack = 100;
 
+/// A first attempt of a caller at an entry that runs all the while.
+struct first_try
+{
+    std::string path;
+    std::chrono::steady_clock::time_point sentAt;
+    bool isCutOff = false; ///< The entry is cut off from all upstreams.
+    bool isCalm = false; ///< The entry had no process fault for the stability window before.
+    bool isServed = false;
+};
+
 /**
  * Checks what callers and upstreams observed in a soak run against the guarantees of the router.
  *
@@ -81,10 +92,10 @@
     void checkStreams(const standins::upstream_log &log, const stream_callers &callers, bool lostPower);
     /// Checks that no two holders have ordered with the same fencing token.
     void checkOrders(const std::vector<standins::accepted_order> &orders);
-    /// Records a first attempt that a caller made, while some entries have been cut off from all upstreams for the stability window, at an
-    /// undisturbed entry. @p isCutOff: that entry is among them.
-    void recordFirstTry(bool isCutOff, bool isServed);
-    /// Checks that first attempts at entries that are cut off from all upstreams are served about as often as those at the others.
+    /// Records a first attempt that a caller made while some entries have been cut off from all upstreams for the stability window.
+    void recordFirstTry(first_try attempt);
+    /// Checks that first attempts at entries that are cut off from all upstreams are served about as often as those for the same path at the
+    /// others at about the same time: what those can't serve, the cut-off ones can't have served either.
     void checkFirstTries();
     /// Leaves requests that the @p log of an entry says it has served for another one out of the checks that depend on the entry which sent them to
     /// upstreams. To be called before these.
@@ -141,12 +152,15 @@
     void checkLeaves(const standins::upstream_log &log);
     void checkPauses(const standins::upstream_log &log);
 
-    struct first_tries
+    struct try_count
     {
         std::size_t sent = 0;
         std::size_t served = 0;
     };
 
+    /// Returns the share of attempts like @p attempt that entries with links served, by the best evidence that there is.
+    double servedShareElsewhere(const first_try &attempt) const;
+
     struct sound_stream
     {
         std::chrono::steady_clock::time_point sent;
@@ -155,8 +169,7 @@
 
     std::vector<caller_result> m_results;
     std::vector<sound_stream> m_soundStreams;
-    first_tries m_cutOffTries; ///< At entries that are cut off.
-    first_tries m_otherTries;
+    std::vector<first_try> m_firstTries;
     std::map<unsigned, std::size_t> m_byStatus;
     std::set<std::string> m_undisturbed; ///< Ids of requests.
     std::vector<std::pair<std::chrono::steady_clock::time_point, std::chrono::steady_clock::time_point>> m_powerLosses;
