Tests of slow streams and of streams that send only comments, own interface

Operators of similar systems report that slow but sound streams were cut, and that stalled ones which sent a byte now and then never ended. So far this was answered by reading.

Change: a fault switch of the stand-in engine, drip_streams, and two process tests. On the product's own interface neither can happen: a stall is counted from tokens, not from bytes, and a stream that is resumed goes on.

--- a/tests/process_answers_test.cpp
+++ b/tests/process_answers_test.cpp
@@ -20,6 +20,7 @@
 
 constexpr std::chrono::seconds kLimit{30};
 constexpr std::chrono::seconds kMemoryFreeLimit{5};
+constexpr std::chrono::seconds kMaxStalledTime{10}; ///< For a whole answer, one of whose streams stalls.
 constexpr std::uint32_t kMaxTokens = 60;
 const std::string kModel = "audit";
 const std::vector<std::string> kDecodes{"decode-1", "decode-2", "decode-3"};
@@ -192,6 +193,34 @@
         "a family store with a long history", 3, [this](const std::string &name) { ASSERT_TRUE(m_fleet->setFault(name, R"({"stall_streams":true})")); });
 }
 
+TEST_F(answers, completeAlthoughAnEnginesStreamsSendOnlyCommentsNowAndThen)
+{
+    const auto start = std::chrono::steady_clock::now();
+    expectCompletionDespite("a bridge of bamboo", 3, [this](const std::string &name) { ASSERT_TRUE(m_fleet->setFault(name, R"({"drip_streams":true})")); });
+    EXPECT_LT(std::chrono::steady_clock::now() - start, kMaxStalledTime);
+}
+
+// Each step takes longer than the time after which a stream without tokens is resumed over a new connection.
+TEST_F(answers, completeAlthoughAllEnginesAreSlow)
+{
+    const std::string prompt = "the long way round the lake";
+    const auto stream = openStream(entry(), prompt);
+    ASSERT_TRUE(stream);
+    caller_view view;
+    readTokens(*stream, view, 3);
+    const auto setSlowFactor = [this](const char *fault) {
+        for (const std::string &name : kDecodes) {
+            ASSERT_TRUE(m_fleet->setFault(name, fault));
+        }
+    };
+    setSlowFactor(R"({"slow_factor":250})");
+    readTokens(*stream, view, 6);
+    EXPECT_EQ(view.tokens, 6U) << view.errorVerdict;
+    setSlowFactor(R"({"slow_factor":1})");
+    readToEnd(*stream, view);
+    expectComplete(view, prompt);
+}
+
 TEST_F(answers, completeOverANewConnectionWhenTheOldOneGoesSilent)
 {
     expectCompletionDespite("silk and linen, cut to size", 3, [this](const std::string &name) { ASSERT_TRUE(m_fleet->setFault(name, R"({"silent":true})")); });
--- a/tests/standins/engine_server.cpp
+++ b/tests/standins/engine_server.cpp
@@ -18,6 +18,7 @@
 
 constexpr int kCrashExitCode = 70;
 constexpr std::chrono::milliseconds kKvPollInterval{50};
+constexpr std::chrono::milliseconds kDripInterval{200};
 
 const char *codeOf(refusal reason)
 {
@@ -289,6 +290,10 @@
         const std::size_t available = current.offset + current.tokens;
         if (m_streams[requestId] != streamId) {
             finalEvent = "event: error\n" + eventText(errorBody("superseded", "another stream reads this request"));
+        } else if (m_faults.dripStreams) {
+            co_await connection.sendEvents(":\n");
+            co_await m_changed.wait(kDripInterval);
+            continue;
         } else if (m_faults.stallStreams || (sent >= available && current.reason == end_reason::Open)) {
             co_await m_changed.wait();
             continue;
@@ -365,6 +370,7 @@
     engine_faults faults;
     faults.stallTransfers = boolOf(body, "stall_transfers");
     faults.stallStreams = boolOf(body, "stall_streams");
+    faults.dripStreams = boolOf(body, "drip_streams");
     faults.refuse = boolOf(body, "refuse");
     faults.freezeLoad = boolOf(body, "freeze_load");
     faults.ignoreCancel = boolOf(body, "ignore_cancel");
--- a/tests/standins/engine_server.h
+++ b/tests/standins/engine_server.h
@@ -29,6 +29,7 @@
 {
     bool stallTransfers = false; ///< KV transfers make no progress.
     bool stallStreams = false; ///< Streams send no events.
+    bool dripStreams = false; ///< Streams send no events, but a comment line now and then.
     bool refuse = false; ///< Rejects all prefill, decode and resume calls with 503.
     bool freezeLoad = false; ///< The reported load stops changing.
     bool ignoreCancel = false; ///< Confirms cancel calls without cancelling anything.
