When an entry reads the store next is decided by a class of its own

Cause: the startup intervals, the second read and the reads of the lease holder came with, inside of store_duty and relay_duty, and without a test.

Change: store_read_schedule holds these decisions and their intervals, nothing else changes.

--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -20,6 +20,7 @@
 #include "relay/entry_addresses.h"
 #include "relay/lease_candidate.h"
 #include "relay/origin_record.h"
+#include "relay/store_read_schedule.h"
 
 namespace heatherroute::node
 {
@@ -477,8 +478,7 @@
         const bool isLoaded = m_state.routes && m_state.registry.isComplete();
         const bool isLoading = !isLoaded && now - m_startedAt >= kFirstReadTime;
         store_polling_changed polling;
-        // The holder of the lease plans by the upstreams that it knows.
-        polling.frequent = m_state.gossip.shouldRead(now) || m_holdsLease || isLoading || m_missedChanges;
+        polling.frequent = store_read_schedule::isFrequent({m_state.gossip.shouldRead(now), m_holdsLease, isLoading, m_missedChanges});
         polling.minRetryDelay = isLoaded && !m_missedChanges ? m_state.gossip.retryDelay() : duration::zero();
         if (polling != m_polling) {
             m_polling = polling;
--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -56,6 +56,7 @@
         , m_toRelay(toRelay)
         , m_toMembers(toMembers)
         , m_log(std::move(log))
+        , m_schedule(store_read_schedule::make(m_settings.reads, coreNow()))
         , m_random(std::random_device{}())
     { }
 
@@ -296,27 +297,10 @@
         }
     }
 
-    /// Returns the mean interval of infrequent reads, which grows with the number of entries, so that their number doesn't.
-    std::chrono::milliseconds infrequentInterval() const
-    {
-        return std::max<std::chrono::milliseconds>(m_settings.infrequentInterval, m_entryAddresses.size() * m_settings.infrequentSpacing);
-    }
-
-    /// Returns a random delay around @p mean, so that the reads of different entries don't coincide.
-    std::chrono::milliseconds randomDelay(std::chrono::milliseconds mean)
-    {
-        return std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(mean.count() / 2, mean.count() * 3 / 2)(m_random));
-    }
-
-    /// Returns the delay after a failed read, @p minDelay or more: exponential backoff with random jitter, so that the entries don't all
-    /// retry at once.
+    /// Returns the delay after a failed read, see store_read_schedule::retryDelay().
     std::chrono::milliseconds backoffDelay(const stream_cursor &cursor, std::chrono::milliseconds minDelay = std::chrono::milliseconds(0))
     {
-        constexpr std::uint32_t kMaxDoublings = 5;
-        constexpr int kMaxRetryDelays = 4;
-        const auto grown = std::max(m_settings.minBackoff, minDelay) * (1U << std::min(cursor.failures, kMaxDoublings));
-        const auto bound = std::min<std::chrono::milliseconds>(grown, std::max(m_settings.maxBackoff, kMaxRetryDelays * minDelay));
-        return std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(bound.count() / 2, bound.count())(m_random));
+        return m_schedule.retryDelay(cursor.failures, minDelay, m_random);
     }
 
     /// Returns the timeout for reading a snapshot. It grows with each failure: when many entries start together, their reads queue at the
@@ -356,9 +340,9 @@
                 co_await self->pause(self->m_settings.configWait);
             } else if (isSnapshot && self->m_configVersion == 0) {
                 // No configuration has been published yet; the next read waits for one.
-                co_await self->pause(self->m_settings.minBackoff);
+                co_await self->pause(self->m_settings.reads.minBackoff);
             } else if (page.outcome == store_outcome::Done && self->m_configVersion > 0 && !self->m_pollsFrequently && !self->m_configOutdated) {
-                co_await self->pauseUntilWoken(cursor.stream, self->randomDelay(self->infrequentInterval()));
+                co_await self->pauseUntilWoken(cursor.stream, self->m_schedule.infrequentDelay(self->m_random));
             }
         }
     }
@@ -387,8 +371,6 @@
         stream_cursor cursor;
         cursor.stream = store_stream::Registrations;
         instant lastRead = coreNow();
-        const instant startedAt = coreNow();
-        bool isFirst = true;
         while (!self->m_stopping) {
             bool isSnapshot = false;
             if (coreNow() - lastRead > self->m_settings.maxHistoryAge) {
@@ -410,14 +392,13 @@
                     continue;
                 }
                 const bool wasFrequent = self->m_pollsFrequently;
-                const bool isStarting = coreNow() - startedAt < self->m_settings.startupTime;
-                const auto interval = isStarting ? self->m_settings.startupInterval : self->m_settings.registrationInterval;
-                const auto rest = self->randomDelay(isFirst ? self->m_settings.secondReadDelay : self->infrequentInterval());
+                self->m_schedule.noteRead();
+                const auto interval = self->m_schedule.frequentDelay(coreNow());
+                const auto rest = self->m_schedule.infrequentUpstreamsDelay(self->m_random);
                 const bool isWoken = co_await self->pauseUntilWoken(cursor.stream, wasFrequent ? interval : rest);
                 if (!isWoken && wasFrequent && !self->m_pollsFrequently) {
                     co_await self->pauseUntilWoken(cursor.stream, rest);
                 }
-                isFirst = false;
             } else if (page.outcome == store_outcome::Unavailable) {
                 co_await self->pauseUntilWoken(cursor.stream, self->backoffDelay(cursor, self->m_minRetryDelay));
             }
@@ -481,7 +462,7 @@
             if (page.outcome == store_outcome::Unavailable) {
                 co_await self->pause(self->backoffDelay(cursor));
             } else if (page.outcome == store_outcome::Done) {
-                co_await self->pauseUntilWoken(cursor.stream, self->m_published ? self->infrequentInterval() : self->backoffDelay(cursor));
+                co_await self->pauseUntilWoken(cursor.stream, self->m_published ? self->m_schedule.infrequentInterval() : self->backoffDelay(cursor));
             }
         }
     }
@@ -493,6 +474,7 @@
                 m_entryAddresses[record.key] = *record.value;
             }
         }
+        m_schedule.setEntries(m_entryAddresses.size());
         entry_addresses known;
         for (const auto &[name, address] : m_entryAddresses) {
             known.addresses.push_back(address);
@@ -709,6 +691,7 @@
     channel<relay_event> &m_toRelay;
     channel<member_event> &m_toMembers;
     std::function<void(log_line)> m_log;
+    store_read_schedule m_schedule;
     std::mt19937_64 m_random;
     instant m_lastAnswer{};
     bool m_reachable = true;
--- a/src/node/store_duty.h
+++ b/src/node/store_duty.h
@@ -11,6 +11,7 @@
 #include "node/channel.h"
 #include "node/relay_event.h"
 #include "relay/platform_store.h"
+#include "relay/store_read_schedule.h"
 
 namespace heatherroute::node
 {
@@ -22,16 +23,7 @@
     std::string peerAddress; ///< Published in the store for discovery by other entries.
     /// Long-poll timeout of a configuration read. It is short because the store may drop the awaited record from its history meanwhile.
     std::chrono::milliseconds configWait{1'000};
-    std::chrono::milliseconds registrationInterval{900}; ///< Between two reads of the registrations; the platform charges for each read.
-    /// In the first seconds after the start, when the upstreams may start, too, there are reads in shorter intervals.
-    std::chrono::milliseconds startupTime{8'000};
-    std::chrono::milliseconds startupInterval{300};
-    /// Mean delay of the second complete read of an entry that doesn't read frequently: changes that were told before it was known to the other
-    /// entries have passed it by.
-    std::chrono::milliseconds secondReadDelay{4'000};
-    std::chrono::milliseconds infrequentInterval{30'000}; ///< Minimum mean interval between two reads while other entries send updates.
-    /// Mean interval between two infrequent reads of all entries together.
-    std::chrono::milliseconds infrequentSpacing{300};
+    store_read_settings reads;
     /// If the last read is older than this, the newest record of each upstream is read instead of the history since then. An upstream
     /// reports about once a second, so the history would be longer.
     std::chrono::milliseconds maxHistoryAge{3'000};
@@ -40,8 +32,6 @@
     std::chrono::milliseconds maxOutdatedReadDelay{600};
     /// Maximum delay of the reads and writes that follow when the store comes back from an older copy.
     std::chrono::milliseconds maxRestoredReadDelay{600};
-    std::chrono::milliseconds minBackoff{150}; ///< Minimum delay after the first failed read; doubles with each further failure.
-    std::chrono::milliseconds maxBackoff{1'000};
     /// Timeout for reading a snapshot: initially short, so that a lost connection is detected early, and doubled with each failure up
     /// to the maximum, which suffices when hundreds of entries read at once.
     std::chrono::milliseconds minSnapshotTimeout{1'200};
--- a/tests/process_relay_test.cpp
+++ b/tests/process_relay_test.cpp
@@ -249,6 +249,36 @@
     });
 }
 
+// The holder of the lease planned by what readers of the store had told it, and gave its orders later than a reader would have.
+TEST(ProcessRelay, HolderOfTheLeaseReadsTheStoreItself)
+{
+    relay_site_settings settings;
+    settings.entries = 8;
+    runOnSite(settings, [](relay_site &site) -> asio::awaitable<void> {
+        std::vector<std::string> names;
+        for (std::size_t entry = 0; entry < site.entryCount(); ++entry) {
+            names.push_back(relay_site::entryName(entry));
+        }
+        const auto rankOf = [&names](const std::string &name) {
+            return std::count_if(names.begin(), names.end(), [&name](const std::string &other) { return precedesInReading(other, name); });
+        };
+        co_await pauseFor(seconds(6)); // Until the others rely on the readers.
+        std::size_t holders = 0;
+        for (std::size_t entry = 0; entry < site.entryCount(); ++entry) {
+            const std::string log = site.logOf(entry);
+            const bool isHolder = log.find("\"lease_held\"") != std::string::npos;
+            const bool isReader = rankOf(names[entry]) < static_cast<std::ptrdiff_t>(store_gossip_settings{}.readers);
+            const std::size_t frequent = log.rfind("\"store_polling_frequent\"");
+            const std::size_t infrequent = log.rfind("\"store_polling_infrequent\"");
+            const bool reads = frequent != std::string::npos && (infrequent == std::string::npos || infrequent < frequent);
+            EXPECT_EQ(reads, isHolder || isReader) << names[entry];
+            EXPECT_FALSE(isHolder && isReader) << "the holder reads anyway, so the case isn't tested";
+            holders += isHolder ? 1 : 0;
+        }
+        EXPECT_EQ(holders, 1U);
+    });
+}
+
 TEST(ProcessRelay, GracefulShutdownInterruptsNoStream)
 {
     runOnSite({}, [](relay_site &site) -> asio::awaitable<void> {
