A request that was cleared of crashes stays cleared when entries restart

Change: records also hold the requests that were cleared of two crashes or more, by the entry that cleared them or had recorded a crash of theirs, at most 64; the record of any entry overrules earlier crashes in those of others. Entries tell new ones which requests were cleared. Reports that are older than crashes count are ignored. Older builds skip the new list, and their records, without it, are read.

--- a/include/heatherroute/crash_report.h
+++ b/include/heatherroute/crash_report.h
@@ -98,12 +98,13 @@
 {
     std::vector<crash_report> crashes;
     std::vector<open_attempt> open;
+    std::vector<crash_report> cleared = {}; ///< Reports that clear requests. The records of other entries may still hold the crashes before.
 
     auto operator<=>(const crash_evidence &) const = default;
 
     bool isEmpty() const noexcept
     {
-        return crashes.empty() && open.empty();
+        return crashes.empty() && open.empty() && cleared.empty();
     }
 };
 
@@ -114,6 +115,7 @@
     upstream_instance instance;
     bool isOpen = false;
     std::vector<std::uint64_t> parts;
+    bool isCleared = false;
 
     auto operator<=>(const observation_key &) const = default;
 };
--- a/include/heatherroute/request_quarantine.h
+++ b/include/heatherroute/request_quarantine.h
@@ -39,6 +39,7 @@
     std::size_t maxSuspectsPerCrash = 128; ///< Of more, those that had run for longest are left out.
     std::size_t maxPending = 4096; ///< Interruptions that wait for an explanation.
     duration soundTime = std::chrono::minutes(5); ///< How long a complete answer speaks for a request; up to twice as long.
+    std::size_t maxClearancesRecorded = 64; ///< Of more, the oldest are left out.
     std::size_t maxSoundRequests = 4096; ///< Answers of at least this number of requests are remembered, if they are within that time.
 
     auto operator<=>(const quarantine_settings &) const = default;
@@ -119,7 +120,7 @@
     /// Returns the requests whose quarantine has begun since the last call.
     std::vector<started_quarantine> takeStarted();
     /// Returns what this entry has observed itself, the newest first and at most @p limit reports, to be recorded where a restart doesn't lose
-    /// it.
+    /// it; and the requests that were cleared of several crashes, since the records of other entries may still hold these.
     crash_evidence observations(instant now, std::size_t limit) const;
     /// Takes over what this entry had recorded before it restarted.
     void restore(instant now, const crash_evidence &recorded);
@@ -137,6 +138,9 @@
     std::uint32_t crashesOf(std::uint64_t fingerprint) const;
     /// Returns the reports on all suspects of the newest crashes, at most @p limit, for an entry that has missed them.
     std::vector<crash_report> suspectReports(instant now, std::size_t limit) const;
+    /// Returns reports on the requests that were cleared last, at most @p limit, for an entry that has missed them.
+    /// @p onlyRecorded: only those that observations() has.
+    std::vector<crash_report> clearedReports(instant now, std::size_t limit, bool onlyRecorded = false) const;
     /// Returns the open attempts, for an entry that has missed them.
     std::vector<open_attempt> openAttempts(instant now) const;
     /// Returns the known crashes.
@@ -170,6 +174,12 @@
         instant since{}; ///< The last of the crashes that led to it.
         instant until{};
     };
+    struct clearance
+    {
+        instant at{}; ///< Crashes up to this time don't count against the request.
+        /// The request was cleared of several crashes by an answer here, or one of them was recorded by this entry.
+        bool isRecorded = false;
+    };
     struct trial_history
     {
         instant lastAt{};
@@ -191,7 +201,7 @@
     bool hasRoomFor(const crash_suspect &suspect, known_crash &crash);
     void forgetCrash(std::size_t index);
     void removeSuspect(known_crash &crash, std::uint64_t fingerprint);
-    void clear(instant at, std::uint64_t fingerprint);
+    void clear(instant at, std::uint64_t fingerprint, bool isOwn);
     using crash_lists = std::map<std::uint64_t, std::vector<const known_crash *>>;
     std::vector<const known_crash *> crashesByTime() const;
     void updateQuarantine();
@@ -211,7 +221,7 @@
     std::set<crash_identity> m_explainedByParts;
     std::map<std::uint64_t, std::uint32_t> m_crashCounts; ///< Number of crashes by suspect.
     std::map<upstream_instance, instant> m_crashedInstances; ///< Crashes of the last moments, also those without a suspect.
-    std::map<std::uint64_t, instant> m_clearedAt; ///< Crashes up to this time don't count against the request.
+    std::map<std::uint64_t, clearance> m_clearedAt;
     std::unordered_set<std::uint64_t> m_sound; ///< Requests that were answered completely since m_soundSince.
     std::unordered_set<std::uint64_t> m_soundBefore; ///< Those of the period before.
     instant m_soundSince{};
--- a/src/core/crash_tracker.cpp
+++ b/src/core/crash_tracker.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::size_t kMaxIntroducedReports = 256;
 constexpr std::size_t kMaxIntroducedParts = 256;
+constexpr std::size_t kMaxIntroducedClearances = 64;
 /// Between the first trials of two entries: a stream takes some seconds until its answer is complete.
 constexpr duration kTrialStagger = std::chrono::seconds(10);
 /// The same for trials of whole requests, whose beginning the other entries are told.
@@ -167,6 +168,9 @@
     for (const open_attempt &open : evidence.open) {
         m_requests.onOpenAttempt(now, open);
     }
+    for (const crash_report &report : evidence.cleared) {
+        m_requests.onReport(now, report);
+    }
 }
 
 void crash_tracker::setRank(std::size_t rank) noexcept
@@ -211,6 +215,7 @@
 {
     std::vector<crash_message> messages;
     append(messages, makeMessages(m_parts.completedReports(now, kMaxIntroducedParts)));
+    append(messages, makeMessages(m_requests.clearedReports(now, kMaxIntroducedClearances)));
     append(messages, makeCrashMessages(m_requests.suspectReports(now, kMaxIntroducedReports)));
     append(messages, makeMessages(m_requests.openAttempts(now)));
     return messages;
--- a/src/core/request_quarantine.cpp
+++ b/src/core/request_quarantine.cpp
@@ -21,10 +21,13 @@
 {
     std::set<observation_key> keys;
     for (const crash_report &report : evidence.crashes) {
-        keys.insert({report.fingerprint, report.instance, false, report.parts});
+        keys.insert({report.fingerprint, report.instance, false, report.parts, false});
     }
     for (const open_attempt &open : evidence.open) {
-        keys.insert({open.fingerprint, open.instance, true, open.parts});
+        keys.insert({open.fingerprint, open.instance, true, open.parts, false});
+    }
+    for (const crash_report &report : evidence.cleared) {
+        keys.insert({report.fingerprint, {}, false, {}, true});
     }
     return keys;
 }
@@ -156,7 +159,7 @@
     if (!isSuspect) {
         return std::nullopt;
     }
-    clear(now, fingerprint);
+    clear(now, fingerprint, true);
     return crash_report{fingerprint, {}, 0, true};
 }
 
@@ -164,10 +167,15 @@
 {
     expire(now);
     const instant at = now - std::chrono::milliseconds(report.ageMs);
+    if (now - at > m_settings.retention) {
+        return;
+    }
     if (report.cleared) {
-        noteSound(now, report.fingerprint);
-        clear(at, report.fingerprint);
-    } else if (now - at <= m_settings.retention) {
+        if (now - at <= m_settings.soundTime) {
+            noteSound(now, report.fingerprint);
+        }
+        clear(at, report.fingerprint, false);
+    } else {
         addSuspect(now, {at, report.instance, report.fingerprint, {report.parts, report.ranMs, false}, false});
         updateQuarantine();
     }
@@ -178,7 +186,7 @@
     expire(now);
     const instant at = now - std::chrono::milliseconds(report.ageMs);
     const auto cleared = m_clearedAt.find(report.fingerprint);
-    const bool isCleared = cleared != m_clearedAt.end() && at <= cleared->second;
+    const bool isCleared = cleared != m_clearedAt.end() && at <= cleared->second.at;
     const crash_report inCrash{report.fingerprint, report.instance, report.ageMs, false, report.ranMs, report.parts};
     if (isCleared || now - at > m_settings.retention) {
         return;
@@ -290,6 +298,7 @@
             }
         }
     }
+    observed.cleared = clearedReports(now, std::min(limit, m_settings.maxClearancesRecorded), true);
     return observed;
 }
 
@@ -305,6 +314,12 @@
     for (const open_attempt &open : recorded.open) {
         addPending({now - std::chrono::milliseconds(open.ageMs), open.instance, open.fingerprint, {open.parts, open.ranMs, true}, true});
     }
+    for (const crash_report &report : recorded.cleared) {
+        onReport(now, report);
+        if (const auto cleared = m_clearedAt.find(report.fingerprint); cleared != m_clearedAt.end()) {
+            cleared->second.isRecorded = true;
+        }
+    }
     updateQuarantine();
 }
 
@@ -376,6 +391,19 @@
     return reports;
 }
 
+std::vector<crash_report> request_quarantine::clearedReports(instant now, std::size_t limit, bool onlyRecorded) const
+{
+    std::vector<crash_report> reports;
+    for (const auto &[fingerprint, cleared] : m_clearedAt) {
+        if (cleared.isRecorded || !onlyRecorded) {
+            reports.push_back({fingerprint, {}, millisecondsBetween(cleared.at, now), true});
+        }
+    }
+    std::sort(reports.begin(), reports.end(), [](const crash_report &a, const crash_report &b) { return a.ageMs < b.ageMs; });
+    reports.resize(std::min(reports.size(), limit));
+    return reports;
+}
+
 std::vector<const known_crash *> request_quarantine::crashesByTime() const
 {
     std::vector<const known_crash *> ordered;
@@ -401,7 +429,7 @@
     crash_report report{
         fingerprint, interruption.instance, millisecondsBetween(interruption.at, now), false, interruption.suspect.ranMs, interruption.suspect.parts};
     const auto cleared = m_clearedAt.find(fingerprint);
-    if (cleared != m_clearedAt.end() && interruption.at <= cleared->second) {
+    if (cleared != m_clearedAt.end() && interruption.at <= cleared->second.at) {
         return report;
     }
     known_crash *crash = findCrash(interruption.at, interruption.instance);
@@ -458,13 +486,18 @@
     m_crashes.erase(m_crashes.begin() + static_cast<std::ptrdiff_t>(index));
 }
 
-void request_quarantine::clear(instant at, std::uint64_t fingerprint)
+void request_quarantine::clear(instant at, std::uint64_t fingerprint, bool isOwn)
 {
-    instant &clearedAt = m_clearedAt.try_emplace(fingerprint, at).first->second;
-    clearedAt = std::max(clearedAt, at);
+    const bool mightReturn = crashesOf(fingerprint) >= m_settings.announcedCrashes;
+    clearance &cleared = m_clearedAt.try_emplace(fingerprint, clearance{at, false}).first->second;
+    cleared.at = std::max(cleared.at, at);
+    cleared.isRecorded = cleared.isRecorded || (mightReturn && isOwn);
     std::erase_if(m_pending, [&](const pending_interruption &interruption) { return interruption.fingerprint == fingerprint && interruption.at <= at; });
     for (known_crash &crash : m_crashes) {
-        if (crash.identity.at <= at && crash.suspects.contains(fingerprint)) {
+        const auto suspect = crash.suspects.find(fingerprint);
+        if (crash.identity.at <= at && suspect != crash.suspects.end()) {
+            // The record of this entry changes in any case.
+            cleared.isRecorded = cleared.isRecorded || (mightReturn && suspect->second.observedHere);
             removeSuspect(crash, fingerprint);
         }
     }
@@ -478,7 +511,7 @@
         m_pending.pop_front();
     }
     std::erase_if(m_crashedInstances, [&](const auto &entry) { return now - entry.second > m_settings.pendingTime; });
-    std::erase_if(m_clearedAt, [&](const auto &entry) { return now - entry.second > m_settings.retention; });
+    std::erase_if(m_clearedAt, [&](const auto &entry) { return now - entry.second.at > m_settings.retention; });
     bool forgot = false;
     for (std::size_t index = m_crashes.size(); index > 0; --index) {
         if (now - m_crashes[index - 1].identity.at > m_settings.retention) {
--- a/src/relay/quarantine_record.cpp
+++ b/src/relay/quarantine_record.cpp
@@ -111,6 +111,30 @@
     return attempts;
 }
 
+/// Returns the requests that are cleared; empty when the list is invalid. Older builds write none.
+std::optional<std::vector<crash_report>> clearedIn(const json::object &object, std::int64_t unixMs)
+{
+    std::vector<crash_report> cleared;
+    const json::value *list = object.if_contains("cleared");
+    if (list == nullptr) {
+        return cleared;
+    }
+    if (!list->is_array() || list->get_array().size() > kMaxReportsRead) {
+        return std::nullopt;
+    }
+    for (const json::value &value : list->get_array()) {
+        const json::object *fields = value.if_object();
+        const json::value *request = fields != nullptr ? fields->if_contains("request") : nullptr;
+        const json::value *at = fields != nullptr ? fields->if_contains("at") : nullptr;
+        const auto fingerprint = request != nullptr && request->is_string() ? parseHex(request->get_string()) : std::nullopt;
+        if (!fingerprint || at == nullptr || !at->is_int64() || at->get_int64() < 0) {
+            return std::nullopt;
+        }
+        cleared.push_back({*fingerprint, {}, clampedMilliseconds(unixMs - at->get_int64()), true});
+    }
+    return cleared;
+}
+
 template<typename Report>
 json::array toJson(const std::vector<Report> &reports, std::int64_t unixMs)
 {
@@ -147,7 +171,12 @@
     if (evidence.isEmpty()) {
         return {key, std::nullopt};
     }
-    return {key, json::serialize(json::object{{"crashes", toJson(evidence.crashes, unixMs)}, {"open", toJson(evidence.open, unixMs)}})};
+    json::array cleared;
+    for (const crash_report &report : evidence.cleared) {
+        cleared.push_back(json::object{{"request", fingerprintText(report.fingerprint)}, {"at", unixMs - static_cast<std::int64_t>(report.ageMs)}});
+    }
+    const json::object lists{{"crashes", toJson(evidence.crashes, unixMs)}, {"open", toJson(evidence.open, unixMs)}, {"cleared", std::move(cleared)}};
+    return {key, json::serialize(lists)};
 }
 
 std::optional<crash_evidence> readQuarantineRecord(const keyed_record &record, std::int64_t unixMs, last_reason *reason)
@@ -157,11 +186,13 @@
     const json::object *object = error ? nullptr : value.if_object();
     const auto crashes = object != nullptr ? attemptsIn(*object, "crashes", unixMs) : std::nullopt;
     const auto open = object != nullptr ? attemptsIn(*object, "open", unixMs) : std::nullopt;
-    if (!crashes || !open) {
+    auto cleared = object != nullptr ? clearedIn(*object, unixMs) : std::nullopt;
+    if (!crashes || !open || !cleared) {
         setReason(reason, "a list is missing or longer than is read, or one of its items lacks a request, an instance or a time");
         return std::nullopt;
     }
     crash_evidence evidence;
+    evidence.cleared = std::move(*cleared);
     for (const recorded_attempt &attempt : *crashes) {
         evidence.crashes.push_back({attempt.fingerprint, attempt.instance, attempt.ageMs, false, attempt.ranMs, attempt.parts});
     }
@@ -174,7 +205,8 @@
 bool isExpired(const crash_evidence &evidence, duration retention)
 {
     const auto isOld = [retention](const auto &report) { return std::chrono::milliseconds(report.ageMs) > retention; };
-    return std::all_of(evidence.crashes.begin(), evidence.crashes.end(), isOld) && std::all_of(evidence.open.begin(), evidence.open.end(), isOld);
+    return std::all_of(evidence.crashes.begin(), evidence.crashes.end(), isOld) && std::all_of(evidence.open.begin(), evidence.open.end(), isOld)
+           && std::all_of(evidence.cleared.begin(), evidence.cleared.end(), isOld);
 }
 
 } // namespace heatherroute
--- a/src/relay/quarantine_record.h
+++ b/src/relay/quarantine_record.h
@@ -13,7 +13,8 @@
 {
 
 /**
- * The record by which an entry remembers in the platform's store which requests it had in flight on upstreams that crashed or fell silent.
+ * The record by which an entry remembers in the platform's store which requests it had in flight on upstreams that crashed or fell silent, and
+ * which were cleared of that by an answer.
  *
  * Entries lose what they know when they all restart at the same time, and a request could then crash as many upstreams again. Each entry
  * has one record, whatever happens, so that its calls to the store stay few. The records lie among the addresses of the entries, so
--- a/tests/part_quarantine_test.cpp
+++ b/tests/part_quarantine_test.cpp
@@ -362,3 +362,27 @@
     EXPECT_NE(one[0], promptPartsOf("n", words("a", 130))[0]);
     EXPECT_EQ(promptPartsOf("m", words("a", 100'000)).size(), kMaxSharedParts);
 }
+
+// An entry that was down when a request was cleared restored its crashes from its own record.
+TEST(CrashTracker, EntryThatRestartsIsToldWhichRequestsWereCleared)
+{
+    tracked_entry stays;
+    tracked_entry restarts;
+    const request_fingerprints request{77, {}};
+    for (int i = 0; i < 3; ++i) {
+        const upstream_instance instance{"i-" + std::to_string(i), 1'000};
+        for (tracked_entry *entry : {&stays, &restarts}) {
+            entry->tracker.noteInterrupted(stays.at(seconds(i)), instance, request, milliseconds(100));
+            entry->tracker.noteCrashed(stays.at(seconds(i)), instance);
+        }
+    }
+    const crash_evidence outdated = restarts.tracker.observations(stays.at(seconds(3)), 100);
+    stays.tracker.noteCompleted(stays.at(seconds(4)), request);
+    tracked_entry restarted;
+    restarted.tracker.onRecord(stays.at(seconds(5)), outdated, true);
+    EXPECT_GT(restarted.tracker.quarantinedFor(stays.at(seconds(5)), request, false), duration::zero());
+    for (const crash_message &message : stays.tracker.introduction(stays.at(seconds(5)))) {
+        restarted.tracker.onMessage(stays.at(seconds(5)), message);
+    }
+    EXPECT_EQ(restarted.tracker.quarantinedFor(stays.at(seconds(5)), request, false), duration::zero());
+}
--- a/tests/quarantine_record_test.cpp
+++ b/tests/quarantine_record_test.cpp
@@ -26,6 +26,21 @@
     EXPECT_TRUE(isExpired(*evidence, std::chrono::seconds(5)));
 }
 
+TEST(QuarantineRecord, ClearedRequestsAreReadAndOlderRecordsHaveNone)
+{
+    crash_evidence evidence = kEvidence;
+    evidence.cleared = {{0x77U, {}, 400, true}};
+    const auto read = readQuarantineRecord(makeQuarantineRecord(quarantineKeyOf("front-1"), evidence, kNow), kNow + 100, nullptr);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->cleared, (std::vector<crash_report>{{0x77U, {}, 500, true}}));
+    const auto older = readQuarantineRecord({quarantineKeyOf("front-1"), R"({"crashes":[],"open":[]})"}, kNow, nullptr);
+    ASSERT_TRUE(older);
+    EXPECT_TRUE(older->cleared.empty());
+    EXPECT_FALSE((crash_evidence{{}, {}, evidence.cleared}.isEmpty()));
+    EXPECT_FALSE(isExpired({{}, {}, evidence.cleared}, std::chrono::milliseconds(400)));
+    EXPECT_TRUE(isExpired({{}, {}, evidence.cleared}, std::chrono::milliseconds(399)));
+}
+
 TEST(QuarantineRecord, TimeInTheFutureCountsAsNow)
 {
     const auto evidence = readQuarantineRecord(makeQuarantineRecord(quarantineKeyOf("front-1"), kEvidence, kNow), kNow - 60'000, nullptr);
@@ -52,6 +67,10 @@
                                                              R"({"crashes":[{"request":"x","instance":"i","started_at":1,"at":1}],"open":[]})",
                                                              R"({"crashes":[{"request":"1","instance":"i","started_at":-1,"at":1}],"open":[]})",
                                                              R"({"crashes":[{"request":"1","instance":"i","started_at":1,"at":"1"}],"open":[]})",
+                                                             R"({"crashes":[],"open":[],"cleared":7})",
+                                                             R"({"crashes":[],"open":[],"cleared":[{"request":"1"}]})",
+                                                             R"({"crashes":[],"open":[],"cleared":[{"request":"x","at":1}]})",
+                                                             R"({"crashes":[],"open":[],"cleared":[{"request":"1","at":-1}]})",
                                                              R"({"crashes":[],"open":[{"instance":"i","started_at":1,"at":1}]})",
                                                              R"({"crashes":[{"request":"1","instance":")" + longId + R"(","started_at":1,"at":1}],"open":[]})"};
     for (const std::optional<std::string> &value : invalid) {
--- a/tests/request_quarantine_test.cpp
+++ b/tests/request_quarantine_test.cpp
@@ -336,6 +336,51 @@
     EXPECT_EQ(restarted.observations(at(seconds(4)), 1).crashes.size(), 1U);
 }
 
+// Load pattern: a sound request is in three crashes and is answered then; all entries lose power. One of them was stopping and had not recorded any
+// more that the request is cleared, so that its record quarantined it again for ten minutes.
+TEST(RequestQuarantine, ClearedRequestIsServedAfterARestartOfAllEntries)
+{
+    auto stopping = request_quarantine::make({});
+    auto answering = request_quarantine::make({});
+    for (int i = 0; i < 3; ++i) {
+        crash(stopping, i, seconds(i), {kSound});
+        answering.onReport(at(seconds(i)), {kSound, instanceOf(i), 0, false});
+    }
+    const crash_evidence outdated = stopping.observations(at(seconds(3)), 100);
+    ASSERT_TRUE(answering.noteCompleted(at(seconds(4)), kSound));
+    const crash_evidence recorded = answering.observations(at(seconds(4)), 100);
+    EXPECT_EQ(recorded.cleared, (std::vector<crash_report>{{kSound, {}, 0, true}}));
+    auto restarted = request_quarantine::make({});
+    restarted.restore(at(seconds(4)), outdated);
+    EXPECT_TRUE(isQuarantined(restarted, seconds(4), kSound));
+    restarted.onReport(at(seconds(4)), recorded.cleared.front());
+    EXPECT_FALSE(isQuarantined(restarted, seconds(4), kSound));
+    EXPECT_EQ(restarted.crashesOf(kSound), 0U);
+    auto again = request_quarantine::make({});
+    again.restore(at(seconds(4)), recorded);
+    again.restore(at(seconds(4)), outdated);
+    EXPECT_FALSE(isQuarantined(again, seconds(4), kSound));
+    EXPECT_EQ(again.observations(at(seconds(4)), 100).cleared.size(), 1U);
+    crash(again, 9, seconds(5), {kSound});
+    EXPECT_EQ(again.crashesOf(kSound), 1U) << "a crash after the answer counts";
+}
+
+TEST(RequestQuarantine, OnlyClearancesOfSeveralCrashesAreRecordedAndAsLongAsTheseCount)
+{
+    auto quarantine = request_quarantine::make({});
+    crash(quarantine, 1, seconds(0), {kSound, kPoison});
+    crash(quarantine, 2, seconds(1), {kPoison});
+    quarantine.noteCompleted(at(seconds(2)), kSound);
+    EXPECT_TRUE(quarantine.observations(at(seconds(2)), 100).cleared.empty());
+    quarantine.noteCompleted(at(seconds(2)), kPoison);
+    EXPECT_EQ(quarantine.observations(at(seconds(2)), 100).cleared.size(), 1U);
+    quarantine.noteAlive(at(std::chrono::minutes(11)), instanceOf(1));
+    quarantine.onReport(at(std::chrono::minutes(11)), {kPoison, instanceOf(3), 0, false});
+    EXPECT_TRUE(quarantine.observations(at(std::chrono::minutes(11)), 100).cleared.empty());
+    quarantine.onReport(at(std::chrono::minutes(11)), {kPoison, {}, 11 * 60 * 1'000, true});
+    EXPECT_EQ(quarantine.crashesOf(kPoison), 1U) << "an outdated clearance";
+}
+
 TEST(RequestQuarantine, CompleteAnswerClearsOpenAttemptsAtAllEntries)
 {
     auto quarantine = request_quarantine::make({});
