A stopping entry goes on writing its records to the store

Cause: with the stop signal an entry gave up what it still had to write.

Change: only the reads and the lease end with the stop; appends are tried until the process ends.

--- a/src/node/relay_event.h
+++ b/src/node/relay_event.h
@@ -196,7 +196,7 @@
 struct registrations_wanted
 { };
 
-/// The process is stopping. The store duty stops reading and releases the lease.
+/// The process is stopping. The store duty stops reading and releases the lease; it goes on writing until the process ends.
 struct store_stop
 { };
 
--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -494,12 +494,13 @@
         }
     }
 
-    /// Appends the newest record of @p key; tries again while the store is unavailable.
+    /// Appends the newest record of @p key; tries again while the store is unavailable. A stopping entry does so, too: it observes crashes and
+    /// answers until its last request has ended.
     static asio::awaitable<void> appendEntriesRecord(std::shared_ptr<impl> self, std::string key)
     {
         stream_cursor cursor;
         cursor.stream = store_stream::Entries;
-        while (!self->m_stopping && cursor.failures < kMaxAppends) {
+        while (cursor.failures < kMaxAppends) {
             keyed_record record = self->m_entriesRecords.at(key);
             const append_answer answer = co_await self->m_store.append(store_stream::Entries, record);
             if (answer.outcome != store_outcome::Done) {
@@ -524,12 +525,13 @@
         }
     }
 
-    /// Appends all waiting records; tries again while the store is unavailable. The oldest are dropped first, since their streams end first.
+    /// Appends all waiting records, also while this entry stops; tries again while the store is unavailable. The oldest are dropped first, since their streams
+    /// end first.
     static asio::awaitable<void> appendOriginRecords(std::shared_ptr<impl> self)
     {
         stream_cursor cursor;
         cursor.stream = store_stream::Origins;
-        while (!self->m_stopping && !self->m_originRecords.empty()) {
+        while (!self->m_originRecords.empty()) {
             keyed_record record{self->m_settings.entryName, self->m_originRecords.front()};
             const append_answer answer = co_await self->m_store.append(store_stream::Origins, std::move(record));
             if (answer.outcome == store_outcome::Done) {
@@ -545,7 +547,6 @@
                 self->m_originRecords.pop_front();
             }
         }
-        self->m_originRecords.clear();
     }
 
     void readOrigins()
--- a/tests/process_planned_stop_test.cpp
+++ b/tests/process_planned_stop_test.cpp
@@ -153,3 +153,51 @@
         EXPECT_TRUE(served.isComplete);
     });
 }
+
+// Load pattern: the store is away while a stream begins, its entry stops, the store comes back, and then all entries lose power. The stopping entry had
+// dropped what it still had to write, so that the caller could not go on with the stream.
+TEST(ProcessPlannedStop, StoppingEntryWritesWhatItHadToWriteOnceTheStoreIsBack)
+{
+    relay_site_settings settings;
+    settings.entries = 2;
+    settings.decodeVersions = {"v1", "v1.1"};
+    settings.eventInterval = milliseconds(400);
+    settings.stopGraceS = 20;
+    runOnSite(settings, [](relay_site &site) -> asio::awaitable<void> {
+        co_await pauseFor(seconds(2)); // Until the entries know each other.
+        for (const std::size_t entry : {0, 1}) {
+            site.storeProxy(entry).setFault(proxy_fault::Refuse);
+            site.storeProxy(entry).resetAll();
+        }
+        std::optional<caller_result> begun;
+        const auto stream = [&]() -> asio::awaitable<void> { begun = co_await site.call(0, kStreamPath, seconds(14)); };
+        asio::co_spawn(co_await asio::this_coro::executor, stream, asio::detached);
+        co_await pauseFor(milliseconds(1'500));
+        site.entry(0).signal(SIGTERM);
+        co_await pauseFor(milliseconds(300));
+        site.storeProxy(0).setFault(proxy_fault::None);
+        co_await pauseFor(milliseconds(1'500));
+        EXPECT_FALSE(begun) << "the stream runs until the loss of power";
+        for (const std::size_t entry : {0, 1}) {
+            site.entry(entry).signal(SIGKILL);
+            site.entry(entry).waitForEnd(seconds(5));
+        }
+        site.storeProxy(1).setFault(proxy_fault::None);
+        for (const std::size_t entry : {0, 1}) {
+            EXPECT_TRUE(site.restart(entry, nullptr));
+        }
+        co_await pauseFor(milliseconds(500));
+        EXPECT_TRUE(begun && begun->lastEvent > 0);
+        if (!begun) {
+            co_return;
+        }
+        caller_request next;
+        next.path = kStreamPath;
+        next.timeLeft = seconds(14);
+        next.resumes = begun->id;
+        next.lastEvent = begun->lastEvent;
+        const caller_result gone = co_await site.call(1, std::move(next));
+        EXPECT_EQ(gone.status, 200U) << gone.refusal;
+        EXPECT_TRUE(gone.isComplete);
+    });
+}
