Records of streams are tried five times a second after an outage of the store

From the logs of a run: store back at 2.7 s, loss at 3.4, and no record between them, since a failed write is repeated after up to a second by then.

Change: at most 0.2 s between two tries. Only two entries write these records, so a store that fails gets at most ten of these calls a second.

--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -33,6 +33,8 @@
 /// About as many as are written within the life of a stream.
 constexpr std::size_t kMaxOriginRecords = 64;
 constexpr std::size_t kMaxOriginPages = 64;
+/// Only two entries write these records. What isn't written when all entries lose power is lost.
+constexpr std::chrono::milliseconds kMaxOriginBackoff{200};
 
 std::int64_t unixMilliseconds()
 {
@@ -542,7 +544,7 @@
             if (cursor.failures++ == 0) {
                 self->log(log_level::Warning, "stream_origins_not_recorded", {{"waiting", std::to_string(self->m_originRecords.size())}});
             }
-            co_await self->pause(self->backoffDelay(cursor));
+            co_await self->pause(std::min(self->backoffDelay(cursor), kMaxOriginBackoff));
             while (self->m_originRecords.size() > kMaxOriginRecords) {
                 self->m_originRecords.pop_front();
             }
