--- a/review/build.sh
+++ b/review/build.sh
@@ -12,12 +12,10 @@
 for source in "${sources[@]}"; do
     object="review/build/$(basename "$source" .cpp).o"
     objects+=("$object")
-    if [[ ! "$object" -nt "$source" ]]; then
-        g++ "${flags[@]}" -c "$source" -o "$object" &
-        jobs+=($!)
-    fi
+    g++ "${flags[@]}" -c "$source" -o "$object" &
+    jobs+=($!)
 done
-for driver in review/[0-9]/*.cpp; do
+for driver in review/[0-9]/*.cc; do
     name="case_$(basename "$(dirname "$driver")")"
     g++ "${flags[@]}" -c "$driver" -o "review/build/$name.o" &
     jobs+=($!)
@@ -25,7 +23,7 @@
 for job in "${jobs[@]}"; do
     wait "$job"
 done
-for driver in review/[0-9]/*.cpp; do
+for driver in review/[0-9]/*.cc; do
     name="case_$(basename "$(dirname "$driver")")"
     g++ "review/build/$name.o" "${objects[@]}" target/libheatherroute.a -o "review/build/$name" -lyaml-cpp -lxxhash -lpthread
 done
--- a/review/common/case_run.h
+++ b/review/common/case_run.hpp
@@ -61,7 +61,8 @@
 }
 
 /// Runs @p body on a site whose entries are processes of @p settings.program. Returns the exit code of the case.
-inline int runCase(heatherroute::support::relay_site_settings settings, record &log, std::function<asio::awaitable<int>(heatherroute::support::relay_site &)> body)
+inline int
+runCase(heatherroute::support::relay_site_settings settings, record &log, std::function<asio::awaitable<int>(heatherroute::support::relay_site &)> body)
 {
     asio::io_context context(1);
     heatherroute::last_reason reason;
--- a/review/common/stream_client.h
+++ b/review/common/stream_client.hpp
@@ -7,7 +7,7 @@
 #include <random>
 #include <string>
 
-#include "case_run.h"
+#include "case_run.hpp"
 #include "net/http_client.h"
 
 namespace review
@@ -20,6 +20,9 @@
     int attemptsToTakeUp = 0;
     int goneOn = 0; ///< Of those attempts.
     int refused = 0; ///< Of those attempts.
+    int streamsTakenUp = 0; ///< Whose callers came back at least once.
+    int streamsGoneOn = 0; ///< Of these.
+    int newAttempts = 0; ///< First attempts of streams.
 };
 
 /// How callers come back with a stream that was broken off, as the pages have it: a few times within their time, each time at another entry and on
@@ -32,11 +35,13 @@
 class stream_client
 {
 public:
-    stream_client(heatherroute::support::relay_site &site, std::string name, stream_counts &counts, const bool &isStopping)
+    stream_client(
+        heatherroute::support::relay_site &site, std::string name, stream_counts &counts, const bool &isStopping, milliseconds resumePause = kResumePause)
         : m_site(site)
         , m_name(std::move(name))
         , m_counts(counts)
         , m_isStopping(isStopping)
+        , m_resumePause(resumePause)
         , m_random(std::hash<std::string>()(m_name))
     { }
 
@@ -62,6 +67,8 @@
         const auto until = std::chrono::steady_clock::now() + kStreamDeadline;
         std::string first;
         std::uint32_t lastEvent = 0;
+        bool isTakenUp = false;
+        bool isGoneOn = false;
         for (int retries = 0; retries <= kMaxRetries; ++retries) {
             const auto left = std::chrono::duration_cast<milliseconds>(until - std::chrono::steady_clock::now());
             if (left <= milliseconds(500)) {
@@ -71,7 +78,12 @@
             const attempt result = co_await send(id, first, lastEvent, left);
             const bool hasGoneOn = result.lastEvent > lastEvent || (result.isComplete && result.status == 200);
             m_counts.begun += first.empty() && hasGoneOn ? 1 : 0;
+            m_counts.newAttempts += first.empty() ? 1 : 0;
             if (!first.empty()) {
+                m_counts.streamsTakenUp += isTakenUp ? 0 : 1;
+                isTakenUp = true;
+                m_counts.streamsGoneOn += hasGoneOn && !isGoneOn ? 1 : 0;
+                isGoneOn = isGoneOn || hasGoneOn;
                 m_counts.attemptsToTakeUp += 1;
                 m_counts.goneOn += hasGoneOn ? 1 : 0;
                 m_counts.refused += result.status == 503 ? 1 : 0;
@@ -84,7 +96,7 @@
                 lastEvent = result.lastEvent;
             }
             const milliseconds asked(static_cast<int>(result.retryAfterS * 1000));
-            co_await pauseFor(std::max(kResumePause, std::min(asked, left / 3)));
+            co_await pauseFor(std::max(m_resumePause, std::min(asked, left / 3)));
         }
     }
 
@@ -132,6 +144,7 @@
     std::string m_name;
     stream_counts &m_counts;
     const bool &m_isStopping;
+    milliseconds m_resumePause;
     std::mt19937 m_random;
     int m_requests = 0;
 };
@@ -149,8 +162,8 @@
         mixed += versions.size() > 1 ? 1 : 0;
     }
     log.line("streams begun " + std::to_string(counts.begun) + ", attempts to take up " + std::to_string(counts.attemptsToTakeUp) + ", of these gone on "
-             + std::to_string(counts.goneOn) + ", refused " + std::to_string(counts.refused) + ", streams with events of two versions "
-             + std::to_string(mixed) + " (more than two break the rule)");
+             + std::to_string(counts.goneOn) + ", refused " + std::to_string(counts.refused) + ", streams with events of two versions " + std::to_string(mixed)
+             + " (more than two break the rule)");
     return mixed;
 }
 
