--- a/include/heatherroute/peer_message.h
+++ b/include/heatherroute/peer_message.h
@@ -1,13 +1,16 @@
 #pragma once
 
+#include "heatherroute/config_currency_message.h"
 #include "heatherroute/config_message.h"
 #include "heatherroute/crash_report.h"
+#include "heatherroute/engine_placement_message.h"
 #include "heatherroute/entry_reach.h"
 #include "heatherroute/last_reason.h"
 #include "heatherroute/membership_message.h"
 #include "heatherroute/rate_limit_message.h"
 #include "heatherroute/store_update.h"
 #include "heatherroute/stream_origin_message.h"
+#include "heatherroute/team_quota_message.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -52,7 +55,15 @@
                                stream_origin_query,
                                stream_origin_reply,
                                stream_origin_batch,
-                               entry_reach>;
+                               entry_reach,
+                               quota_request,
+                               quota_reply,
+                               quota_refund,
+                               config_currency_query,
+                               config_currency_reply,
+                               placement_request,
+                               placement_reply,
+                               placement_report>;
 
 /// Returns the message of one subject, such as crash_message, in @p body; empty when it is of another kind. Thread safe.
 template<typename Message>
--- a/include/heatherroute/route_table.h
+++ b/include/heatherroute/route_table.h
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <vector>
 
+#include "heatherroute/team.h"
+
 namespace heatherroute
 {
 
@@ -46,6 +48,7 @@
     bool resumable = false; ///< A broken stream may be resumed on another upstream.
     bool generates = false; ///< Requests declare their prompts and are served by prefill and decode engines.
     std::vector<route_target> targets;
+    bool isPublic = false; ///< Requests need no API key, although the configuration has teams.
 
     auto operator<=>(const route &) const = default;
 };
@@ -94,7 +97,13 @@
 public:
     /// Creates the table of configuration @p version. Of two routes with the same host and prefix, or two services of one name, the
     /// later one counts. Thread safe.
-    static route_table make(std::uint64_t version, std::vector<route> routes, std::vector<service_spec> services, caller_bounds bounds);
+    ///
+    /// Without @p teams, requests need no API key. Of two teams with one name, or that hold the same key, the earlier one keeps it.
+    static route_table make(std::uint64_t version,
+                            std::vector<route> routes,
+                            std::vector<service_spec> services,
+                            caller_bounds bounds,
+                            std::optional<std::vector<team>> teams = std::nullopt);
 
     std::uint64_t version() const noexcept
     {
@@ -113,6 +122,20 @@
     {
         return m_services;
     }
+    /// Returns whether callers need API keys on the routes that aren't public. Thread safe.
+    bool requiresKeys() const noexcept
+    {
+        return m_requiresKeys;
+    }
+    /// Returns the team called @p name; null when there is none. Thread safe.
+    const team *findTeam(std::string_view name) const;
+    /// Returns the team that holds the key with @p digest; null when there is none. Thread safe.
+    const team *teamOfKey(const key_digest &digest) const;
+    /// Returns all teams by name. Thread safe.
+    const std::map<std::string, team, std::less<>> &teams() const noexcept
+    {
+        return m_teams;
+    }
     /// Returns the number of routes. Thread safe.
     std::size_t size() const noexcept;
 
@@ -125,6 +148,9 @@
     caller_bounds m_bounds;
     std::map<std::string, std::map<std::string, route, std::less<>>, std::less<>> m_hosts; ///< Routes by prefix, by host.
     std::map<std::string, service_spec, std::less<>> m_services;
+    bool m_requiresKeys = false;
+    std::map<std::string, team, std::less<>> m_teams;
+    std::map<key_digest, std::string> m_teamByKey;
 };
 
 /**
--- a/include/heatherroute/settings.h
+++ b/include/heatherroute/settings.h
@@ -112,6 +112,11 @@
     double stopGraceS = 0; ///< Time from the stop signal until the platform ends the process.
     double leaseMs = 0; ///< Duration of the lease that allows giving orders to engines, unless it is renewed.
     double thawMs = 0; ///< An order may arrive up to this long after its sender resumed from a pause or its link recovered.
+    double revokeMs = 0; ///< Time from the store's acknowledgement after which a removed API key must not be served; 0 without a bound.
+    double quotaWindowS = 0; ///< The length of the sliding window in which the quotas of teams are judged.
+    double quotaOver = 0; ///< Fraction by which a team's use in a window may exceed its quota.
+    double quotaSlack = 0; ///< Units by which a team's use in a window may exceed its quota in addition.
+    std::uint32_t sharedPlacementEntries = 0; ///< Number of entries from which a coordinator assigns engines; 0 for never.
 
     bool operator==(const relay_settings &) const = default;
 };
--- a/src/node/member_duty.cpp
+++ b/src/node/member_duty.cpp
@@ -53,6 +53,18 @@
                 forwardToRelay(crash_reports_received{std::move(*crashes)});
                 return;
             }
+            if (auto quota = messageIn<team_quota_message>(message.body)) {
+                forwardToRelay(team_quota_received{from, std::move(*quota)});
+                return;
+            }
+            if (auto currency = messageIn<config_currency_message>(message.body)) {
+                forwardToRelay(config_currency_received{from, *currency});
+                return;
+            }
+            if (auto placement = messageIn<engine_placement_message>(message.body)) {
+                forwardToRelay(engine_placement_received{from, std::move(*placement)});
+                return;
+            }
             if (auto limits = messageIn<rate_limit_message>(message.body)) {
                 forwardToRelay(rate_limit_received{from, std::move(*limits)});
                 return;
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -413,6 +413,18 @@
         m_state.permits.onMessage(event.from, event.message);
     }
 
+    void on(team_quota_received & /*event*/)
+    { }
+
+    void on(config_currency_received & /*event*/)
+    { }
+
+    void on(engine_placement_received & /*event*/)
+    { }
+
+    void on(config_confirmed & /*event*/)
+    { }
+
     void on(entry_reach_received &event)
     {
         m_state.forwarding.onStatement(coreNow(), event.from, event.statement);
--- a/src/node/relay_duty.h
+++ b/src/node/relay_duty.h
@@ -37,6 +37,9 @@
     std::chrono::milliseconds stopGrace{8'000}; ///< Time between the stop signal and the platform killing the process.
     /// Delay between acquiring the lease and the first order; late orders of the previous holder may arrive until then.
     std::chrono::milliseconds takeoverDelay{3'300};
+    duration revokeTime{}; ///< Time after which no request with a removed API key may run; zero without a bound.
+    quota_rule quota; ///< How the use of teams is judged.
+    std::uint32_t sharedPlacementEntries = 0; ///< Number of entries from which a coordinator assigns engines; 0 for never.
     std::uint64_t seed = 0; ///< Seed of the random number generator.
 };
 
--- a/src/node/relay_event.h
+++ b/src/node/relay_event.h
@@ -103,6 +103,34 @@
     stream_origin_message message;
 };
 
+/// A message about the quota of a team was received from another entry.
+struct team_quota_received
+{
+    std::string from; ///< The sender's peer address.
+    team_quota_message message;
+};
+
+/// A message about the currency of the configuration was received from another entry.
+struct config_currency_received
+{
+    std::string from; ///< The sender's peer address.
+    config_currency_message message;
+};
+
+/// A message about placements of engines was received from another entry.
+struct engine_placement_received
+{
+    std::string from; ///< The sender's peer address.
+    engine_placement_message message;
+};
+
+/// The store has answered that it holds no configuration newer than @c version.
+struct config_confirmed
+{
+    std::uint64_t version = 0;
+    std::int64_t askedAtMs = 0; ///< When the store was asked, by bootMilliseconds().
+};
+
 /// An event for the relay's thread from the other duties.
 using relay_event = std::variant<routes_read,
                                  upstreams_reported,
@@ -116,7 +144,11 @@
                                  rate_limit_received,
                                  stream_origin_received,
                                  entry_reach_received,
-                                 recorded_origins_read>;
+                                 recorded_origins_read,
+                                 team_quota_received,
+                                 config_currency_received,
+                                 engine_placement_received,
+                                 config_confirmed>;
 
 /// The peer addresses of entries that are recorded in the store.
 struct entry_addresses
--- a/src/node/relay_node.cpp
+++ b/src/node/relay_node.cpp
@@ -116,6 +116,11 @@
         relay.retries = retriesOf(settings.relay());
         relay.stopGrace = millisecondsOf(settings.relay().stopGraceS * kMillisecondsPerSecond);
         relay.takeoverDelay = millisecondsOf(settings.relay().leaseMs + settings.relay().thawMs);
+        relay.revokeTime = millisecondsOf(settings.relay().revokeMs);
+        relay.quota.window = millisecondsOf(settings.relay().quotaWindowS * kMillisecondsPerSecond);
+        relay.quota.over = settings.relay().quotaOver;
+        relay.quota.slack = settings.relay().quotaSlack;
+        relay.sharedPlacementEntries = settings.relay().sharedPlacementEntries;
         relay.seed = seed;
         m_relay = node::relay_duty::make(m_relayThread.context(), std::move(relay), std::move(dialect), m_relayToMembers, m_relayToStore, log, reason);
         if (!m_relay) {
--- a/src/relay/route_table.cpp
+++ b/src/relay/route_table.cpp
@@ -18,7 +18,8 @@
     return "unknown";
 }
 
-route_table route_table::make(std::uint64_t version, std::vector<route> routes, std::vector<service_spec> services, caller_bounds bounds)
+route_table route_table::make(
+    std::uint64_t version, std::vector<route> routes, std::vector<service_spec> services, caller_bounds bounds, std::optional<std::vector<team>> teams)
 {
     route_table table;
     table.m_version = version;
@@ -32,6 +33,13 @@
         std::string name = spec.name;
         table.m_services.insert_or_assign(std::move(name), std::move(spec));
     }
+    table.m_requiresKeys = teams.has_value();
+    for (team &one : teams.value_or(std::vector<team>{})) {
+        const auto [place, isNew] = table.m_teams.try_emplace(one.name, one);
+        for (const key_digest &key : isNew ? one.keys : std::vector<key_digest>{}) {
+            table.m_teamByKey.try_emplace(key, one.name);
+        }
+    }
     return table;
 }
 
@@ -55,6 +63,18 @@
     return nullptr;
 }
 
+const team *route_table::findTeam(std::string_view name) const
+{
+    const auto found = m_teams.find(name);
+    return found == m_teams.end() ? nullptr : &found->second;
+}
+
+const team *route_table::teamOfKey(const key_digest &digest) const
+{
+    const auto found = m_teamByKey.find(digest);
+    return found == m_teamByKey.end() ? nullptr : findTeam(found->second);
+}
+
 const service_spec *route_table::service(std::string_view name) const
 {
     const auto found = m_services.find(name);
--- a/src/settings/settings_table.cpp
+++ b/src/settings/settings_table.cpp
@@ -369,6 +369,46 @@
         "than the poll wait."));
 }
 
+void addTeamKeys(key_list &keys)
+{
+    constexpr double kMaxTimeS = 3600;
+    constexpr double kMaxTimeMs = kMaxTimeS * 1000;
+    constexpr double kMaxUnits = 1e12;
+    keys.push_back(realKey(
+        "relay.revoke_ms",
+        0,
+        kMaxTimeMs,
+        "0",
+        "ms",
+        [](entry_values & v) -> auto & { return v.relay.revokeMs; },
+        "Time after which no request with an API key that was removed from the configuration may run; an entry that can't confirm its configuration in time "
+        "refuses requests that need a key. 0 for no bound."));
+    keys.push_back(realKey(
+        "relay.quota_window_s",
+        1,
+        kMaxTimeS,
+        "8",
+        "s",
+        [](entry_values & v) -> auto & { return v.relay.quotaWindowS; },
+        "Sliding window in which the use of a team is compared with its quota."));
+    keys.push_back(realKey(
+        "relay.quota_over",
+        0,
+        1,
+        "0",
+        "",
+        [](entry_values & v) -> auto & { return v.relay.quotaOver; },
+        "Fraction by which the use of a team in a window may exceed its quota, over all entries."));
+    keys.push_back(realKey(
+        "relay.quota_slack",
+        0,
+        kMaxUnits,
+        "0",
+        "",
+        [](entry_values & v) -> auto & { return v.relay.quotaSlack; },
+        "Units by which the use of a team in a window may exceed its quota in addition, over all entries; requests or tokens, as the quota counts."));
+}
+
 void addRelayKeys(key_list &keys)
 {
     constexpr double kMaxRetrySlack = 1e6;
@@ -416,6 +456,13 @@
         "ms",
         [](entry_values & v) -> auto & { return v.relay.thawMs; },
         "How long after its sender's VM resumed or its link recovered an order may still arrive."));
+    addTeamKeys(keys);
+    keys.push_back(countKey(
+        "relay.shared_placement_entries",
+        {0, 1'000'000, 0},
+        [](entry_values & v) -> auto & { return v.relay.sharedPlacementEntries; },
+        "Number of entries from which the coordinator of an engine pool assigns engines for all of them; with fewer entries, or 0, each entry chooses by "
+        "itself."));
 }
 
 void addLogKeys(key_list &keys)
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -48,6 +48,21 @@
     return {~std::uint64_t{0}, 1, 14'000, std::string(kMaxOriginTextBytes, 's'), std::string(kMaxOriginTextBytes, 'v')};
 }
 
+placement_request longestPlacementRequest()
+{
+    const std::string text(kMaxPlacementTextBytes, 'e');
+    return {7, text, engine_phase::Prefill, 5'000, 1, 600, std::vector<std::string>(kMaxRefusingEngines, text)};
+}
+
+placement_report longestPlacementReport()
+{
+    const std::string text(kMaxPlacementTextBytes, 'e');
+    return {text,
+            engine_phase::Decode,
+            std::vector<std::uint64_t>(kMaxReportedPlacements, 7),
+            std::vector<reported_placement>(kMaxReportedPlacements, {7, text, 5'000})};
+}
+
 TEST(PeerCodec, EveryKindSurvivesTheRoundTrip)
 {
     const member_update update = std::get<probe>(sampleMessage().body).updates.front();
@@ -71,7 +86,15 @@
                                            stream_origin_ack{7},
                                            stream_origin_query{8, 99, 19'000, "llm"},
                                            stream_origin_reply{8, true, {99, 1, 14'000, "llm", "v1.1"}},
-                                           stream_origin_batch{std::vector<stream_origin>(kMaxOriginsPerBatch, longestOrigin())}};
+                                           stream_origin_batch{std::vector<stream_origin>(kMaxOriginsPerBatch, longestOrigin())},
+                                           quota_request{7, std::string(kMaxTeamNameBytes, 't'), 5'000, 12, 29'000.0, 29'000.0},
+                                           quota_reply{7, true, 40},
+                                           quota_refund{"team", 5'000, 7},
+                                           config_currency_query{~std::uint64_t{0}, 12},
+                                           config_currency_reply{~std::uint64_t{0}, 12, 900},
+                                           longestPlacementRequest(),
+                                           placement_reply{7, "e1", 30},
+                                           longestPlacementReport()};
     for (const peer_body &body : bodies) {
         const peer_message message{sampleMessage().header, body};
         const auto bytes = encodePeerMessage(message, kMaxDatagramBytes, nullptr);
