--- a/include/heatherroute/engine_placement_message.h
+++ b/include/heatherroute/engine_placement_message.h
@@ -58,14 +58,16 @@
 {
     std::uint64_t number = 0;
     std::string engine; ///< Empty when no engine has room.
-    std::uint32_t waitMs = 0; ///< Without an engine: time after which room is expected.
+    /// Without an engine: time after which room is expected. 0 if the coordinator knows no engine, so that the sender chooses by itself.
+    std::uint32_t waitMs = 0;
+    bool queued = false; ///< The request waits, and another reply follows. Without it, the loss of a coordinator would show after maxWaitMs only.
 
     auto operator<=>(const placement_reply &) const = default;
 
     template<typename Archive>
     void serialize(Archive &archive)
     {
-        archive(number, waitMs);
+        archive(number, waitMs, queued);
         serializeText(archive, engine, kMaxPlacementTextBytes);
     }
 };
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -68,8 +68,14 @@
          std::function<void(log_line)> log)
         : m_context(context)
         , m_settings(std::move(settings))
-        , m_state(
-              context.get_executor(), std::move(dialect), m_settings.retries, m_settings.entryName, m_settings.zone, m_settings.incarnation, m_settings.seed)
+        , m_state(context.get_executor(),
+                  std::move(dialect),
+                  m_settings.retries,
+                  m_settings.entryName,
+                  m_settings.zone,
+                  m_settings.incarnation,
+                  m_settings.seed,
+                  m_settings.sharedPlacementEntries)
         , m_orders(m_state, m_settings.takeoverDelay)
         , m_leaseCandidate(lease_candidate::make({}, coreNow()))
         , m_toMembers(toMembers)
@@ -145,6 +151,7 @@
         post(m_toStore, store_event(store_stop{}));
         m_state.permits.stop();
         m_state.origins.stop();
+        m_state.placements.stop();
         advanceStop();
     }
 
@@ -346,6 +353,7 @@
         m_state.retryBudget.setFleetSize(coreNow(), m_otherEntries.size() + 1);
         m_state.permits.setMembers(m_otherEntries);
         m_state.origins.setMembers(m_otherEntries);
+        m_state.placements.setMembers(m_otherEntries);
         m_state.forwarding.setMembers(m_otherEntries);
         updateRank();
         updateLeaseCandidacy();
@@ -419,8 +427,10 @@
     void on(config_currency_received & /*event*/)
     { }
 
-    void on(engine_placement_received & /*event*/)
-    { }
+    void on(engine_placement_received &event)
+    {
+        m_state.placements.onMessage(event.from, event.message);
+    }
 
     void on(config_confirmed & /*event*/)
     { }
@@ -504,6 +514,7 @@
         }
         m_state.permits.advance();
         m_state.origins.advance();
+        m_state.placements.advance();
     }
 
     void announceLease(bool holds)
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -35,7 +35,8 @@
                          std::string name,
                          std::string zone,
                          std::uint64_t incarnation,
-                         std::uint64_t seed)
+                         std::uint64_t seed,
+                         std::uint32_t sharedPlacementEntries)
     : executor(std::move(relayExecutor))
     , dialect(std::move(relayDialect))
     , entryName(std::move(name))
@@ -51,10 +52,47 @@
     , crashes(executor, crashHooks())
     , permits(executor, permitHooks(), entryName, seed)
     , origins(executor, originHooks(), entryName)
+    , placements(executor, placementHooks(), entryName, sharedPlacementEntries, seed)
     , reach(executor, reachHooks(), incarnation)
     , forwarding(request_forwarding::make({}, std::move(zone)))
 { }
 
+engine_placements_hooks relay_state::placementHooks()
+{
+    engine_placements_hooks hooks;
+    hooks.log = [this](log_level level, std::string event, std::vector<log_field> fields) { log(level, std::move(event), std::move(fields)); };
+    hooks.send = [this](const engine_placement_message &message, std::string peerAddress) {
+        if (sendToEntries) {
+            sendToEntries(bodyOf(message), std::move(peerAddress));
+        }
+    };
+    hooks.enginesOf = [this](const std::string &service, engine_phase phase) {
+        const service_spec *spec = routes ? routes->service(service) : nullptr;
+        const std::uint32_t memory = spec != nullptr && spec->engine ? spec->engine->memoryTokens : 0;
+        std::vector<placement_engine> engines;
+        for (const upstream_candidate &candidate : candidates(registry.usable(service, phase))) {
+            engines.push_back({candidate.run->id, candidate.run->slots, memory, candidate.weight});
+        }
+        return engines;
+    };
+    hooks.count = [this](const std::string &outcome) {
+        metrics.counter("heatherroute_engine_placements_total", "Requests for engines from the coordinators of pools, by outcome.", {{"outcome", outcome}})
+            .value += 1;
+    };
+    hooks.showWaiting = [this](std::uint32_t priority, std::size_t waiting) {
+        metrics
+            .gauge("heatherroute_engine_placements_waiting",
+                   "Requests for engines that wait at this entry as the coordinator, by priority.",
+                   {{"priority", std::to_string(priority)}})
+            .value = static_cast<double>(waiting);
+    };
+    hooks.showBusiest = [this](const std::string &pool, double share) {
+        metrics.gauge("heatherroute_engine_busiest_share", "Share of its capacity in use at the busiest engine of a coordinated pool.", {{"pool", pool}})
+            .value = share;
+    };
+    return hooks;
+}
+
 reach_monitor_hooks relay_state::reachHooks()
 {
     reach_monitor_hooks hooks;
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -15,6 +15,7 @@
 #include "heatherroute/route_table.h"
 #include "node/core_time.h"
 #include "node/crash_monitor.h"
+#include "node/engine_placements.h"
 #include "node/reach_monitor.h"
 #include "node/stream_origins.h"
 #include "node/upstream_permits.h"
@@ -71,7 +72,8 @@
                 std::string name,
                 std::string zone,
                 std::uint64_t incarnation,
-                std::uint64_t seed);
+                std::uint64_t seed,
+                std::uint32_t sharedPlacementEntries = 0);
 
     /// Returns whether a request may be sent to @p run now, and otherwise why not and when.
     send_permission permissionFor(const registration &run) const;
@@ -156,6 +158,7 @@
     crash_monitor crashes;
     upstream_permits permits;
     stream_origins origins;
+    engine_placements placements;
     reach_monitor reach;
     request_forwarding forwarding;
     stop_plan stop = stop_plan::make({}); ///< Of this entry; its instants are those of bootNow().
@@ -165,6 +168,7 @@
     crash_monitor_hooks crashHooks();
     upstream_permits_hooks permitHooks();
     stream_origins_hooks originHooks();
+    engine_placements_hooks placementHooks();
     reach_monitor_hooks reachHooks();
 
     std::map<std::pair<std::string, route_kind>, call_time_estimate> m_callTimes; ///< By service and kind.
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -9,6 +9,7 @@
 #include "net/event_stream.h"
 #include "net/http_status.h"
 #include "node/entry_forwarder.h"
+#include "node/stream_placement.h"
 #include "relay/stream_end.h"
 
 namespace heatherroute::node
@@ -43,6 +44,7 @@
 /// Reasons for refusing to resume a stream.
 constexpr const char *kUnknownOriginReason = "stream_origin_unknown";
 constexpr const char *kNoEngineOfVersionReason = "no_engine_of_version";
+constexpr const char *kFullReason = "engines_full"; ///< No decode engine has memory, or no engine has room in time.
 constexpr const char *kOriginNotKeptReason = "stream_origin_not_kept"; ///< The attempt would have begun at another version than was reported.
 /// Expected time from sending a decode request to its first event, apart from prompt computation. The health tracking compares
 /// observed times with it.
@@ -88,6 +90,8 @@
     explicit stream_relay(relay_call &call)
         : m_call(call)
         , m_state(call.state())
+        , m_decodePlacement(call, engine_phase::Decode, [this] { return enginesIn(engine_phase::Decode); })
+        , m_prefillPlacement(call, engine_phase::Prefill, [this] { return untriedPrefillEngines(); })
     { }
 
     ~stream_relay()
@@ -311,6 +315,7 @@
         }
         const instant giveUpAt = coreNow() + (isResumed() ? kResumeWaitFactor : 1) * m_state.scheduler.settings().maxMemoryWait;
         const upstream_pool pool = poolIn(engine_phase::Decode);
+        beginPlacement(m_decodePlacement, m_state.scheduler.reservedTokens(m_prompt), giveUpAt);
         while (!m_call.isEnded()) {
             if (m_state.reach.isCutOff(pool) || m_forwarder->isNeeded({pool})) {
                 m_reason = kCutOffReason;
@@ -332,8 +337,11 @@
             if (reserved) {
                 co_return true;
             }
+            if (isWithoutRoom(m_decodePlacement)) {
+                co_return false;
+            }
             if (coreNow() >= giveUpAt) {
-                m_reason = hasEngines ? "engines_full" : m_reason;
+                m_reason = hasEngines ? kFullReason : m_reason;
                 co_return false;
             }
             co_await waitForNextRound();
@@ -400,10 +408,44 @@
         return m_confirms ? kPermitsPerDecode + 1 : kPermitsPerDecode;
     }
 
+    void beginPlacement(stream_placement &placement, std::uint32_t tokens, instant giveUpAt)
+    {
+        placement.begin(m_service, tokens, giveUpAt, m_state.scheduler.computeTime(m_prompt.promptTokens));
+    }
+
+    /// Whether the coordinator has refused the request since no engine has room in time. Sets the reason.
+    bool isWithoutRoom(const stream_placement &placement)
+    {
+        m_refusedWait = placement.refusedWait();
+        if (m_refusedWait) {
+            m_reason = kFullReason;
+        }
+        return m_refusedWait.has_value();
+    }
+
+    /// Reserves memory at the engine that the coordinator assigns. If it assigns none, the entry chooses by itself.
+    asio::awaitable<bool> reserveAtAssigned()
+    {
+        std::optional<registration> assigned = co_await m_decodePlacement.next();
+        while (assigned) {
+            const bool reserved = co_await tryReserveAt(*assigned);
+            if (reserved) {
+                co_return true;
+            }
+            m_decodePlacement.refuse();
+            assigned = co_await m_decodePlacement.next();
+        }
+        co_return false;
+    }
+
     /// Queries a few decode engines that aren't known to be full for memory. Their number is limited because each query opens a
     /// connection.
     asio::awaitable<bool> runReservationRound()
     {
+        const bool isReserved = co_await reserveAtAssigned();
+        if (isReserved || m_call.isEnded() || m_decodePlacement.refusedWait()) {
+            co_return isReserved;
+        }
         std::vector<registration> order;
         for (const registration *run : m_state.scheduler.decodeOrder(coreNow(), enginesIn(engine_phase::Decode), m_state.random)) {
             if (order.size() < (isResumed() ? kMaxQueriedForResume : kMaxQueriedPerRound)) {
@@ -413,6 +455,7 @@
         for (const registration &run : order) {
             const bool reserved = co_await tryReserveAt(run);
             if (reserved) {
+                m_decodePlacement.adopt(run);
                 co_return true;
             }
             if (m_call.isEnded() || !m_state.reach.isReached(poolIn(engine_phase::Decode))) {
@@ -489,9 +532,10 @@
             co_return true;
         }
         const instant giveUpAt = coreNow() + m_state.scheduler.settings().maxMemoryWait;
-        std::set<std::string> tried;
+        m_triedPrefills.clear();
+        beginPlacement(m_prefillPlacement, m_prompt.promptTokens, giveUpAt);
         bool retryGranted = m_prefillCount == 0;
-        while (tried.size() < kMaxPrefills && !m_call.isEnded()) {
+        while (m_triedPrefills.size() < kMaxPrefills && !m_call.isEnded()) {
             if (endIfQuarantined()) {
                 co_return false;
             }
@@ -499,8 +543,11 @@
                 m_reason = kCutOffReason;
                 co_return !m_forwarder->isNeeded({poolIn(engine_phase::Prefill)});
             }
-            std::vector<upstream_candidate> engines = enginesIn(engine_phase::Prefill);
-            if (engines.empty()) {
+            const std::optional<registration> assigned = co_await m_prefillPlacement.next();
+            if (isWithoutRoom(m_prefillPlacement)) {
+                co_return false;
+            }
+            if (enginesIn(engine_phase::Prefill).empty()) {
                 const bool awaits = awaitsPermit(engine_phase::Prefill, giveUpAt);
                 if (!awaits && !isAskedToWait()) {
                     co_return true;
@@ -511,9 +558,8 @@
                 co_await waitForNextRound();
                 continue;
             }
-            std::erase_if(engines, [&tried](const upstream_candidate &engine) { return tried.count(engine.run->id) > 0; });
-            const auto order = m_state.scheduler.prefillOrder(coreNow(), engines, m_state.random);
-            if (order.empty()) {
+            const auto order = m_state.scheduler.prefillOrder(coreNow(), untriedPrefillEngines(), m_state.random);
+            if (!assigned && order.empty()) {
                 m_reason = "prefill_engines_busy";
                 if (coreNow() >= giveUpAt) {
                     co_return false;
@@ -526,9 +572,10 @@
                 co_return false;
             }
             retryGranted = true;
-            const registration run = *order.front();
+            const registration run = assigned ? *assigned : *order.front();
             const bool permitted = co_await m_state.permits.acquire(run, 1);
             if (!permitted) {
+                m_prefillPlacement.refuseIf(assigned);
                 continue;
             }
             // A limit keeps the engine's queue short by itself, and a reservation would take a permit of its own.
@@ -537,11 +584,16 @@
                 const std::uint32_t tokens = m_state.scheduler.prefillReservation(m_prompt, static_cast<std::uint32_t>(memoryTokensOf(run.service)));
                 reservationId = co_await reserveAt(run, tokens);
                 if (!reservationId) {
+                    m_prefillPlacement.refuseIf(assigned);
                     continue;
                 }
             }
-            tried.insert(run.id);
+            if (!assigned) {
+                m_prefillPlacement.adopt(run);
+            }
+            m_triedPrefills.insert(run.id);
             const bool computed = co_await prefillAt(run);
+            m_prefillPlacement.end();
             retryGranted = false;
             if (reservationId) {
                 sendDetached(run, m_state.dialect.releaseReservation(run.id, *reservationId));
@@ -556,6 +608,14 @@
         co_return false;
     }
 
+    /// Returns the prefill engines that haven't computed, or failed to compute, the current KV cache.
+    std::vector<upstream_candidate> untriedPrefillEngines() const
+    {
+        std::vector<upstream_candidate> engines = enginesIn(engine_phase::Prefill);
+        std::erase_if(engines, [this](const upstream_candidate &engine) { return m_triedPrefills.contains(engine.run->id); });
+        return engines;
+    }
+
     asio::awaitable<void> waitForNextRound()
     {
         co_await m_call.wait(std::chrono::duration_cast<std::chrono::milliseconds>(m_state.scheduler.settings().reservationRetryInterval));
@@ -667,6 +727,7 @@
     asio::awaitable<decode_outcome> finishDecode(registration run, http_result result)
     {
         m_decodeTook = coreNow() - m_sentAt;
+        m_decodePlacement.end();
         const std::string_view fault = m_streaming ? faultOf({m_framing, m_events.events(), m_events.isInsideEvent()}) : std::string_view();
         if (result.answer && !fault.empty()) {
             result = {std::nullopt, {verdict::Ran, std::string(fault)}};
@@ -800,6 +861,9 @@
         if (m_reason == kUnknownOriginReason) {
             wait = duration::zero(); // The next entry may know.
         }
+        if (m_refusedWait) {
+            wait = *m_refusedWait;
+        }
         if (isAskedToWait()) {
             wait = std::max(wait, m_state.nextReturn(m_service, m_state.askingToWait(m_state.registry.usable(m_service))));
         }
@@ -812,6 +876,7 @@
     /// Releases the reservation. An engine that received it with a decode request releases it by itself.
     void releaseReservation()
     {
+        m_decodePlacement.end();
         if (!m_reserved) {
             return;
         }
@@ -841,8 +906,12 @@
 
     relay_call &m_call;
     relay_state &m_state;
+    stream_placement m_decodePlacement;
+    stream_placement m_prefillPlacement;
     std::optional<entry_forwarder> m_forwarder; ///< Set by run().
     std::string m_service;
+    std::set<std::string> m_triedPrefills; ///< Engines that were asked for the current KV cache.
+    std::optional<duration> m_refusedWait; ///< The expected wait, if a coordinator has refused the request.
     std::uint64_t m_stream = 0; ///< Hash of the attempt that began the stream.
     std::optional<stream_origin> m_origin; ///< The version that other entries know for the stream.
     bool m_isOriginTold = false; ///< By this request.
