Placement messages: the request has a name of its own

core's placement_request and the message had one name, so no file that includes both compiled; the message is engine_placement_request now. Ends of placements are reported a second time with the current ones: a lost report kept memory in use at the coordinator for 3 s. A kind of requests goes first only when it lacks two placements; with fewer, single requests passed more urgent ones (WaitingRequestsAreServedByPriorityThenAge failed).

--- a/src/node/engine_placements.cpp
+++ b/src/node/engine_placements.cpp
@@ -72,7 +72,7 @@
     return found->second;
 }
 
-void engine_placements::ask(const coordinator &to, const placement_request &message)
+void engine_placements::ask(const coordinator &to, const engine_placement_request &message)
 {
     if (!to.peerAddress.empty()) {
         m_hooks.send(message, to.peerAddress);
@@ -82,7 +82,7 @@
     carryOut(pool, ledgerOf(pool).onRequest(coreNow(), "", message));
 }
 
-asio::awaitable<placement_answer> engine_placements::place(placement_request request)
+asio::awaitable<placement_answer> engine_placements::place(engine_placement_request request)
 {
     const upstream_pool pool{request.service, request.phase};
     const coordinator asked = coordinatorOf(pool);
@@ -127,7 +127,7 @@
     co_return answerOf(request, reply);
 }
 
-placement_answer engine_placements::answerOf(const placement_request &request, const std::optional<placement_reply> &reply)
+placement_answer engine_placements::answerOf(const engine_placement_request &request, const std::optional<placement_reply> &reply)
 {
     const upstream_pool pool{request.service, request.phase};
     placement_answer answer;
@@ -196,14 +196,21 @@
     m_isFlushing = false;
     const auto ended = std::exchange(m_ended, {});
     for (const auto &[pool, numbers] : ended) {
-        for (std::size_t begin = 0; begin < numbers.size(); begin += kMaxReportedPlacements) {
-            const std::size_t end = std::min(begin + kMaxReportedPlacements, numbers.size());
-            placement_report message;
-            message.service = pool.service;
-            message.phase = *pool.phase;
-            message.ended.assign(numbers.begin() + static_cast<std::ptrdiff_t>(begin), numbers.begin() + static_cast<std::ptrdiff_t>(end));
-            report(pool, std::move(message));
-        }
+        std::vector<std::uint64_t> &before = m_endedBefore[pool];
+        before.insert(before.end(), numbers.begin(), numbers.end());
+        reportEnded(pool, numbers);
+    }
+}
+
+void engine_placements::reportEnded(const upstream_pool &pool, const std::vector<std::uint64_t> &numbers)
+{
+    for (std::size_t begin = 0; begin < numbers.size(); begin += kMaxReportedPlacements) {
+        const std::size_t end = std::min(begin + kMaxReportedPlacements, numbers.size());
+        placement_report message;
+        message.service = pool.service;
+        message.phase = *pool.phase;
+        message.ended.assign(numbers.begin() + static_cast<std::ptrdiff_t>(begin), numbers.begin() + static_cast<std::ptrdiff_t>(end));
+        report(pool, std::move(message));
     }
 }
 
@@ -222,6 +229,9 @@
 
 void engine_placements::reportCurrent()
 {
+    for (const auto &[pool, numbers] : std::exchange(m_endedBefore, {})) {
+        reportEnded(pool, numbers);
+    }
     std::map<upstream_pool, placement_report> reports;
     for (const auto &[number, own] : m_own) {
         placement_report &message = reports[own.pool];
@@ -254,7 +264,7 @@
     if (m_minEntries == 0) {
         return;
     }
-    if (const auto *request = std::get_if<placement_request>(&message)) {
+    if (const auto *request = std::get_if<engine_placement_request>(&message)) {
         const upstream_pool pool{request->service, request->phase};
         if (m_isStopping || m_hooks.enginesOf(pool.service, request->phase).empty()) {
             placement_reply none;
--- a/src/node/engine_placements.h
+++ b/src/node/engine_placements.h
@@ -68,7 +68,7 @@
     bool isActive() const noexcept;
     /// Asks the coordinator of the pool for an engine; the number of @p request is set here. Waits for at most request.maxWaitMs and the
     /// time of a reply. An assigned placement must be ended by end().
-    boost::asio::awaitable<placement_answer> place(placement_request request);
+    boost::asio::awaitable<placement_answer> place(engine_placement_request request);
     /// Records a placement that this entry has chosen by itself, so that the coordinator learns of it. Returns its number for end(), 0 if
     /// none is needed.
     std::uint64_t adopt(const std::string &service, engine_phase phase, const std::string &engine, std::uint32_t tokens);
@@ -101,14 +101,15 @@
 
     coordinator coordinatorOf(const upstream_pool &pool) const;
     engine_placement_ledger &ledgerOf(const upstream_pool &pool);
-    void ask(const coordinator &to, const placement_request &message);
+    void ask(const coordinator &to, const engine_placement_request &message);
     void report(const upstream_pool &pool, placement_report message);
     void onReply(const placement_reply &reply);
     void carryOut(const upstream_pool &pool, const std::vector<placement_decision> &decisions);
     void logDecision(const upstream_pool &pool, const placement_decision &decision);
     void noteEnded(const upstream_pool &pool, std::uint64_t number);
-    placement_answer answerOf(const placement_request &request, const std::optional<placement_reply> &reply);
+    placement_answer answerOf(const engine_placement_request &request, const std::optional<placement_reply> &reply);
     void reportCurrent();
+    void reportEnded(const upstream_pool &pool, const std::vector<std::uint64_t> &numbers);
     boost::asio::awaitable<void> flushEnded();
     boost::asio::awaitable<void> serveWaiting();
     bool hasWaiting() const;
@@ -126,6 +127,8 @@
     std::map<std::uint64_t, waiting_request> m_waiting; ///< By number.
     std::map<std::uint64_t, own_placement> m_own; ///< By number.
     std::map<upstream_pool, std::vector<std::uint64_t>> m_ended; ///< Not yet reported.
+    /// Reported once. They are reported again with the current placements, since an end that is lost keeps an engine's memory in use for seconds.
+    std::map<upstream_pool, std::vector<std::uint64_t>> m_endedBefore;
     std::map<std::string, instant> m_silentUntil; ///< Coordinators that did not reply, by name.
     bool m_isFlushing = false;
     bool m_isServing = false;
--- a/src/node/stream_placement.cpp
+++ b/src/node/stream_placement.cpp
@@ -42,11 +42,12 @@
 
 asio::awaitable<std::optional<registration>> stream_placement::next()
 {
+    end();
     engine_placements &placements = m_call.state().placements;
     while (placements.isActive() && !m_choosesItself && m_asked < kMaxAsked && !m_call.isEnded() && !allowedRuns().empty()) {
         m_asked += 1;
         listUnusable();
-        placement_request request;
+        engine_placement_request request;
         request.service = m_service;
         request.phase = m_phase;
         request.tokens = m_tokens;
--- a/src/node/stream_placement.h
+++ b/src/node/stream_placement.h
@@ -33,7 +33,7 @@
     /// Begins a search for an engine of @p service for @p tokens, which ends at @p giveUpAt. @p computeTime: of the prompt, which follows.
     void begin(const std::string &service, std::uint32_t tokens, instant giveUpAt, duration computeTime);
     /// Returns the engine that the coordinator assigns. Empty if the entry chooses by itself for the rest of the search, or if there is no
-    /// room. Precondition: begin() was called, and an engine that was returned before was refused.
+    /// room. Ends the previous placement. Precondition: begin() was called.
     boost::asio::awaitable<std::optional<registration>> next();
     /// Records that the assigned engine refused the request, or could not be connected to.
     void refuse();
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -41,10 +41,10 @@
 /// A resumed stream can't use other engines than those of its version, so it asks more of them, and for longer.
 constexpr std::size_t kMaxQueriedForResume = 16;
 constexpr int kResumeWaitFactor = 2;
+constexpr const char *kFullReason = "engines_full"; ///< No decode engine has memory, or no engine has room in time.
 /// Reasons for refusing to resume a stream.
 constexpr const char *kUnknownOriginReason = "stream_origin_unknown";
 constexpr const char *kNoEngineOfVersionReason = "no_engine_of_version";
-constexpr const char *kFullReason = "engines_full"; ///< No decode engine has memory, or no engine has room in time.
 constexpr const char *kOriginNotKeptReason = "stream_origin_not_kept"; ///< The attempt would have begun at another version than was reported.
 /// Expected time from sending a decode request to its first event, apart from prompt computation. The health tracking compares
 /// observed times with it.
--- a/src/relay/engine_placement_ledger.cpp
+++ b/src/relay/engine_placement_ledger.cpp
@@ -21,6 +21,8 @@
 constexpr double kMeanGain = 0.05; ///< Weight of the newest placement in the mean time that they last.
 /// Number of requests after which the counts by priority are halved; some seconds of a busy pool.
 constexpr double kMaxAsked = 256.0;
+/// Number of placements that a kind must lack to go first; fewer are chance.
+constexpr double kMinDeficit = 2.0;
 constexpr std::uint32_t kMinWaitMs = 1; ///< 0 would tell the sender that no engine is known.
 constexpr std::uint32_t kUnknownWaitMs = 1'000; ///< Stated while the rate of ended placements is unknown.
 constexpr std::uint32_t kMaxWaitMs = 30'000;
@@ -103,7 +105,7 @@
     return countAt(engine.id) == 0 || shareOf(engine, blocksOf(tokens), 1) <= 1.0;
 }
 
-engine_placement_ledger::fit engine_placement_ledger::findEngine(instant now, const placement_request &request, std::string *engine)
+engine_placement_ledger::fit engine_placement_ledger::findEngine(instant now, const engine_placement_request &request, std::string *engine)
 {
     bool isKnown = false;
     bool hasRefusingWithRoom = false;
@@ -153,7 +155,7 @@
     use.skippedUntil = {};
 }
 
-void engine_placement_ledger::noteRefusing(instant now, const std::string &sender, const placement_request &request)
+void engine_placement_ledger::noteRefusing(instant now, const std::string &sender, const engine_placement_request &request)
 {
     // Only what was assigned to this sender has just refused it; entries also list engines that they may not use.
     for (auto one = m_placements.lower_bound({sender, 0}); one != m_placements.end() && one->first.first == sender; ++one) {
@@ -170,7 +172,7 @@
     }
 }
 
-std::vector<placement_decision> engine_placement_ledger::onRequest(instant now, const std::string &sender, const placement_request &request)
+std::vector<placement_decision> engine_placement_ledger::onRequest(instant now, const std::string &sender, const engine_placement_request &request)
 {
     std::vector<placement_decision> decisions;
     const placement_key key{sender, request.number};
@@ -325,7 +327,8 @@
         all.placed += kind.placed;
     }
     const kind_counts &own = m_kinds.at(kindOf(priority));
-    return own.placed * all.asked < m_settings.minRelativeShare * all.placed * own.asked;
+    const double due = all.asked > 0 ? m_settings.minRelativeShare * all.placed / all.asked * own.asked : 0.0;
+    return due - own.placed >= kMinDeficit;
 }
 
 void engine_placement_ledger::halveCounts()
--- a/src/relay/engine_placement_ledger.h
+++ b/src/relay/engine_placement_ledger.h
@@ -31,7 +31,7 @@
     /// A kind of requests that is placed less often than this, relative to all, goes first. The requirement is half as often as all.
     double minRelativeShare = 0.6;
     duration rateWindow = std::chrono::seconds(1); ///< Over which the rate of ended placements is measured.
-    std::size_t maxWaiting = 512;
+    std::size_t maxWaiting = 256; ///< Several times what a busy pool serves within the longest wait.
     std::size_t maxPlacements = 8'192; ///< With those that have ended and are remembered for repeated requests.
 
     auto operator<=>(const placement_ledger_settings &) const = default;
@@ -91,7 +91,7 @@
     /// Sets the engines that may get placements. Placements at others are kept, since an engine may come back.
     void setEngines(std::vector<placement_engine> engines);
     /// Processes a request of the entry @p sender. Returns the replies to send, to this and other entries.
-    std::vector<placement_decision> onRequest(instant now, const std::string &sender, const placement_request &request);
+    std::vector<placement_decision> onRequest(instant now, const std::string &sender, const engine_placement_request &request);
     /// Processes a report of the entry @p sender. Returns the replies to send.
     std::vector<placement_decision> onReport(instant now, const std::string &sender, const placement_report &report);
     /// Ends what has expired, and returns the replies that are due. To be called often while requests wait.
@@ -132,7 +132,7 @@
     struct waiting_request
     {
         placement_key key;
-        placement_request request;
+        engine_placement_request request;
         instant since{};
         instant until{};
     };
@@ -160,10 +160,10 @@
     std::uint32_t blocksOf(std::uint32_t tokens) const;
     double shareOf(const placement_engine &engine, std::uint32_t more, std::uint32_t moreCount) const;
     bool hasRoom(const placement_engine &engine, std::uint32_t tokens) const;
-    fit findEngine(instant now, const placement_request &request, std::string *engine);
+    fit findEngine(instant now, const engine_placement_request &request, std::string *engine);
     void addUse(const known_placement &placement);
     void endPlacement(instant now, known_placement &placement);
-    void noteRefusing(instant now, const std::string &sender, const placement_request &request);
+    void noteRefusing(instant now, const std::string &sender, const engine_placement_request &request);
     placement_decision place(instant now, const waiting_request &one, const std::string &engine);
     placement_decision refuse(instant now, const waiting_request &one, placement_decision_kind kind, std::uint32_t waitMs);
     bool isBehind(std::uint32_t priority) const;
