--- a/src/relay/engine_placement_ledger.cpp
+++ b/src/relay/engine_placement_ledger.cpp
@@ -112,6 +112,9 @@
     std::tuple<bool, double, std::uint64_t> best;
     const placement_engine *chosen = nullptr;
     for (const placement_engine &one : m_engines) {
+        if (one.weight <= 0.0) {
+            continue; // It is ejected.
+        }
         const bool refuses = std::find(request.refusing.begin(), request.refusing.end(), one.id) != request.refusing.end();
         isKnown = isKnown || !refuses;
         const auto use = m_uses.find(one.id);
--- a/tests/engine_placement_ledger_test.cpp
+++ b/tests/engine_placement_ledger_test.cpp
@@ -160,6 +160,17 @@
     EXPECT_EQ(pool.ledger.countAt("e2"), 0U);
 }
 
+// Guards against work for an ejected engine when all others are full, and against a refusal as full when there are only ejected ones.
+TEST(EnginePlacementLedger, EjectedEnginesGetNothing)
+{
+    coordinated_pool pool(0);
+    pool.ledger.setEngines({{"e0", 1, kMemoryTokens, 1.0}, {"e1", 1, kMemoryTokens, 0.0}});
+    EXPECT_EQ(pool.engineFor(1, 1'000), "e0");
+    EXPECT_EQ(pool.ask(requestOf(2, 0, 0)).back().kind, placement_decision_kind::NoRoom);
+    pool.ledger.setEngines({{"e1", 1, kMemoryTokens, 0.0}});
+    EXPECT_EQ(pool.ask(requestOf(3, 0, 0)).back().kind, placement_decision_kind::NoEngine);
+}
+
 // Guards against a request that is sent to the engine that has just refused it, and against a refusal as full when none is allowed.
 TEST(EnginePlacementLedger, RefusingEnginesAreLeftOut)
 {
--- a/tests/support/relay_site.cpp
+++ b/tests/support/relay_site.cpp
@@ -239,7 +239,8 @@
         file << "seeds: [\"127.0.0.1:" << m_entries.front().ports.at("peers") << "\"]\n";
     }
     file << "relay: {retry_share: 0.2, retry_slack: 100, retry_window_s: 10, stop_grace_s: " << m_settings.stopGraceS
-         << ", lease_ms: 3000, thaw_ms: 300}\n"
+         << ", lease_ms: 3000, thaw_ms: 300, shared_placement_entries: " << m_settings.sharedPlacementEntries
+         << "}\n"
             "log: {format: json, output: stdout}\n";
     file.close();
     m_entries.push_back(std::move(entry));
