Teams: API keys decide about requests, and upstreams get the team

Cause: every request was served whatever its key, and the key reached the upstreams. Change: the configuration's teams are decoded; invalid ones are left out and logged as team_invalid. team_access decides before a request is placed and before each send (after the connection is established, too): 401, 429 or 503. The dialect removes the caller's key and team and sets the team. Between entries, requests carry the team that was checked and the key's digest; the digest also beside the team, since a key may be removed while a request waits at the receiver. Charges are hooks that grant everything until quotas exist. Without teams in the configuration nothing changes.

--- a/include/heatherroute/relay_request.h
+++ b/include/heatherroute/relay_request.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "heatherroute/key_digest.h"
 #include "heatherroute/request_fingerprint.h"
 #include "heatherroute/time.h"
 
@@ -41,6 +42,7 @@
     /// Set when the caller takes up a stream that was broken off: id of the attempt that brought its first event; empty if it names none.
     std::optional<std::string> resumes;
     std::string lastEvent; ///< Id of the last event that this caller has.
+    std::optional<key_digest> key; ///< Of the caller's API key, if the request has one.
 
     auto operator<=>(const relay_request &) const = default;
 };
--- a/include/heatherroute/team.h
+++ b/include/heatherroute/team.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "heatherroute/key_digest.h"
 #include "heatherroute/relay_request.h"
 #include "heatherroute/time.h"
 
@@ -48,9 +49,6 @@
     return prompt ? prompt->promptTokens + prompt->maxOutputTokens : quota.plainCost;
 }
 
-/// The digest of a caller's API key, as makeKeyDigest() returns it. Keys themselves are neither kept nor logged.
-using key_digest = std::string;
-
 /**
  * A team whose callers identify themselves by API keys.
  *
@@ -66,4 +64,21 @@
     auto operator<=>(const team &) const = default;
 };
 
+/// Whether a request fits the quota of its team.
+enum class quota_outcome : std::uint8_t {
+    Granted,
+    Exceeded,
+    Unknown, ///< No entry that could decide has replied.
+};
+
+/// The decision on charging one request to the quota of its team.
+struct quota_verdict
+{
+    quota_outcome outcome = quota_outcome::Granted;
+    duration wait{}; ///< If exceeded: time until the request would fit.
+    std::uint32_t number = 0; ///< Of the charge, for its refund.
+
+    auto operator<=>(const quota_verdict &) const = default;
+};
+
 } // namespace heatherroute
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 packages=(g++ cmake ninja-build ccache clang-format clang-tidy git
     libboost1.81-dev libcereal-dev libcxxopts-dev libeasyloggingpp-dev librapidcheck-dev
-    libyaml-cpp-dev libxxhash-dev libgtest-dev libbenchmark-dev)
+    libyaml-cpp-dev libxxhash-dev libsodium-dev libgtest-dev libbenchmark-dev)
 if ! dpkg -s "${packages[@]}" >/dev/null 2>&1; then
     echo "setup: installing packages"
     apt-get update -qq
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -84,6 +84,9 @@
         if (m_call.onConnected) {
             m_call.onConnected();
         }
+        if (m_call.maySend && !m_call.maySend()) {
+            co_return makeFailure(verdict::NotRun, "not permitted any more", error);
+        }
         m_stream.socket().set_option(tcp::no_delay(true), error);
         enableDeadPeerDetection(m_stream.socket());
         arm(m_call.progressTimeout);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -66,6 +66,7 @@
     std::shared_ptr<body_memory> bodyMemory;
     std::size_t maxAnswerBytes = std::size_t{16} * 1024 * 1024; ///< Maximum size of the response body, even when a hook receives it.
     std::function<void()> onConnected; ///< Called when the connection has been established; may be empty.
+    std::function<bool()> maySend; ///< Called right before the request is written; if it returns false, the call fails and has not run. May be empty.
 };
 
 /// The reason why a call failed, and whether the request may have been executed.
--- a/src/node/plain_relay.cpp
+++ b/src/node/plain_relay.cpp
@@ -135,7 +135,7 @@
                     co_return "ok";
                 }
             }
-            if (m_call.isEnded() || !mayRetry(policy, m_call.matchedRoute(), progress(), result.execution)) {
+            if (m_call.isEnded() || m_call.isSendForbidden() || !mayRetry(policy, m_call.matchedRoute(), progress(), result.execution)) {
                 co_return m_lastReason;
             }
             if (result.execution == verdict::MayHaveRun) {
@@ -268,8 +268,9 @@
             if (!m_waitedFor.empty()) {
                 wait = std::max(wait, m_state.nextReturn(m_service, m_waitedFor));
             }
-            const auto retryAfter = reason == kStoppingReason ? m_state.retryElsewhereAfter(m_call.timeLeft())
-                                                              : retryAfterDelay(m_state.retryAfterSettings, wait, m_call.timeLeft(), m_state.sampleUniform());
+            const bool isForOthers = reason == kStoppingReason || reason == kKeyNotConfirmedReason;
+            const auto retryAfter = isForOthers ? m_state.retryElsewhereAfter(m_call.timeLeft())
+                                                : retryAfterDelay(m_state.retryAfterSettings, wait, m_call.timeLeft(), m_state.sampleUniform());
             co_await m_call.sendError(net::status::kUnavailable, reason, retryAfter);
             m_call.finish({"refused", net::status::kUnavailable, reason, execution, m_upstream});
             co_return;
--- a/src/node/relay_call.cpp
+++ b/src/node/relay_call.cpp
@@ -31,11 +31,15 @@
 constexpr const char *kEarlierRunsField = "Heatherroute-Earlier-Runs"; ///< Upstreams that may have run a request before it was passed on.
 constexpr const char *kDeclinedField = "Heatherroute-Declined"; ///< Why an entry doesn't serve it.
 
+constexpr const char *kTeamField = "Heatherroute-Team"; ///< The team of the caller, whose key the sender has checked and whose quota it has charged.
+constexpr const char *kKeyDigestField = "Heatherroute-Key-Digest"; ///< Of the caller's key; the receiver checks it again before it sends the request on.
+
 void removeEntryFields(std::vector<net::http_field> &fields)
 {
     std::erase_if(fields, [](const net::http_field &field) {
         return boost::beast::iequals(field.name, kConfigVersionField) || boost::beast::iequals(field.name, kServiceField)
-               || boost::beast::iequals(field.name, kEarlierRunsField) || boost::beast::iequals(field.name, kDeclinedField);
+               || boost::beast::iequals(field.name, kEarlierRunsField) || boost::beast::iequals(field.name, kDeclinedField)
+               || boost::beast::iequals(field.name, kTeamField) || boost::beast::iequals(field.name, kKeyDigestField);
     });
 }
 
@@ -80,6 +84,7 @@
     , m_sendersConfigVersion(sender == request_sender::Entry ? numberIn(request.header(kConfigVersionField)) : 0)
     , m_earlierRuns(sender == request_sender::Entry ? static_cast<std::uint32_t>(numberIn(request.header(kEarlierRunsField))) : 0)
     , m_sendersService(sender == request_sender::Entry ? request.header(kServiceField) : std::string_view())
+    , m_checkedTeam(sender == request_sender::Entry ? request.header(kTeamField) : std::string_view())
     , m_request(std::move(request))
     , m_facts(state.dialect.readRequest(m_request))
     , m_fingerprints{fingerprintOf({credentialsIn(m_request), m_request.method, m_facts.host, m_request.target, m_request.body}),
@@ -96,6 +101,9 @@
         shared->interrupt();
     });
     m_shared->callerGone = m_responder.isClosed();
+    if (const auto digest = isFromEntry() ? parseKeyDigest(m_request.header(kKeyDigestField)) : std::nullopt) {
+        m_facts.key = *digest;
+    }
     removeEntryFields(m_request.fields);
 }
 
@@ -170,12 +178,17 @@
     if (isEnded()) {
         co_return http_result{std::nullopt, {verdict::NotRun, "the request is over"}, false};
     }
+    if (!checkKey()) {
+        co_return http_result{std::nullopt, {verdict::NotRun, kKeyNotConfirmedReason}};
+    }
     const instant sentAt = coreNow();
     const upstream_instance instance{run.id, run.startedAt};
     if (!m_state.registry.takesWork(instance) || m_state.pauses.left(sentAt, instance) > duration::zero()) {
         co_return http_result{std::nullopt, {verdict::NotRun, kNotSentReason}};
     }
     m_state.beginConnect(run, call);
+    // The process may be suspended while it connects.
+    call.maySend = [this] { return checkKey(); };
     http_exchange::head_hook observe = [this, run, sentAt, onHead = std::move(onHead)](const http_answer &head) {
         m_state.observeAnswer(run, sentAt, head, m_facts.id);
         return onHead(head);
@@ -184,9 +197,34 @@
     if (result.notConnected && !isEnded()) {
         m_state.reach.noteFailed(run, sentAt, result.refused);
     }
+    if (isSendForbidden() && !result.answer && result.failure.outcome == verdict::NotRun) {
+        result.failure.reason = kKeyNotConfirmedReason;
+    }
     co_return result;
 }
 
+bool relay_call::checkKey()
+{
+    if (!m_team.empty() && m_state.routes && m_facts.key && !m_state.access.maySend(*m_state.routes, m_team, *m_facts.key)) {
+        m_isSendForbidden = true;
+    }
+    return !m_isSendForbidden;
+}
+
+access_question relay_call::accessQuestion() const
+{
+    return {m_routes, m_route->isPublic, m_facts.key, m_facts.prompt, m_checkedTeam, m_sendersConfigVersion};
+}
+
+void relay_call::setTeam(std::string name, std::optional<team_charge> charge)
+{
+    m_team = std::move(name);
+    m_charge = charge;
+    if (!m_team.empty()) {
+        addLogFields({{"team", m_team}});
+    }
+}
+
 asio::awaitable<http_result> relay_call::performAtEntry(http_call call, http_exchange::head_hook onHead, http_exchange::body_hook onBody)
 {
     if (isEnded()) {
@@ -211,10 +249,17 @@
     call.target = m_request.target;
     call.body = m_request.body;
     call.contentType.clear();
-    call.fields = m_state.dialect.entryFields(m_request, timeLeft());
+    const bool hasTeams = m_routes && m_routes->requiresKeys();
+    call.fields = m_state.dialect.entryFields(m_request, timeLeft(), hasTeams);
     call.fields.push_back({kServiceField, service});
     call.fields.push_back({kEarlierRunsField, std::to_string(earlierRuns)});
     call.fields.push_back({kConfigVersionField, std::to_string(m_routes ? m_routes->version() : 0)});
+    if (!m_team.empty()) {
+        call.fields.push_back({kTeamField, m_team});
+    }
+    if (hasTeams && m_facts.key) {
+        call.fields.push_back({kKeyDigestField, keyDigestText(*m_facts.key)});
+    }
     return call;
 }
 
@@ -226,7 +271,11 @@
     call.target = m_request.target;
     call.body = m_request.body;
     call.contentType.clear();
-    call.fields = m_state.dialect.upstreamFields(m_request, directions);
+    upstream_directions directed = directions;
+    // A configuration with teams may have been applied after this request arrived.
+    directed.hasTeams = (m_routes && m_routes->requiresKeys()) || (m_state.routes && m_state.routes->requiresKeys());
+    directed.team = m_team;
+    call.fields = m_state.dialect.upstreamFields(m_request, directed);
     return call;
 }
 
@@ -326,6 +375,10 @@
 
 void relay_call::finish(const relay_result &result)
 {
+    if (m_charge && result.execution == verdict::NotRun) {
+        m_state.access.refund(*m_routes, m_team, *m_charge);
+        m_charge.reset();
+    }
     const std::string kind = m_route == nullptr ? "unrouted" : std::string(toString(m_route->kind));
     const double seconds = std::chrono::duration<double>(age()).count();
     m_state.metrics.counter("heatherroute_requests_total", "Requests of callers by end.", {{"kind", kind}, {"outcome", result.outcome}}).value += 1;
--- a/src/node/relay_call.h
+++ b/src/node/relay_call.h
@@ -125,7 +125,7 @@
 
     /// Performs @p call to @p run, observes its answer and collects the body in the result. The exchange is cancelled when the caller
     /// disconnects, the deadline passes or the request is aborted. If that happened before the call, or the upstream pauses or takes no work
-    /// any more, nothing is sent and the result is a failure.
+    /// any more, or the key of the request isn't confirmed any more, nothing is sent and the result is a failure.
     boost::asio::awaitable<net::http_result> perform(registration run, net::http_call call);
     /// Like the other overload, but passes the head of the answer to @p onHead, which decides whether @p onBody receives the body.
     boost::asio::awaitable<net::http_result>
@@ -140,6 +140,16 @@
     /// Waits for @p time. The wait ends early under the same conditions as perform().
     boost::asio::awaitable<void> wait(std::chrono::milliseconds time);
 
+    /// Returns what decides on the team of the request. Precondition: begin() was called.
+    access_question accessQuestion() const;
+    /// Sets the team that the request belongs to, if any, and what it was charged; finish() returns the charge if the request didn't run.
+    void setTeam(std::string name, std::optional<team_charge> charge);
+    /// Whether a call wasn't made because the key of the request isn't confirmed any more. The request must then be refused.
+    bool isSendForbidden() const noexcept
+    {
+        return m_isSendForbidden;
+    }
+
     /// Sends an error answer of the router itself, with a Retry-After delay when @p retryAfter is set.
     boost::asio::awaitable<void> sendError(unsigned status, std::string code, std::optional<duration> retryAfter);
     /// Tells the entry that has passed the request on that it isn't served here and has not run, and ends the request. Precondition:
@@ -175,6 +185,8 @@
         void interrupt() const;
     };
 
+    /// Whether the request may be sent now. Once it may not, it never may.
+    bool checkKey();
     boost::asio::awaitable<net::http_result> exchange(net::http_call call, net::http_exchange::head_hook onHead, net::http_exchange::body_hook onBody);
 
     relay_state &m_state;
@@ -182,8 +194,12 @@
     std::uint64_t m_sendersConfigVersion = 0;
     std::uint32_t m_earlierRuns = 0;
     std::string m_sendersService;
+    std::string m_checkedTeam; ///< The team that the other entry has found and charged; empty if it hasn't.
     net::http_request m_request;
     relay_request m_facts;
+    std::string m_team; ///< Empty if the request needs none.
+    std::optional<team_charge> m_charge;
+    bool m_isSendForbidden = false;
     request_fingerprints m_fingerprints;
     std::uint64_t m_attempt = 0; ///< The number of the current attempt.
     net::http_responder &m_responder;
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -17,6 +17,7 @@
 #include "node/plain_relay.h"
 #include "node/relay_call.h"
 #include "node/stream_relay.h"
+#include "node/team_admission.h"
 #include "relay/entry_addresses.h"
 #include "relay/lease_candidate.h"
 #include "relay/origin_record.h"
@@ -228,6 +229,10 @@
             co_return;
         }
         call.begin(*matched);
+        const bool isAdmitted = co_await admitTeam(call);
+        if (!isAdmitted) {
+            co_return;
+        }
         if (matched->generates) {
             co_await relayStream(call);
         } else {
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -48,6 +48,7 @@
     , retryBudget(fleet_retry_budget::make(limit))
     , scheduler(engine_scheduler::make({}))
     , bodyMemory(net::body_memory::make(kBodyMemoryBytes))
+    , access(metrics)
     , crashes(executor, crashHooks())
     , permits(executor, permitHooks(), entryName, seed)
     , origins(executor, originHooks(), entryName)
@@ -316,7 +317,7 @@
 
 void relay_state::noteFailedCall(const registration &run, const net::http_result &result)
 {
-    if (result.failure.reason == kNotSentReason) {
+    if (result.failure.reason == kNotSentReason || result.failure.reason == kKeyNotConfirmedReason) {
         return;
     }
     const instant startedAt(std::chrono::duration_cast<duration>(result.startedAt.time_since_epoch()));
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -17,6 +17,7 @@
 #include "node/crash_monitor.h"
 #include "node/reach_monitor.h"
 #include "node/stream_origins.h"
+#include "node/team_access.h"
 #include "node/upstream_permits.h"
 #include "relay/call_time_estimate.h"
 #include "relay/engine_scheduler.h"
@@ -47,6 +48,10 @@
 /// The failure of a call that wasn't made, since its upstream pauses or takes no work any more.
 inline constexpr const char *kNotSentReason = "not sent: the upstream pauses or leaves";
 
+/// The reason for refusing a request whose key isn't confirmed any more when it is about to be sent, and the failure of a call that wasn't made
+/// for that.
+inline constexpr const char *kKeyNotConfirmedReason = "key_not_confirmed";
+
 /// Timeouts of the relay.
 struct relay_timing
 {
@@ -153,6 +158,7 @@
     std::shared_ptr<net::body_memory> bodyMemory; ///< Shared by all calls to upstreams.
     std::map<std::string, std::size_t> inFlight; ///< Number of this entry's plain requests in flight, by upstream id.
     metrics_registry metrics;
+    team_access access;
     crash_monitor crashes;
     upstream_permits permits;
     stream_origins origins;
--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -32,6 +32,7 @@
 constexpr std::uint32_t kMaxAppends = 60;
 /// About as many as are written within the life of a stream.
 constexpr std::size_t kMaxOriginRecords = 64;
+constexpr std::size_t kMaxInvalidTeamsLogged = 32; ///< Of one configuration.
 constexpr std::size_t kMaxOriginPages = 64;
 /// Only two entries write these records. What isn't written when all entries lose power is lost.
 constexpr std::chrono::milliseconds kMaxOriginBackoff{200};
@@ -352,7 +353,8 @@
     asio::awaitable<void> applyConfigRecord(const keyed_record &record)
     {
         last_reason reason;
-        auto routes = m_store.decodeRoutes(record, &reason);
+        std::vector<invalid_team> invalidTeams;
+        auto routes = m_store.decodeRoutes(record, &reason, &invalidTeams);
         if (!routes) {
             if (!reason.text().empty()) {
                 log(log_level::Error, "config_unreadable", {{"key", record.key}, {"reason", reason.text()}});
@@ -364,6 +366,10 @@
         }
         m_configVersion = routes->version();
         log(log_level::Info, "config_read", {{"version", std::to_string(m_configVersion)}, {"routes", std::to_string(routes->size())}});
+        invalidTeams.resize(std::min(invalidTeams.size(), kMaxInvalidTeamsLogged));
+        for (const invalid_team &left : invalidTeams) {
+            log(log_level::Error, "team_invalid", {{"version", std::to_string(m_configVersion)}, {"team", left.name}, {"reason", left.reason}});
+        }
         relay_event event = routes_read{std::make_shared<const route_table>(std::move(*routes))};
         co_await m_toRelay.push(std::move(event));
     }
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -113,7 +113,7 @@
         std::uint32_t decodes = 0;
         bool retryGranted = true; // The first attempt needs no retry budget.
         const bool admitted = hasOrigin && admit();
-        while (admitted && decodes < kMaxDecodes && !endIfQuarantined()) {
+        while (admitted && decodes < kMaxDecodes && !endIfBarred()) {
             // Checked before another prefill, which would be wasted without the budget for the decode.
             if (!retryGranted && !m_state.tryRetry(m_service)) {
                 m_reason = "retry_budget_used_up";
@@ -132,7 +132,7 @@
                 }
                 break;
             }
-            if (endIfQuarantined()) {
+            if (endIfBarred()) {
                 break;
             }
             const bool kept = co_await isOriginKept();
@@ -147,7 +147,7 @@
                 releaseReservation();
                 continue;
             }
-            if (endIfQuarantined() || endIfStopping(duration::zero())) {
+            if (endIfBarred() || endIfStopping(duration::zero())) {
                 break;
             }
             ++decodes;
@@ -197,9 +197,21 @@
         return !endIf(admission.refusedFor);
     }
 
-    /// Whether the request must not be sent to an engine, since it crashes them.
-    bool endIfQuarantined()
+    /// Whether the key of the request isn't confirmed any more, so that nothing may be sent for it.
+    bool endIfForbidden()
     {
+        if (m_call.isSendForbidden()) {
+            m_reason = kKeyNotConfirmedReason;
+        }
+        return m_call.isSendForbidden();
+    }
+
+    /// Whether the request must not be sent to an engine, since its key isn't confirmed any more or it crashes them.
+    bool endIfBarred()
+    {
+        if (endIfForbidden()) {
+            return true;
+        }
         return endIf(m_state.crashes.quarantinedFor(m_call.fingerprints(), m_isTrial));
     }
 
@@ -224,6 +236,12 @@
         return true;
     }
 
+    /// Whether nothing more is sent for the request, so that a failed call says nothing of its engine.
+    bool isOver() const
+    {
+        return m_call.isEnded() || m_call.isSendForbidden();
+    }
+
     bool isResumed() const
     {
         return m_call.facts().resumes.has_value();
@@ -332,6 +350,9 @@
             if (reserved) {
                 co_return true;
             }
+            if (endIfForbidden()) {
+                co_return false;
+            }
             if (coreNow() >= giveUpAt) {
                 m_reason = hasEngines ? "engines_full" : m_reason;
                 co_return false;
@@ -380,7 +401,7 @@
         }
         if (report) {
             m_state.registry.onDisplaced(run.id);
-        } else if (!m_call.isEnded()) {
+        } else if (!isOver()) {
             m_state.noteFailedCall(run, result);
             m_state.scheduler.noteWrongPhase(coreNow(), run.id);
             m_call.noteFailedAttempt(run, "confirm", result.failure.reason, verdict::NotRun);
@@ -415,7 +436,7 @@
             if (reserved) {
                 co_return true;
             }
-            if (m_call.isEnded() || !m_state.reach.isReached(poolIn(engine_phase::Decode))) {
+            if (isOver() || !m_state.reach.isReached(poolIn(engine_phase::Decode))) {
                 co_return false;
             }
         }
@@ -453,7 +474,7 @@
         call = prepareCall(m_state, run, std::move(call), m_state.timing.engineCallTimeout);
         const http_result result = co_await m_call.perform(run, std::move(call));
         if (!result.answer) {
-            if (!m_call.isEnded()) {
+            if (!isOver()) {
                 m_state.noteFailedCall(run, result);
                 m_state.scheduler.noteFull(coreNow(), run.id);
                 m_call.noteFailedAttempt(run, "reserve", result.failure.reason, verdict::NotRun);
@@ -492,7 +513,7 @@
         std::set<std::string> tried;
         bool retryGranted = m_prefillCount == 0;
         while (tried.size() < kMaxPrefills && !m_call.isEnded()) {
-            if (endIfQuarantined()) {
+            if (endIfBarred()) {
                 co_return false;
             }
             if (m_state.reach.isCutOff(poolIn(engine_phase::Prefill))) {
@@ -579,7 +600,7 @@
         const duration took = coreNow() - sentAt;
         m_call.endAttempt(result);
         if (!result.answer) {
-            if (!m_call.isEnded()) {
+            if (!isOver()) {
                 m_state.noteFailedCall(run, result);
                 m_state.scheduler.notePrefill(coreNow(), run.id, m_prompt.promptTokens, took);
                 m_call.noteFailedAttempt(run, "prefill", result.failure.reason, verdict::NotRun);
@@ -803,8 +824,9 @@
         if (isAskedToWait()) {
             wait = std::max(wait, m_state.nextReturn(m_service, m_state.askingToWait(m_state.registry.usable(m_service))));
         }
-        const auto retryAfter = m_reason == kStoppingReason ? m_state.retryElsewhereAfter(m_call.timeLeft())
-                                                            : retryAfterDelay(m_state.retryAfterSettings, wait, m_call.timeLeft(), m_state.sampleUniform());
+        const bool isForOthers = m_reason == kStoppingReason || m_reason == kKeyNotConfirmedReason;
+        const auto retryAfter = isForOthers ? m_state.retryElsewhereAfter(m_call.timeLeft())
+                                            : retryAfterDelay(m_state.retryAfterSettings, wait, m_call.timeLeft(), m_state.sampleUniform());
         co_await m_call.sendError(net::status::kUnavailable, m_reason, retryAfter);
         m_call.finish({"refused", net::status::kUnavailable, m_reason, verdict::NotRun, m_upstream});
     }
--- a/src/relay/platform_dialect.h
+++ b/src/relay/platform_dialect.h
@@ -39,6 +39,8 @@
     bool prefillOnly = false;
     std::optional<kv_handle> source; ///< The KV cache from which to continue.
     std::optional<std::string> reservation; ///< Id of the memory reserved earlier.
+    bool hasTeams = false; ///< The configuration has teams: what the caller sent as its API key and team is removed.
+    std::string team; ///< Name of the caller's team; empty if there is none, as on a public route.
     auto operator<=>(const upstream_directions &) const = default;
 };
 
@@ -98,8 +100,9 @@
     std::function<std::vector<net::http_field>(const std::string &requestId, std::optional<duration> retryAfter)> refusalFields;
 
     // Other entries.
-    /// Returns the caller's header fields for another entry that serves the request instead, which has @p timeLeft.
-    std::function<std::vector<net::http_field>(const net::http_request &, duration timeLeft)> entryFields;
+    /// Returns the caller's header fields for another entry that serves the request instead, which has @p timeLeft. With @p hasTeams, without its
+    /// API key and team.
+    std::function<std::vector<net::http_field>(const net::http_request &, duration timeLeft, bool hasTeams)> entryFields;
 
     // Upstreams.
     /// Returns the caller's header fields that may be forwarded, and those for the directions.
--- a/src/relay/platform_store.h
+++ b/src/relay/platform_store.h
@@ -14,6 +14,7 @@
 #include "heatherroute/last_reason.h"
 #include "heatherroute/registration.h"
 #include "heatherroute/route_table.h"
+#include "heatherroute/team_quota_message.h"
 
 namespace heatherroute
 {
@@ -82,6 +83,14 @@
     auto operator<=>(const append_answer &) const = default;
 };
 
+/// A team of a configuration that is left out, since it is invalid.
+struct invalid_team
+{
+    std::string name; ///< At most kMaxTeamNameBytes of it; empty if it has none.
+    std::string reason;
+    auto operator<=>(const invalid_team &) const = default;
+};
+
 /**
  * The platform's store as the router uses it.
  *
@@ -98,8 +107,9 @@
     std::function<boost::asio::awaitable<lease_answer>(lease_request)> joinLease;
     std::function<boost::asio::awaitable<void>(std::string member)> leaveLease;
     /// The decoders return an empty optional and set the reason when the record is invalid. decodeRoutes also returns an empty
-    /// optional, but sets no reason, when the record doesn't hold a configuration.
-    std::function<std::optional<route_table>(const keyed_record &, last_reason *)> decodeRoutes;
+    /// optional, but sets no reason, when the record doesn't hold a configuration. It adds the teams that are left out to the list, unless
+    /// that is null.
+    std::function<std::optional<route_table>(const keyed_record &, last_reason *, std::vector<invalid_team> *)> decodeRoutes;
     std::function<std::optional<registration>(const keyed_record &, last_reason *)> decodeRegistration;
 };
 
--- a/tests/platform_boundary_test.cpp
+++ b/tests/platform_boundary_test.cpp
@@ -25,11 +25,11 @@
 // interface has a header of that name, too.
 TEST(PlatformBoundary, RouterContainsNoWireNames)
 {
-    const char *const names[] = {"X-Attempt-Id", "X-Server-Seal", "X-Expect-Instance", "X-Not-Executed", "X-Replica-Id", "X-Token-Count",
-                                 "X-Kv-",        "X-Stage",       "X-Pin-Ms",          "KvHandle",       "FencingToken", "HeartbeatMs",
-                                 "NodeName",     "keyed.op",      "keyed.servers",     "log-append",     "log-read",     "log-newest",
-                                 "log-join",     "/v1/resolve",   "/v1/ready",         "/v1/order",      "/v1/report",   "/v1/hold-take",
-                                 "PathPrefix",   "TrafficSplit",  "MaxAttempts",       "KvCapacity",     "TtlS"};
+    const char *const names[] = {"X-Attempt-Id",  "X-Server-Seal", "X-Expect-Instance", "X-Not-Executed", "X-Replica-Id", "X-Token-Count", "X-Kv-",
+                                 "X-Stage",       "X-Pin-Ms",      "KvHandle",          "FencingToken",   "HeartbeatMs",  "NodeName",      "keyed.op",
+                                 "keyed.servers", "log-append",    "log-read",          "log-newest",     "log-join",     "/v1/resolve",   "/v1/ready",
+                                 "/v1/order",     "/v1/report",    "/v1/hold-take",     "PathPrefix",     "TrafficSplit", "MaxAttempts",   "KvCapacity",
+                                 "TtlS",          "X-Key",         "X-Tenant",          "ApiKeys",        "RatePerS",     "PlainTokens"};
     std::size_t files = 0;
     for (const char *folder : {"src", "include", "apps"}) {
         for (const auto &entry : std::filesystem::recursive_directory_iterator(sourceRoot() / folder)) {
--- a/tests/platform_dialect_test.cpp
+++ b/tests/platform_dialect_test.cpp
@@ -250,3 +250,53 @@
         EXPECT_LE(*left, duration(std::chrono::hours(24)));
     }
 }
+
+// Guards against keys that reach upstreams, and against a team that the caller chose by itself.
+TEST(PlatformDialect, KeysStayWithTheEntriesAndTheTeamIsSetByThem)
+{
+    http_request request = generation();
+    request.fields.push_back({"X-Key", "secret"});
+    request.fields.push_back({"x-KEY", "secret"});
+    request.fields.push_back({"x-tenant", "forged"});
+    upstream_directions directions;
+    directions.hasTeams = true;
+    for (const char *const team : {"", "team a"}) {
+        for (const bool prefillOnly : {false, true}) {
+            directions.team = team;
+            directions.prefillOnly = prefillOnly;
+            const auto fields = dialect().upstreamFields(request, directions);
+            for (const http_field &field : fields) {
+                EXPECT_NE(field.value, "secret") << field.name;
+                EXPECT_NE(field.value, "forged") << field.name;
+            }
+            EXPECT_EQ(valuesOf(fields, "X-Tenant"), *team == '\0' ? std::vector<std::string>{} : std::vector<std::string>{team});
+        }
+    }
+    for (const http_field &field : dialect().entryFields(request, milliseconds(900), true)) {
+        EXPECT_NE(field.value, "secret") << field.name;
+        EXPECT_NE(field.value, "forged") << field.name;
+    }
+}
+
+// Guards against a deployment without teams whose callers use headers of these names for something else.
+TEST(PlatformDialect, WithoutTeamsTheHeadersPassUnchanged)
+{
+    http_request request = generation();
+    request.fields.push_back({"X-Key", "of the caller"});
+    request.fields.push_back({"X-Tenant", "also"});
+    const auto fields = dialect().upstreamFields(request, {});
+    EXPECT_EQ(valuesOf(fields, "X-Key"), std::vector<std::string>{"of the caller"});
+    EXPECT_EQ(valuesOf(fields, "X-Tenant"), std::vector<std::string>{"also"});
+    EXPECT_EQ(valuesOf(dialect().entryFields(request, milliseconds(900), false), "X-Key"), std::vector<std::string>{"of the caller"});
+}
+
+// Guards against a key that isn't found because of the case of its header's name, and against an empty one that counts as a key.
+TEST(PlatformDialect, TheKeyIsReadAsADigest)
+{
+    http_request request = generation();
+    EXPECT_EQ(dialect().readRequest(request).key, std::nullopt);
+    request.fields.push_back({"x-key", "k-1"});
+    EXPECT_EQ(dialect().readRequest(request).key, makeKeyDigest("k-1"));
+    request.fields.back().value.clear();
+    EXPECT_EQ(dialect().readRequest(request).key, std::nullopt);
+}
