--- a/include/heatherroute/engine_placement_message.h
+++ b/include/heatherroute/engine_placement_message.h
@@ -53,7 +53,7 @@
     }
 };
 
-/// Answers a engine_placement_request.
+/// Answers an engine_placement_request.
 struct placement_reply
 {
     std::uint64_t number = 0;
