Key revocation: requests with keys need a confirmed configuration

Cause: an entry that lost the store, or was suspended, served removed keys. Change: config_currency dates each confirmation no later than the moment at which the store held no newer configuration: own reads by when they were sent, replies of other entries by when they were asked minus the age in the reply. Over 0.8 x relay.revoke_ms, requests with keys are passed on or refused with 503. Without the setting or without teams, no message is sent and nothing changes.

--- a/src/node/member_duty.cpp
+++ b/src/node/member_duty.cpp
@@ -30,15 +30,15 @@
         net::peer_transport_hooks hooks;
         hooks.received = [this](const std::string &from, peer_message message) {
             if (auto *update = std::get_if<store_update>(&message.body)) {
-                forwardToRelay(store_update_received{std::move(*update), 0});
+                forwardToRelay(store_update_received{std::move(*update), 0, from});
                 return;
             }
             if (auto *updateOfEra = std::get_if<store_update_of_era>(&message.body)) {
-                forwardToRelay(store_update_received{std::move(updateOfEra->update), updateOfEra->era});
+                forwardToRelay(store_update_received{std::move(updateOfEra->update), updateOfEra->era, from});
                 return;
             }
             if (auto *versioned = std::get_if<versioned_store_update>(&message.body)) {
-                forwardToRelay(store_update_received{std::move(versioned->update), versioned->era});
+                forwardToRelay(store_update_received{std::move(versioned->update), versioned->era, from});
                 return;
             }
             if (auto *reach = std::get_if<entry_reach>(&message.body)) {
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -13,6 +13,7 @@
 #include "net/http_server.h"
 #include "net/http_status.h"
 #include "node/boot_clock.h"
+#include "node/config_currency_monitor.h"
 #include "node/phase_orders.h"
 #include "node/plain_relay.h"
 #include "node/relay_call.h"
@@ -72,6 +73,7 @@
         , m_state(
               context.get_executor(), std::move(dialect), m_settings.retries, m_settings.entryName, m_settings.zone, m_settings.incarnation, m_settings.seed)
         , m_orders(m_state, m_settings.takeoverDelay)
+        , m_currency(currencyHooks(), m_settings.revokeTime, m_settings.seed ^ m_settings.incarnation)
         , m_leaseCandidate(lease_candidate::make({}, coreNow()))
         , m_toMembers(toMembers)
         , m_toStore(toStore)
@@ -88,6 +90,7 @@
         };
         m_state.readUpstreams = [this] { post(m_toStore, store_event(registrations_wanted{})); };
         m_state.readOrigins = [this] { post(m_toStore, store_event(recorded_origins_wanted{})); };
+        m_state.access.setHooks(accessHooks());
         m_state.sendToEntries = [this](peer_body body, std::optional<std::string> peerAddress) {
             post(m_toMembers, member_event(message_to_send{std::move(body), std::move(peerAddress)}));
         };
@@ -155,6 +158,26 @@
     }
 
 private:
+    config_currency_hooks currencyHooks()
+    {
+        config_currency_hooks hooks;
+        hooks.log = [this](log_level level, std::string event, std::vector<log_field> fields) { m_state.log(level, std::move(event), std::move(fields)); };
+        hooks.send = [this](peer_body body, std::string peerAddress) { m_state.sendToEntries(std::move(body), std::move(peerAddress)); };
+        hooks.readConfig = [this] { post(m_toStore, store_event(config_outdated{})); };
+        hooks.now = bootNow;
+        return hooks;
+    }
+
+    /// Quotas aren't charged yet: the hooks for that keep their defaults, which grant every request.
+    team_access_hooks accessHooks()
+    {
+        team_access_hooks hooks;
+        hooks.isConfigCurrent = [this] { return m_currency.isCurrent(); };
+        hooks.isConfigOutdated = [this] { return m_currency.isOutdated(); };
+        hooks.configAge = [this] { return m_currency.age(); };
+        return hooks;
+    }
+
     bool isReady() const
     {
         return m_state.routes != nullptr && m_state.registry.isComplete() && !m_state.stop.isStopping();
@@ -285,6 +308,7 @@
             return;
         }
         m_state.routes = std::move(event.routes);
+        m_currency.onApplied(m_state.routes->version(), m_state.routes->requiresKeys());
         const caller_bounds &bounds = m_state.routes->bounds();
         if (bounds.maxHeaderBytes > 0) {
             m_limits.maxHeaderBytes = bounds.maxHeaderBytes;
@@ -352,6 +376,7 @@
         m_state.permits.setMembers(m_otherEntries);
         m_state.origins.setMembers(m_otherEntries);
         m_state.forwarding.setMembers(m_otherEntries);
+        m_currency.setMembers(m_otherEntries);
         updateRank();
         updateLeaseCandidacy();
         introduceEntries();
@@ -367,6 +392,7 @@
             // It may speak of what the store has lost, or of what this entry can't place yet; it comes again.
             return;
         }
+        m_currency.onUpdate(event.from, event.update.configVersion, event.update.readsStore);
         if (event.update.readsStore) {
             m_state.gossip.noteReceived(now, std::chrono::milliseconds(event.update.readAgeMs));
             m_state.versions.noteCurrent(now, std::chrono::milliseconds(event.update.readAgeMs));
@@ -398,6 +424,7 @@
             const instant now = coreNow();
             m_state.metrics.counter("heatherroute_store_restores_total", "Times that the store came back from an older copy.").value += 1;
             m_state.gossip.onRestored();
+            m_currency.onRestored();
             m_missedChanges = true;
             // Registrations that the copy lacks are given the same time to come back as after an outage.
             m_state.registry.onStoreLost(now);
@@ -421,14 +448,18 @@
     void on(team_quota_received & /*event*/)
     { }
 
-    void on(config_currency_received & /*event*/)
-    { }
+    void on(config_currency_received &event)
+    {
+        m_currency.onMessage(event.from, event.message);
+    }
 
     void on(engine_placement_received & /*event*/)
     { }
 
-    void on(config_confirmed & /*event*/)
-    { }
+    void on(config_confirmed &event)
+    {
+        m_currency.onConfirmed(event.version, instant(std::chrono::milliseconds(event.askedAtMs)));
+    }
 
     void on(entry_reach_received &event)
     {
@@ -499,6 +530,7 @@
         polling.minRetryDelay = isLoaded && !m_missedChanges ? m_state.gossip.retryDelay() : duration::zero();
         if (polling != m_polling) {
             m_polling = polling;
+            m_currency.setReadsStore(polling.frequent);
             post(m_toStore, store_event(polling));
         }
         for (store_update &message : m_state.gossip.dueMessages(now, m_state.routes ? m_state.routes->version() : 0)) {
@@ -605,6 +637,7 @@
         m_orders.advance(now);
         updateLeaseCandidacy();
         exchangeGossip(now);
+        m_currency.advance();
         m_tick.expires_after(kTickInterval);
         m_tick.async_wait([this](const boost::system::error_code &error) {
             if (!error) {
@@ -713,6 +746,7 @@
     relay_duty_settings m_settings;
     relay_state m_state;
     phase_orders m_orders;
+    config_currency_monitor m_currency;
     lease_candidate m_leaseCandidate;
     channel<member_event> &m_toMembers;
     channel<store_event> &m_toStore;
--- a/src/node/relay_event.h
+++ b/src/node/relay_event.h
@@ -53,6 +53,7 @@
 {
     store_update update;
     std::uint64_t era = 0; ///< The era of the store that the sender has read; 0 when it knows none.
+    std::string from; ///< The sender's peer address.
 };
 
 /// An entry's record of crashes was read from the store.
--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -324,10 +324,16 @@
             const bool waits = self->m_pollsFrequently || self->m_configVersion == 0;
             const std::chrono::milliseconds wait = waits ? self->m_settings.configWait : std::chrono::milliseconds(0);
             const bool isOutdated = std::exchange(self->m_configOutdated, false);
+            const std::int64_t askedAtMs = bootMilliseconds();
             const keyed_page page = co_await self->readNext(cursor, wait, isSnapshot);
             for (const keyed_record &record : page.records) {
                 co_await self->applyConfigRecord(record);
             }
+            const bool isAtEnd = isSnapshot || page.next >= page.end;
+            if (page.outcome == store_outcome::Done && self->m_configVersion > 0 && isAtEnd && cursor.position.isKnown()) {
+                relay_event event = config_confirmed{self->m_configVersion, askedAtMs};
+                co_await self->m_toRelay.push(std::move(event));
+            }
             if (page.outcome == store_outcome::Unavailable && (isOutdated || self->m_configOutdated)) {
                 // Others can read the store, so this entry alone must find out when it can, too.
                 self->m_configOutdated = true;
