--- a/tests/standins/site_upstream.cpp
+++ b/tests/standins/site_upstream.cpp
@@ -1,6 +1,7 @@
 #include "standins/site_upstream.h"
 
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/json.hpp>
 
 #include <charconv>
@@ -334,8 +335,21 @@
     const std::string_view id = request.header("X-Attempt-Id");
     if (!id.empty()) {
         const bool isPrefill = request.header("X-Stage") == "prefill";
-        m_log.arrivals.push_back(
-            {std::chrono::steady_clock::now(), m_settings.service, std::string(id), request.target, isPrefill, poisonPartOf(request), m_settings.id});
+        std::vector<std::string> teams;
+        for (const net::http_field &field : request.fields) {
+            if (boost::beast::iequals(field.name, "X-Tenant")) {
+                teams.push_back(field.value);
+            }
+        }
+        m_log.arrivals.push_back({std::chrono::steady_clock::now(),
+                                  m_settings.service,
+                                  std::string(id),
+                                  request.target,
+                                  isPrefill,
+                                  poisonPartOf(request),
+                                  m_settings.id,
+                                  std::string(request.header("X-Key")),
+                                  std::move(teams)});
     }
     recordStatement(request);
     if (const auto limit = numberIn(m_limit)) {
--- a/tests/standins/site_upstream.h
+++ b/tests/standins/site_upstream.h
@@ -80,6 +80,8 @@
     bool isPrefill = false; ///< Only the prompt was to be computed.
     std::string poisonPart = {}; ///< The part of its prompt that crashes engines, if there is one.
     std::string instance = {}; ///< Id of the upstream.
+    std::string key = {}; ///< The caller's API key, if it came with the request.
+    std::vector<std::string> teams = {}; ///< What the request names as its caller's team; each field, if there are several.
 };
 
 /// A call of any kind, health checks included, that arrived at an upstream while it named a limit.
--- a/tests/support/relay_site.cpp
+++ b/tests/support/relay_site.cpp
@@ -210,12 +210,26 @@
     if (lookups) {
         routes += "," + makeRoute("/look/", "idempotent", "portal", false);
     }
+    std::string teams;
+    if (!m_settings.teams.empty()) {
+        std::string open = makeRoute("/open/", "non_idempotent", "portal", false);
+        open.insert(1, "\"Public\":true,");
+        routes += "," + open;
+        teams = ",\"Tenants\":" + m_settings.teams;
+    }
     const std::string services = R"([{"Name":"portal","HealthPath":"/healthz","MaxConnections":100},
         {"Name":"llm","HealthPath":"/healthz","MaxConnections":100,"Engine":{"Slots":64,"KvCapacityTokens":60000,"KvTtlS":0.5,"RoleSwitchS":1,"HoldMs":2000}}])";
     const std::string limits = R"({"MaxHeaderBytes":16384,"MaxBodyBytes":100000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":5000})";
     m_store->put("keyed.op",
                  "config",
-                 "{\"Version\":" + std::to_string(++m_version) + ",\"Routes\":[" + routes + "],\"Services\":" + services + ",\"Limits\":" + limits + "}");
+                 "{\"Version\":" + std::to_string(++m_version) + ",\"Routes\":[" + routes + "],\"Services\":" + services + ",\"Limits\":" + limits + teams
+                     + "}");
+}
+
+void relay_site::publishTeams(std::string teams)
+{
+    m_settings.teams = std::move(teams);
+    publish(true);
 }
 
 bool relay_site::addEntry(std::size_t index, last_reason *reason)
@@ -239,7 +253,8 @@
         file << "seeds: [\"127.0.0.1:" << m_entries.front().ports.at("peers") << "\"]\n";
     }
     file << "relay: {retry_share: 0.2, retry_slack: 100, retry_window_s: 10, stop_grace_s: " << m_settings.stopGraceS
-         << ", lease_ms: 3000, thaw_ms: 300}\n"
+         << ", lease_ms: 3000, thaw_ms: 300, revoke_ms: " << m_settings.revokeMs
+         << "}\n"
             "log: {format: json, output: stdout}\n";
     file.close();
     m_entries.push_back(std::move(entry));
@@ -379,6 +394,12 @@
         call.fields.push_back({"Resumes", request.resumes});
         call.fields.push_back({"Last-Event-Id", std::to_string(lastEvent)});
     }
+    if (!request.key.empty()) {
+        call.fields.push_back({"X-Key", request.key});
+    }
+    if (!request.claimedTeam.empty()) {
+        call.fields.push_back({"X-Tenant", request.claimedTeam});
+    }
     std::string body;
     const net::http_exchange::head_hook onHead = [](const http_answer &) -> asio::awaitable<bool> { co_return true; };
     const net::http_exchange::body_hook onBody = [this, &body, readPause](std::string_view piece) -> asio::awaitable<void> {
@@ -417,6 +438,11 @@
     return tcp::endpoint(asio::ip::address_v4::loopback(), m_entries.at(index).ports.at("callers"));
 }
 
+tcp::endpoint relay_site::operatorsEndpoint(std::size_t index) const
+{
+    return tcp::endpoint(asio::ip::address_v4::loopback(), m_entries.at(index).ports.at("operators"));
+}
+
 int relay_site::runCountOf(const std::string &id) const
 {
     const auto found = m_log.runs.find(id);
--- a/tests/support/relay_site.h
+++ b/tests/support/relay_site.h
@@ -35,6 +35,8 @@
     double stopGraceS = 8; ///< The entries' relay.stop_grace_s: time from the stop signal until the process must have ended.
     std::uint64_t storeEra = 0; ///< The era that the store sends at first; 0 for a store that sends none.
     bool hasOwnLinks = false; ///< Each entry reaches the upstreams at a loopback address of its own, see cutFromUpstreams(). At most 9 entries.
+    double revokeMs = 0; ///< The entries' relay.revoke_ms: time after which a removed API key must not be served; 0 without a bound.
+    std::string teams; ///< The list of teams in the configuration, as JSON; empty for a configuration without one.
     bool discardStandardError = true; ///< Discards the standard error of the entries. Their log goes to standard output and is always kept.
 };
 
@@ -47,6 +49,8 @@
     std::string promptParts = "ab:500"; ///< Of a stream: all parts of its prompt, the last of them its own.
     std::string resumes; ///< Id of the request that brought the first event of the stream that is taken up; empty for a new one.
     std::uint32_t lastEvent = 0; ///< The last event of that stream that the caller has.
+    std::string key; ///< The caller's API key; none if empty.
+    std::string claimedTeam; ///< What the caller itself names as its team; nothing if empty.
 };
 
 /// The result of a caller's request.
@@ -67,6 +71,8 @@
 inline constexpr const char *kLookupPath = "/look/1";
 inline constexpr const char *kBookingPath = "/book/1";
 inline constexpr const char *kStreamPath = "/gen/1";
+/// Path of a non-idempotent request that needs no API key.
+inline constexpr const char *kPublicPath = "/open/1";
 /// Paths of the same kinds whose requests crash each upstream that runs them.
 inline constexpr const char *kPoisonPaths[] = {"/look/poison", "/book/poison", "/gen/poison"};
 
@@ -107,6 +113,8 @@
     }
     /// Publishes a configuration with the next version, which routes `/look/` if @p lookups is set.
     void publish(bool lookups);
+    /// Publishes a configuration with the next version, whose list of teams is @p teams, as JSON; without one if it is empty.
+    void publishTeams(std::string teams);
     /// The logs of all processes of entry @p index so far.
     std::string logOf(std::size_t index) const;
     /// Restarts entry @p index. Precondition: its process has ended.
@@ -118,6 +126,8 @@
     }
     /// The endpoint at which entry @p index serves callers.
     boost::asio::ip::tcp::endpoint callerEndpoint(std::size_t index) const;
+    /// The endpoint at which entry @p index serves operators.
+    boost::asio::ip::tcp::endpoint operatorsEndpoint(std::size_t index) const;
     /// Drops all that entry @p index sends to upstreams, or doesn't any more. Connections hang; answers that were sent before still arrive. With
     /// @p resetsOpen, open connections are reset. Precondition: hasOwnLinks is set.
     void cutFromUpstreams(std::size_t index, bool isCut, bool resetsOpen = false);
