Planned stop: a stream that can't be taken up needs the time of all its output

An entry that was stopping expected a stream on a route without Resumable to take as long as streams usually take here. One that was much longer was sent on and cut at the end of the grace, and nobody could go on with it.

Such a stream is given the time for all the output that its caller declares, by the times of events seen here (stream_time_estimate), and at most the time that its caller waits; if that doesn't fit it is refused as not run. The existing test of timeNeededFor checks the same values for calls that may be repeated and for resumable streams; a stream without Resumable is checked separately, more strictly.

--- a/src/node/entry_forwarder.cpp
+++ b/src/node/entry_forwarder.cpp
@@ -57,7 +57,7 @@
         co_await m_call.decline(isCutOff(pools) ? forward_decline::CutOff : forward_decline::Suspected);
         co_return true;
     }
-    while (!m_isEnded && !m_call.isEnded() && m_state.mayBegin(m_service, m_call.matchedRoute().kind, m_call.timeLeft())) {
+    while (!m_isEnded && !m_call.isEnded() && m_state.mayBegin(m_service, m_call.length())) {
         forwarding_question asked = question(pools, false);
         const forwarding_decision decision = m_state.forwarding.decide(coreNow(), asked, m_state.random);
         if (decision.place != serving_place::OtherEntry) {
--- a/src/node/plain_relay.cpp
+++ b/src/node/plain_relay.cpp
@@ -152,7 +152,7 @@
     /// Whether the request may be sent on, or would be cut by the planned stop of this entry.
     bool mayBegin() const
     {
-        return m_state.mayBegin(m_service, m_call.matchedRoute().kind, m_call.timeLeft());
+        return m_state.mayBegin(m_service, m_call.length());
     }
 
     /// Passes the request to another entry if this one can't serve it. Returns whether it has ended by that. @p hasCandidates: whether there is an
--- a/src/node/relay_call.cpp
+++ b/src/node/relay_call.cpp
@@ -148,6 +148,12 @@
     m_shared->interrupt();
 }
 
+call_length relay_call::length() const
+{
+    const std::uint32_t maxOutput = m_facts.prompt ? m_facts.prompt->maxOutputTokens : 0;
+    return {m_route->kind, m_route->resumable, timeLeft(), maxOutput};
+}
+
 duration relay_call::timeLeft() const
 {
     return std::max(m_deadline - coreNow(), duration::zero());
--- a/src/node/relay_call.h
+++ b/src/node/relay_call.h
@@ -122,6 +122,8 @@
     duration timeLeft() const;
     /// Time since the request arrived.
     duration age() const;
+    /// What is known of how long the request takes. Precondition: begin() was called.
+    call_length length() const;
 
     /// Performs @p call to @p run, observes its answer and collects the body in the result. The exchange is cancelled when the caller
     /// disconnects, the deadline passes or the request is aborted. If that happened before the call, or the upstream pauses or takes no work
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -380,14 +380,25 @@
     plainLatencies[service].observe(std::chrono::duration<double>(took).count(), kPlainLatencyGain);
 }
 
-bool relay_state::mayBegin(const std::string &service, route_kind kind, duration timeLeft, duration before) const
+bool relay_state::mayBegin(const std::string &service, const call_length &call, duration before) const
 {
     if (!stop.isStopping()) {
         return true;
     }
-    const auto known = m_callTimes.find({service, kind});
-    const std::optional<duration> usual = known == m_callTimes.end() ? std::nullopt : known->second.upperBound();
-    return stop.mayBegin(bootNow(), std::min(before + timeNeededFor(kind, timeLeft, usual), timeLeft));
+    observed_call_times observed;
+    if (const auto known = m_callTimes.find({service, call.kind}); known != m_callTimes.end()) {
+        observed.usual = known->second.upperBound();
+    }
+    if (const auto known = m_streamTimes.find(service); known != m_streamTimes.end()) {
+        observed.atMost = known->second.upperBound(call.maxOutputTokens);
+    }
+    return stop.mayBegin(bootNow(), std::min(before + timeNeededFor(call, observed), call.timeLeft));
+}
+
+void relay_state::noteStreamTime(const std::string &service, duration firstAfter, duration took, std::uint64_t events)
+{
+    const auto [known, isNew] = m_streamTimes.try_emplace(service, stream_time_estimate::make({}));
+    known->second.note(firstAfter, took, events);
 }
 
 void relay_state::noteCallTime(const std::string &service, route_kind kind, duration took)
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -28,6 +28,7 @@
 #include "relay/send_permission.h"
 #include "relay/stop_plan.h"
 #include "relay/store_gossip.h"
+#include "relay/stream_time_estimate.h"
 #include "relay/upstream_health_tracker.h"
 #include "relay/upstream_pauses.h"
 #include "relay/upstream_registry.h"
@@ -118,11 +119,13 @@
     /// Adds the latency of a finished plain request to the average of @p service.
     void notePlainLatency(const std::string &service, duration took);
 
-    /// Whether work of @p kind at @p service may be sent to an upstream now, or would be cut by the planned stop of this entry. @p timeLeft: until
-    /// the caller's deadline. @p before: time that passes before the upstream begins with it.
-    bool mayBegin(const std::string &service, route_kind kind, duration timeLeft, duration before = duration::zero()) const;
+    /// Whether @p call may be sent to an upstream of @p service now, or would be cut by the planned stop of this entry. @p before: time that passes
+    /// before the upstream begins with it.
+    bool mayBegin(const std::string &service, const call_length &call, duration before = duration::zero()) const;
     /// Records how long an upstream of @p service took for a complete answer.
     void noteCallTime(const std::string &service, route_kind kind, duration took);
+    /// Records a complete stream of @p service, see stream_time_estimate::note().
+    void noteStreamTime(const std::string &service, duration firstAfter, duration took, std::uint64_t events);
     /// Returns the Retry-After delay of a request that another entry can serve at once.
     std::optional<duration> retryElsewhereAfter(duration timeLeft);
 
@@ -168,6 +171,7 @@
     reach_monitor_hooks reachHooks();
 
     std::map<std::pair<std::string, route_kind>, call_time_estimate> m_callTimes; ///< By service and kind.
+    std::map<std::string, stream_time_estimate> m_streamTimes; ///< By service.
     std::map<std::string, std::string> m_malformedPauses; ///< The last malformed time of an upstream, by id, so that each is logged once.
 };
 
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -206,7 +206,7 @@
     /// Whether the stream would be cut by the planned stop of this entry, so that it must not begin. @p before: time until its decode begins.
     bool endIfStopping(duration before)
     {
-        if (m_state.mayBegin(m_service, m_call.matchedRoute().kind, m_call.timeLeft(), before)) {
+        if (m_state.mayBegin(m_service, m_call.length(), before)) {
             return false;
         }
         m_reason = kStoppingReason;
@@ -682,6 +682,7 @@
                 m_state.noteCallTime(m_service, m_call.matchedRoute().kind, m_decodeTook);
                 m_state.crashes.noteCompleted(m_call.fingerprints());
                 co_await m_call.responder().endStream();
+                m_state.noteStreamTime(m_service, m_firstAt.value_or(m_sentAt) - m_sentAt, m_decodeTook, m_events.events());
             } else if (!m_call.isEnded()) {
                 m_state.health.noteFailure(coreNow(), run.id);
                 m_call.noteFailedAttempt(run, "decode", result.failure.reason, verdict::Ran);
--- a/src/relay/stop_plan.cpp
+++ b/src/relay/stop_plan.cpp
@@ -70,10 +70,15 @@
     return !m_isEnded && now < abortAt && timeNeeded <= abortAt - now;
 }
 
-duration timeNeededFor(route_kind kind, duration timeLeft, std::optional<duration> usual)
+duration timeNeededFor(const call_length &call, const observed_call_times &observed)
 {
-    const bool mayBeRepeated = kind != route_kind::NonIdempotent;
-    return mayBeRepeated && usual ? std::min(*usual, timeLeft) : timeLeft;
+    std::optional<duration> expected;
+    if (call.kind == route_kind::Idempotent || (call.kind == route_kind::Stream && call.resumable)) {
+        expected = observed.usual;
+    } else if (call.kind == route_kind::Stream) {
+        expected = observed.atMost;
+    }
+    return std::min(expected.value_or(call.timeLeft), call.timeLeft);
 }
 
 } // namespace heatherroute
--- a/src/relay/stop_plan.h
+++ b/src/relay/stop_plan.h
@@ -79,13 +79,34 @@
     bool m_isEnded = false;
 };
 
+/// What is known of the length of a call before it is sent.
+struct call_length
+{
+    route_kind kind = route_kind::NonIdempotent;
+    bool resumable = false; ///< Its caller can take up the stream elsewhere.
+    duration timeLeft{}; ///< How long the caller waits.
+    std::uint32_t maxOutputTokens = 0; ///< Of a stream, as declared by its caller; 0 if it declares none.
+
+    auto operator<=>(const call_length &) const = default;
+};
+
+/// How long calls of one kind took here.
+struct observed_call_times
+{
+    std::optional<duration> usual; ///< Within which nearly all have ended.
+    std::optional<duration> atMost; ///< Of streams: for as much output as the call declares, see stream_time_estimate.
+
+    auto operator<=>(const observed_call_times &) const = default;
+};
+
 /**
  * Returns the time that a call must be given before a planned stop may cut it.
  *
- * A plain call that may not be repeated is given all the time that its caller waits, since nobody could tell its caller whether it has run.
- * Another one, and a stream, which its caller can take up at another entry, is given the time that such calls take (@p usual), if that is known
- * and shorter. Thread safe.
+ * A call that may be repeated, and a stream that its caller can take up at another entry, is given the time that such calls usually take, if that
+ * is known and shorter than the time that its caller waits. A stream that can't be taken up is lost if it is cut, so it is given the time for all
+ * the output that it declares. A plain call that may not be repeated is given all the time that its caller waits, since nobody could tell its
+ * caller whether it has run. Thread safe.
  */
-duration timeNeededFor(route_kind kind, duration timeLeft, std::optional<duration> usual);
+duration timeNeededFor(const call_length &call, const observed_call_times &observed);
 
 } // namespace heatherroute
--- a/tests/process_planned_stop_test.cpp
+++ b/tests/process_planned_stop_test.cpp
@@ -154,6 +154,42 @@
     });
 }
 
+// Load pattern: streams of 0.36 s have been served, and in a planned stop one of 3.9 s begins that its caller can't take up elsewhere. It was expected
+// to take as long as the others, sent on, and cut in the middle.
+TEST(ProcessPlannedStop, LongStreamThatCannotBeTakenUpIsRefusedAsNotRun)
+{
+    constexpr std::uint32_t kUsualEvents = 12;
+    constexpr std::uint32_t kLongEvents = 130;
+    relay_site_settings settings = stopSettings();
+    settings.eventInterval = milliseconds(30);
+    runOnSite(settings, [](relay_site &site) -> asio::awaitable<void> {
+        caller_request usual;
+        usual.path = kStreamPath;
+        usual.timeLeft = seconds(14);
+        usual.maxOutputTokens = kUsualEvents;
+        for (int i = 0; i < 8; ++i) {
+            caller_request next = usual;
+            const caller_result known = co_await site.call(0, std::move(next));
+            EXPECT_TRUE(known.isComplete);
+        }
+        site.entry(0).signal(SIGTERM);
+        co_await pauseFor(milliseconds(1'500));
+        caller_request last = usual;
+        const caller_result shortOne = co_await site.call(0, std::move(last));
+        EXPECT_EQ(shortOne.status, 200U) << "it ends within the grace: " << shortOne.refusal;
+        EXPECT_TRUE(shortOne.isComplete);
+        for (const auto &upstream : site.upstreams()) {
+            upstream->setEvents(kLongEvents);
+        }
+        caller_request longOne = usual;
+        longOne.maxOutputTokens = kLongEvents;
+        const caller_result refused = co_await site.call(0, std::move(longOne));
+        EXPECT_EQ(refused.status, 503U) << "last event " << refused.lastEvent;
+        EXPECT_NE(refused.refusal.find("stopping"), std::string::npos) << refused.refusal;
+        EXPECT_EQ(site.runCountOf(refused.id), 0);
+    });
+}
+
 // Load pattern: the store is away while a stream begins, its entry stops, the store comes back, and then all entries lose power. The stopping entry had
 // dropped what it still had to write, so that the caller could not go on with the stream.
 TEST(ProcessPlannedStop, StoppingEntryWritesWhatItHadToWriteOnceTheStoreIsBack)
--- a/tests/standins/site_upstream.h
+++ b/tests/standins/site_upstream.h
@@ -153,6 +153,11 @@
     make(boost::asio::io_context &context, site_upstream_settings settings, site_store &store, upstream_log &log, last_reason *reason);
 
     void setFaults(const upstream_faults &faults);
+    /// Sets the number of events of the streams that begin from now on.
+    void setEvents(std::uint32_t events)
+    {
+        m_settings.events = events;
+    }
     /// Sets what all answers name as the requests a second that the upstream takes, whether it is a number or not; none if empty. A crash ends it.
     void setLimit(std::string text);
     /// Registers itself as draining, but continues to serve requests.
--- a/tests/stop_plan_test.cpp
+++ b/tests/stop_plan_test.cpp
@@ -6,6 +6,7 @@
 
 #include "relay/call_time_estimate.h"
 #include "relay/stop_plan.h"
+#include "relay/stream_time_estimate.h"
 
 using namespace heatherroute;
 using std::chrono::milliseconds;
@@ -71,11 +72,45 @@
 
 TEST(StopPlan, CallThatMayNotBeRepeatedNeedsAllOfItsTime)
 {
-    EXPECT_EQ(timeNeededFor(route_kind::NonIdempotent, milliseconds(600), milliseconds(20)), milliseconds(600));
-    EXPECT_EQ(timeNeededFor(route_kind::Idempotent, milliseconds(600), milliseconds(20)), milliseconds(20));
-    EXPECT_EQ(timeNeededFor(route_kind::Stream, seconds(14), seconds(5)), seconds(5));
-    EXPECT_EQ(timeNeededFor(route_kind::Stream, seconds(14), std::nullopt), seconds(14));
-    EXPECT_EQ(timeNeededFor(route_kind::Stream, seconds(3), seconds(5)), seconds(3));
+    const observed_call_times plain{milliseconds(20), std::nullopt};
+    EXPECT_EQ(timeNeededFor({route_kind::NonIdempotent, false, milliseconds(600)}, plain), milliseconds(600));
+    EXPECT_EQ(timeNeededFor({route_kind::Idempotent, false, milliseconds(600)}, plain), milliseconds(20));
+    const observed_call_times streams{seconds(5), std::nullopt};
+    EXPECT_EQ(timeNeededFor({route_kind::Stream, true, seconds(14)}, streams), seconds(5));
+    EXPECT_EQ(timeNeededFor({route_kind::Stream, true, seconds(14)}, {}), seconds(14));
+    EXPECT_EQ(timeNeededFor({route_kind::Stream, true, seconds(3)}, streams), seconds(3));
+}
+
+// Guards against a stream that nobody can take up being sent on because streams usually take less time, and cut in the middle.
+TEST(StopPlan, StreamThatCannotBeTakenUpNeedsTheTimeOfAllItsOutput)
+{
+    const observed_call_times streams{seconds(1), seconds(6)};
+    EXPECT_EQ(timeNeededFor({route_kind::Stream, false, seconds(14), 130}, streams), seconds(6));
+    EXPECT_EQ(timeNeededFor({route_kind::Stream, true, seconds(14), 130}, streams), seconds(1));
+    EXPECT_EQ(timeNeededFor({route_kind::Stream, false, seconds(4), 130}, streams), seconds(4));
+    EXPECT_EQ(timeNeededFor({route_kind::Stream, false, seconds(14), 130}, {seconds(1), std::nullopt}), seconds(14));
+}
+
+// Load pattern: streams of 14 to 30 events have been served, and one that declares 130 begins late in a planned stop; its length must not be
+// taken from theirs.
+TEST(StreamTimeEstimate, LongStreamIsNotTakenForOneOfTheUsualLength)
+{
+    stream_time_estimate estimate = stream_time_estimate::make({});
+    EXPECT_FALSE(estimate.upperBound(130).has_value());
+    for (const int events : {18, 25, 14, 30, 22, 16, 27, 20, 24, 19}) {
+        estimate.note(milliseconds(50), milliseconds(50 + 45 * (events - 1)), static_cast<std::uint64_t>(events));
+    }
+    EXPECT_GE(estimate.upperBound(130), milliseconds(130 * 45));
+    EXPECT_LE(estimate.upperBound(130), milliseconds(2 * 130 * 45));
+    EXPECT_LE(estimate.upperBound(20), milliseconds(2 * 20 * 45));
+    EXPECT_FALSE(estimate.upperBound(0).has_value()) << "a caller that declares no maximum";
+}
+
+TEST(StreamTimeEstimate, StreamOfOneEventTellsNoTimePerEvent)
+{
+    stream_time_estimate estimate = stream_time_estimate::make({});
+    estimate.note(milliseconds(50), milliseconds(50), 1);
+    EXPECT_FALSE(estimate.upperBound(130).has_value());
 }
 
 TEST(CallTimeEstimate, CoversNearlyAllCallsOfAMix)
@@ -108,12 +143,16 @@
         const auto kind = *rc::gen::element(route_kind::Idempotent, route_kind::NonIdempotent, route_kind::Stream);
         const duration timeLeft = milliseconds(*rc::gen::inRange(1, 20'000));
         const std::optional<duration> usual = *rc::gen::arbitrary<bool>() ? std::optional<duration>(milliseconds(*rc::gen::inRange(1, 9'000))) : std::nullopt;
-        const duration needed = timeNeededFor(kind, timeLeft, usual);
+        const bool resumable = *rc::gen::arbitrary<bool>();
+        const std::optional<duration> atMost = *rc::gen::arbitrary<bool>() ? std::optional<duration>(milliseconds(*rc::gen::inRange(1, 9'000))) : std::nullopt;
+        const duration needed = timeNeededFor({kind, resumable, timeLeft, 130}, {usual, atMost});
         RC_ASSERT(needed <= timeLeft);
         if (plan.mayBegin(now, needed)) {
             RC_ASSERT(phase < stop_phase::Aborting);
             RC_ASSERT(now + needed <= abortAt);
             RC_ASSERT(kind != route_kind::NonIdempotent || now + timeLeft <= abortAt);
+            const bool isLostIfCut = kind == route_kind::Stream && !resumable;
+            RC_ASSERT(!isLostIfCut || now + std::min(atMost.value_or(timeLeft), timeLeft) <= abortAt);
         }
     }
 }
--- a/tests/support/relay_site.cpp
+++ b/tests/support/relay_site.cpp
@@ -370,7 +370,7 @@
     const bool streamed = path.starts_with("/gen/");
     if (streamed) {
         call.fields.push_back({"X-Model", "m"});
-        call.fields.push_back({"X-Token-Count", "500,800"});
+        call.fields.push_back({"X-Token-Count", "500," + std::to_string(request.maxOutputTokens)});
         call.fields.push_back({"X-Prompt-Prefix", request.promptParts});
     }
     const std::string streamId = request.resumes.empty() ? outcome.id : request.resumes;
--- a/tests/support/relay_site.h
+++ b/tests/support/relay_site.h
@@ -47,6 +47,7 @@
     std::string promptParts = "ab:500"; ///< Of a stream: all parts of its prompt, the last of them its own.
     std::string resumes; ///< Id of the request that brought the first event of the stream that is taken up; empty for a new one.
     std::uint32_t lastEvent = 0; ///< The last event of that stream that the caller has.
+    std::uint32_t maxOutputTokens = 800; ///< Of a stream, as the caller declares it.
 };
 
 /// The result of a caller's request.
