--- a/tests/support/relay_site.h
+++ b/tests/support/relay_site.h
@@ -52,6 +52,7 @@
     std::uint32_t lastEvent = 0; ///< The last event of that stream that the caller has.
     std::string key; ///< The caller's API key; none if empty.
     std::string claimedTeam; ///< What the caller itself names as its team; nothing if empty.
+    std::uint32_t maxOutputTokens = 800; ///< Of a stream, as the caller declares it.
 };
 
 /// The result of a caller's request.
