Tests of teams: findings of the linter

Cause: clang-tidy reported string concatenation and a vector that grows in a loop. Change: append and reserve. Result: 80 unit tests of teams, records, dialect, currency and settings pass.

--- a/tests/team_access_test.cpp
+++ b/tests/team_access_test.cpp
@@ -205,6 +205,7 @@
 TEST_F(team_access_test, MetricsOfTeamsAreBounded)
 {
     std::vector<team> teams;
+    teams.reserve(200);
     for (int i = 0; i < 200; ++i) {
         teams.push_back(makeTeam("t" + std::to_string(i), "k" + std::to_string(i)));
     }
--- a/tests/team_records_test.cpp
+++ b/tests/team_records_test.cpp
@@ -102,7 +102,7 @@
     for (const auto &[item, name] : faulty) {
         std::vector<invalid_team> invalid;
         std::string list = "[";
-        list += good + "," + item + "," + last + "]";
+        list.append(good).append(",").append(item).append(",").append(last).append("]");
         const auto table = decodeTeams(list, &invalid);
         ASSERT_TRUE(table) << item;
         ASSERT_EQ(invalid.size(), 1U) << item;
