Version history: a version has served until the registration that replaces it

Engines that are restarted one by one under their ids replace a version without any registration being removed. The history had noted the version before only when the engines were added, concluded that the new version alone had served, and streams went on there.

version_history keeps the version under each id, and notes it until its registration is replaced or removed; the version of an instance whose removal another entry tells is noted too.

VersionHistory.VersionThatRestartsUnderTheSameIds... fails with the note planted out and passes.

--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -378,6 +378,11 @@
                 m_state.registry.onReport(change.run);
             }
             if (change.movingTo) {
+                // The instance that was removed may have another version than the one that this entry knows under its id. Entries of earlier
+                // builds don't send it.
+                if (!change.run.softwareVersion.empty()) {
+                    m_state.versions.note(now, change.run.service, change.run.softwareVersion);
+                }
                 m_state.notePhaseMove(change.run, *change.movingTo);
             }
         }
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -147,7 +147,11 @@
     crashes.onUpstreamChange(run, change);
     permits.noteInstance(run);
     origins.noteInstance(run);
-    versions.note(coreNow(), run.service, run.softwareVersion);
+    if (change == upstream_change::Removed) {
+        versions.noteRemoved(coreNow(), run);
+    } else {
+        versions.noteRegistered(coreNow(), run);
+    }
     if (change == upstream_change::Removed) {
         health.remove(run.id);
         permits.noteRemoved(run.id);
--- a/src/relay/version_history.cpp
+++ b/src/relay/version_history.cpp
@@ -1,6 +1,7 @@
 #include "relay/version_history.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace heatherroute
 {
@@ -30,6 +31,22 @@
     std::erase_if(versions, [&](const auto &known) { return now - known.second > m_settings.retention; });
 }
 
+void version_history::noteRegistered(instant now, const registration &run)
+{
+    served_version &known = m_registered[run.id];
+    const served_version before = std::exchange(known, {run.service, run.softwareVersion});
+    if (before != known && before != served_version{}) {
+        note(now, before.service, before.version);
+    }
+    note(now, run.service, run.softwareVersion);
+}
+
+void version_history::noteRemoved(instant now, const registration &run)
+{
+    noteRegistered(now, run);
+    m_registered.erase(run.id);
+}
+
 void version_history::noteRead(instant begunAt)
 {
     m_readBegunAt = std::max(m_readBegunAt.value_or(begunAt), begunAt);
--- a/src/relay/version_history.h
+++ b/src/relay/version_history.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "heatherroute/registration.h"
 #include "heatherroute/time.h"
 
 namespace heatherroute
@@ -26,7 +27,8 @@
  *
  * Load pattern: a caller takes up a stream whose origin no entry remembers. While one version only has served since before the stream can
  * have begun, its origin is known all the same; after a gap in which the list of upstreams wasn't current, a version may have come and gone
- * unseen. Pure; not thread safe. Instants must not decrease.
+ * unseen. Engines that are restarted one by one under their ids replace one version by another without any registration being removed. Pure;
+ * not thread safe. Instants must not decrease.
  */
 class version_history
 {
@@ -39,6 +41,11 @@
     void noteRead(instant begunAt);
     /// Records that an upstream of @p service with @p version is registered, or was until now.
     void note(instant now, const std::string &service, const std::string &version);
+    /// Records that @p run is registered under its id. What was registered under that id before has served until now, also if that instance had
+    /// another version or service.
+    void noteRegistered(instant now, const registration &run);
+    /// Records that @p run was registered until now.
+    void noteRemoved(instant now, const registration &run);
     /// Returns the only version that has been registered within @p window before the question came at @p askedAt; empty when there were several, or
     /// when this can't be known. @p present: the versions that are registered now. An entry may have been stopped or cut off until just now, so only
     /// a read that began after the question tells which versions had registered before it.
@@ -46,6 +53,15 @@
     onlyVersion(instant now, instant askedAt, const std::string &service, const std::set<std::string> &present, duration window) const;
 
 private:
+    /// What an upstream serves.
+    struct served_version
+    {
+        std::string service;
+        std::string version;
+
+        auto operator<=>(const served_version &) const = default;
+    };
+
     explicit version_history(const version_history_settings &settings);
 
     version_history_settings m_settings;
@@ -53,6 +69,7 @@
     std::optional<instant> m_currentAt; ///< The last time for which the list is known to have been current.
     instant m_currentSince{}; ///< The list has been current from then on, without a gap.
     std::map<std::string, std::map<std::string, instant>> m_lastSeen; ///< When each version was last registered, by service.
+    std::map<std::string, served_version> m_registered; ///< By id of the upstream.
 };
 
 } // namespace heatherroute
--- a/tests/stream_origin_test.cpp
+++ b/tests/stream_origin_test.cpp
@@ -210,6 +210,64 @@
     EXPECT_EQ(history.onlyVersion(kStart + seconds(60), kStart + seconds(60), "llm", {"v2"}, seconds(31)), std::nullopt);
 }
 
+// Load pattern: engines are restarted one by one under their ids with a new version, so that no registration is ever removed. The version before
+// was last noted when the engines were added, and streams that it had begun were continued at the new one.
+TEST(VersionHistory, VersionThatRestartsUnderTheSameIdsReplaceHasServedUntilThen)
+{
+    auto history = version_history::make({});
+    const auto engine = [](const std::string &id, std::uint64_t startedAt, const std::string &version) {
+        registration run;
+        run.id = id;
+        run.service = "llm";
+        run.startedAt = startedAt;
+        run.softwareVersion = version;
+        return run;
+    };
+    for (const char *id : {"a", "b", "c"}) {
+        history.noteRegistered(kStart, engine(id, 1, "v1"));
+    }
+    instant now = kStart;
+    const auto listUntil = [&](instant end) {
+        for (; now < end; now += seconds(1)) {
+            history.noteCurrent(now, duration::zero());
+            history.noteRead(now);
+        }
+        history.noteRead(now);
+    };
+    listUntil(kStart + seconds(60));
+    EXPECT_EQ(history.onlyVersion(now, now, "llm", {"v1"}, seconds(19)), "v1");
+    for (const char *id : {"a", "b", "c"}) {
+        listUntil(now + seconds(4));
+        history.noteRegistered(now, engine(id, 2, "v2"));
+    }
+    EXPECT_EQ(history.onlyVersion(now, now, "llm", {"v2"}, seconds(19)), std::nullopt) << "v1 has served until now";
+    listUntil(now + seconds(19));
+    EXPECT_EQ(history.onlyVersion(now, now, "llm", {"v2"}, seconds(19)), std::nullopt);
+    listUntil(now + seconds(2));
+    EXPECT_EQ(history.onlyVersion(now, now, "llm", {"v2"}, seconds(19)), "v2");
+}
+
+// An upstream that is removed and comes back under its id later has not served in between.
+TEST(VersionHistory, VersionHasServedUntilItsRegistrationWasRemoved)
+{
+    auto history = version_history::make({});
+    registration run;
+    run.id = "a";
+    run.service = "llm";
+    run.softwareVersion = "v1";
+    history.noteRegistered(kStart, run);
+    history.noteRemoved(kStart + seconds(10), run);
+    run.softwareVersion = "v2";
+    run.startedAt = 2;
+    history.noteRegistered(kStart + seconds(40), run);
+    for (int second = 10; second <= 40; ++second) {
+        history.noteCurrent(kStart + seconds(second), duration::zero());
+    }
+    history.noteRead(kStart + seconds(40));
+    EXPECT_EQ(history.onlyVersion(kStart + seconds(40), kStart + seconds(40), "llm", {"v2"}, seconds(19)), "v2");
+    EXPECT_EQ(history.onlyVersion(kStart + seconds(40), kStart + seconds(40), "llm", {"v2"}, seconds(30)), std::nullopt);
+}
+
 TEST(VersionHistory, NothingIsKnownDuringAndAfterAGap)
 {
     auto history = version_history::make({});
