Origins of streams: unknown until their writer is certain, also after their end

An engine that came back under its id with another version, and crashed before the entries had read its registration, left streams with the origin of the version before: only streams in progress were corrected.

stream_writers keeps the writer of a stream beyond its end, until a list of upstreams, a later event of a stream that the same instance is certain to write, or the engine itself shows it. What ends incomplete before that counts as unknown; the entries that remember it know that before its caller learns of the end, and get the version again once it is certain. Nothing is asked for ordinary requests.

--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -52,6 +52,8 @@
 constexpr std::size_t kIntroducingEntries = 3;
 /// Limits the datagrams while many entries start; more upstreams seldom leave at the same time.
 constexpr std::size_t kMaxAnnouncedDraining = 16;
+/// How long before its answer a read of the store, of which another entry tells, has begun.
+constexpr std::chrono::milliseconds kMaxReadTime{200};
 /// Timeout of health checks and of the state queries to refusing engines.
 constexpr std::chrono::milliseconds kProbeTimeout{500};
 
@@ -320,6 +322,9 @@
         if (event.isSnapshot) {
             m_state.registry.onSnapshot(now, ids);
         }
+        if (m_state.registry.isAuthoritative(now)) {
+            m_state.origins.noteList(event.readBegunAt);
+        }
         m_missedChanges = false;
         announceReadiness();
     }
@@ -373,19 +378,22 @@
         }
         for (const upstream_update &change : event.update.changes) {
             if (change.gone) {
-                m_state.registry.onRemovalReceived(now, change.run);
-            } else {
-                m_state.registry.onReport(change.run);
-            }
-            if (change.movingTo) {
                 // The instance that was removed may have another version than the one that this entry knows under its id. Entries of earlier
                 // builds don't send it.
                 if (!change.run.softwareVersion.empty()) {
                     m_state.versions.note(now, change.run.service, change.run.softwareVersion);
                 }
+                m_state.registry.onRemovalReceived(now, change.run);
+            } else {
+                m_state.registry.onReport(change.run);
+            }
+            if (change.movingTo) {
                 m_state.notePhaseMove(change.run, *change.movingTo);
             }
         }
+        if (event.update.readsStore) {
+            m_state.origins.noteList(now - std::chrono::milliseconds(event.update.readAgeMs) - kMaxReadTime);
+        }
         if (m_state.routes && event.update.configVersion > m_state.routes->version()) {
             post(m_toStore, store_event(config_outdated{}));
         }
--- a/src/node/stream_origins.cpp
+++ b/src/node/stream_origins.cpp
@@ -24,6 +24,9 @@
 constexpr std::chrono::milliseconds kListInterval{100}; ///< Between two such reads, each of which is a call to the store.
 constexpr std::chrono::milliseconds kListPollInterval{10};
 constexpr std::chrono::seconds kQueryTimeout{2};
+/// How long a caller that takes up a stream waits for its writer to become certain. Readers of the store read every 0.9 s and tell it at once.
+constexpr std::chrono::milliseconds kDoubtTimeout{1'300};
+constexpr std::chrono::milliseconds kDoubtPollInterval{200};
 /// How long a caller that takes up a stream waits for the records to be read.
 constexpr std::chrono::milliseconds kRecordsTimeout{1'000};
 /// Between two reads of the records, which load the store.
@@ -37,6 +40,7 @@
     : m_executor(std::move(executor))
     , m_hooks(std::move(hooks))
     , m_exchange(stream_origin_exchange::make({}, m_hooks.onlyVersion))
+    , m_writers(stream_writers::make({}))
     , m_recorder(origin_recorder::make({}, entryName))
 { }
 
@@ -63,52 +67,109 @@
     co_return true;
 }
 
-void stream_origins::noteWriter(std::uint64_t stream, const registration &run)
+void stream_origins::noteWriter(std::uint64_t stream, const registration &run, bool isConfirmed)
 {
     if (const auto origin = m_exchange.toldOrigin(stream)) {
-        m_writers.insert_or_assign(stream, stream_writer{{run.id, run.startedAt}, *origin, false});
+        m_writers.begin(*origin, {run.id, run.startedAt}, isConfirmed);
     }
 }
 
-void stream_origins::noteBegun(std::uint64_t stream)
+void stream_origins::notePart(std::uint64_t stream)
 {
-    const auto writer = m_writers.find(stream);
-    if (writer != m_writers.end() && !writer->second.isRecorded && !writer->second.origin.version.empty()) {
-        writer->second.isRecorded = true;
-        m_recorder.add(writer->second.origin);
+    if (const auto origin = m_writers.notePart(coreNow(), stream)) {
+        m_recorder.add(*origin);
     }
 }
 
+void stream_origins::tellChanged(const stream_origin &origin)
+{
+    tell(origin);
+    m_recorder.add(origin);
+}
+
 void stream_origins::noteInstance(const registration &run)
 {
-    for (auto &[stream, writer] : m_writers) {
-        const bool isReplaced = writer.instance.id == run.id && writer.instance.startedAt < run.startedAt;
-        if (isReplaced && !writer.origin.version.empty() && writer.origin.version != run.softwareVersion) {
-            writer.origin.revision += 1;
-            writer.origin.version.clear();
-            tell(writer.origin);
-            if (writer.isRecorded) {
-                m_recorder.add(writer.origin);
-            }
+    for (const stream_origin &origin : m_writers.noteInstance(run)) {
+        tellChanged(origin);
+        if (!m_writers.isWriting(origin.stream)) {
+            m_exchange.finish(origin.stream);
         }
     }
 }
 
+void stream_origins::noteList(instant at)
+{
+    m_writers.noteList(at);
+}
+
+asio::awaitable<void> stream_origins::noteEnd(std::uint64_t stream, bool isComplete, bool waits)
+{
+    const std::optional<stream_origin> doubtful = m_writers.end(coreNow(), stream, isComplete);
+    if (!doubtful) {
+        co_return;
+    }
+    tellChanged(*doubtful);
+    if (waits) {
+        co_await waitUntilKept(stream, true);
+    }
+}
+
 void stream_origins::finish(std::uint64_t stream)
 {
-    m_writers.erase(stream);
+    if (const auto doubtful = m_writers.end(coreNow(), stream, false)) {
+        tellChanged(*doubtful);
+    }
     m_exchange.finish(stream);
 }
 
 asio::awaitable<std::optional<stream_origin>> stream_origins::find(sought_stream sought, bool isNamed)
 {
-    if (auto known = m_exchange.find(coreNow(), sought)) {
+    if (auto known = findCertain(sought)) {
         co_return known;
     }
     std::optional<stream_origin> only = co_await findOnlyVersion(sought);
     if (only) {
         co_return only;
     }
+    std::optional<stream_origin> origin = co_await queryUntilCertain(sought);
+    if (!origin && isNamed) {
+        co_await waitForRecords();
+        origin = m_exchange.find(coreNow(), sought);
+    }
+    co_return origin;
+}
+
+std::optional<stream_origin> stream_origins::findCertain(const sought_stream &sought) const
+{
+    std::optional<stream_origin> known = m_exchange.find(coreNow(), sought);
+    if (known && known->version.empty()) {
+        // Whichever instance has written it, its version is the only one that has served.
+        known->revision += 1;
+        known->version = m_hooks.onlyVersion(sought).value_or("");
+    }
+    return known && !known->version.empty() ? known : std::nullopt;
+}
+
+asio::awaitable<std::optional<stream_origin>> stream_origins::queryUntilCertain(sought_stream sought)
+{
+    const instant giveUpAt = coreNow() + kDoubtTimeout;
+    while (true) {
+        std::optional<stream_origin> origin = findCertain(sought);
+        if (!origin) {
+            std::optional<stream_origin> told = co_await query(sought);
+            origin = std::move(told);
+        }
+        if (!origin || !origin->version.empty() || coreNow() >= giveUpAt) {
+            co_return origin;
+        }
+        asio::steady_timer timer(m_executor, kDoubtPollInterval);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+asio::awaitable<std::optional<stream_origin>> stream_origins::query(sought_stream sought)
+{
     std::vector<addressed_origin_message> sends;
     const std::uint32_t number = m_exchange.ask(coreNow(), sought, &sends);
     asio::steady_timer timer(m_executor, kQueryTimeout);
@@ -118,10 +179,6 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     std::optional<stream_origin> origin = std::move(m_queries.at(number).origin);
     m_queries.erase(number);
-    if (!origin && isNamed) {
-        co_await waitForRecords();
-        origin = m_exchange.find(coreNow(), sought);
-    }
     co_return origin;
 }
 
@@ -136,7 +193,7 @@
         asio::steady_timer timer(m_executor, kListPollInterval);
         boost::system::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        if (auto origin = m_exchange.find(coreNow(), sought)) {
+        if (auto origin = findCertain(sought)) {
             co_return origin;
         }
     }
@@ -163,10 +220,8 @@
 
 void stream_origins::recordAgain()
 {
-    for (const auto &[stream, writer] : m_writers) {
-        if (writer.isRecorded) {
-            m_recorder.add(writer.origin);
-        }
+    for (const stream_origin &origin : m_writers.begun()) {
+        m_recorder.add(origin);
     }
 }
 
@@ -207,6 +262,10 @@
 
 void stream_origins::advance()
 {
+    for (const stream_origin &origin : m_writers.advance(coreNow())) {
+        tellChanged(origin);
+        m_exchange.finish(origin.stream);
+    }
     carryOut(m_exchange.advance(coreNow()));
     send(m_recorder.dueMessages());
     if (std::vector<stream_origin> due = m_recorder.dueRecord(coreNow()); !due.empty()) {
--- a/src/node/stream_origins.h
+++ b/src/node/stream_origins.h
@@ -15,9 +15,9 @@
 #include "heatherroute/log_line.h"
 #include "heatherroute/member.h"
 #include "heatherroute/registration.h"
-#include "heatherroute/upstream_instance.h"
 #include "relay/origin_recorder.h"
 #include "relay/stream_origin_exchange.h"
+#include "relay/stream_writers.h"
 
 namespace heatherroute::node
 {
@@ -49,13 +49,19 @@
     /// Waits a short time until another entry remembers what tell() has reported, or every entry that must if @p byAll is set. Returns
     /// whether that is so.
     boost::asio::awaitable<bool> waitUntilKept(std::uint64_t stream, bool byAll);
-    /// Records that @p run gets the request whose origin tell() has reported.
-    void noteWriter(std::uint64_t stream, const registration &run);
-    /// Records that the first event of a stream has come from its writer, so that its version is final.
-    void noteBegun(std::uint64_t stream);
-    /// Processes a change of the registry: @p run is the current instance of its id. Streams in progress that were sent to an earlier one may
-    /// have been written by either, so their origins count as unknown from now on.
+    /// Records that @p run gets the request whose origin tell() has reported. @p isConfirmed: the engine itself has just named its instance.
+    void noteWriter(std::uint64_t stream, const registration &run, bool isConfirmed);
+    /// Records that a part of a stream has come from its writer. With the first one its version is final.
+    void notePart(std::uint64_t stream);
+    /// Processes a change of the registry: @p run is the current instance of its id. Streams that were sent to an earlier one may have been
+    /// written by either, so their origins count as unknown from now on, unless their writer is certain.
     void noteInstance(const registration &run);
+    /// Records that the registry holds all that the store did at @p at.
+    void noteList(instant at);
+    /// Records that the answer to the request that told an origin has ended. If it is incomplete and its writer isn't certain, its origin counts
+    /// as unknown until it is. @p waits: until the entries that remember the origin know that, for a short time; before it the caller, which comes
+    /// back at once, should not learn of the end.
+    boost::asio::awaitable<void> noteEnd(std::uint64_t stream, bool isComplete, bool waits);
     /// Records that the request that told an origin has ended.
     void finish(std::uint64_t stream);
     /// Returns the origin of a stream from this entry, others or the records; empty when it isn't known. @p isNamed: the caller names the
@@ -87,16 +93,16 @@
         std::optional<stream_origin> origin;
     };
 
-    /// An engine that writes a stream in progress.
-    struct stream_writer
-    {
-        upstream_instance instance;
-        stream_origin origin;
-        bool isRecorded = false;
-    };
-
     void send(std::vector<addressed_origin_message> messages);
     void carryOut(origin_effects effects);
+    /// Reports and records the origin of a stream that has begun.
+    void tellChanged(const stream_origin &origin);
+    /// Returns the origin of a stream whose writer is certain, as far as this entry knows.
+    std::optional<stream_origin> findCertain(const sought_stream &sought) const;
+    /// Asks other entries for an origin.
+    boost::asio::awaitable<std::optional<stream_origin>> query(sought_stream sought);
+    /// As query(), but asks again for a short time while the writer of the stream isn't certain.
+    boost::asio::awaitable<std::optional<stream_origin>> queryUntilCertain(sought_stream sought);
     boost::asio::awaitable<void> waitForRecords();
     /// Waits a short time until the registrations have been read since @p sought was asked for. Returns the origin if that tells it.
     boost::asio::awaitable<std::optional<stream_origin>> findOnlyVersion(sought_stream sought);
@@ -104,9 +110,9 @@
     boost::asio::any_io_executor m_executor;
     stream_origins_hooks m_hooks;
     stream_origin_exchange m_exchange;
+    stream_writers m_writers;
     origin_recorder m_recorder;
     std::map<std::uint32_t, waiting_query> m_queries; ///< By number.
-    std::map<std::uint64_t, stream_writer> m_writers; ///< By stream.
     std::set<boost::asio::steady_timer *> m_keptWaits; ///< The timers of waitUntilKept().
     std::set<boost::asio::steady_timer *> m_recordWaits; ///< The timers of waitForRecords().
     std::optional<instant> m_readBegunAt; ///< Set while the records are being read.
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -376,6 +376,7 @@
         const http_result result = co_await m_call.perform(run, std::move(call));
         const auto report = result.answer ? m_state.dialect.readReport(*result.answer) : std::nullopt;
         if (report && (!report->startedAt || *report->startedAt == run.startedAt)) {
+            m_isInstanceNamed = report->startedAt.has_value();
             co_return true;
         }
         if (report) {
@@ -389,7 +390,7 @@
     }
 
     /// Whether the engine must be confirmed to be the known instance before the decode, since its software version decides where the stream may
-    /// go on. New streams at the first engine that changes its version under its id aren't covered.
+    /// go on. New streams at the first engine that changes its version under its id aren't covered; stream_writers finds those afterwards.
     bool needsConfirmation() const
     {
         return isResumed() || m_state.registry.softwareVersions(m_service).size() > 1;
@@ -427,6 +428,7 @@
     {
         const std::uint32_t tokens = m_state.scheduler.reservedTokens(m_prompt);
         m_confirms = needsConfirmation();
+        m_isInstanceNamed = false;
         const bool permitted = co_await m_state.permits.acquire(run, permitsPerDecode());
         if (!permitted) {
             co_return false;
@@ -623,7 +625,7 @@
         http_call call = m_call.makeUpstreamCall(run, directions);
         m_upstream = run.id;
         m_version = run.softwareVersion;
-        m_state.origins.noteWriter(m_stream, run);
+        m_state.origins.noteWriter(m_stream, run, m_isInstanceNamed);
         m_sentAt = coreNow();
         m_reservationSent = true;
         m_call.beginAttempt(run);
@@ -654,10 +656,10 @@
     {
         if (!m_firstAt) {
             m_firstAt = coreNow();
-            m_state.origins.noteBegun(m_stream);
             const duration computing = m_prefill ? duration::zero() : 2 * m_state.scheduler.computeTime(m_prompt.promptTokens);
             m_state.health.noteSuccess(*m_firstAt, m_upstream, *m_firstAt - m_sentAt, kExpectedFirstEventTime + computing);
         }
+        m_state.origins.notePart(m_stream);
         m_call.noteProgress();
         m_events.feed(piece);
         std::string data(piece);
@@ -680,15 +682,17 @@
             m_streamComplete = result.answer.has_value();
             if (m_streamComplete) {
                 m_state.noteCallTime(m_service, m_call.matchedRoute().kind, m_decodeTook);
+                m_state.noteStreamTime(m_service, m_firstAt.value_or(m_sentAt) - m_sentAt, m_decodeTook, m_events.events());
                 m_state.crashes.noteCompleted(m_call.fingerprints());
                 co_await m_call.responder().endStream();
-                m_state.noteStreamTime(m_service, m_firstAt.value_or(m_sentAt) - m_sentAt, m_decodeTook, m_events.events());
             } else if (!m_call.isEnded()) {
                 m_state.health.noteFailure(coreNow(), run.id);
                 m_call.noteFailedAttempt(run, "decode", result.failure.reason, verdict::Ran);
             }
             m_reason = result.failure.reason;
             m_prefill.reset();
+            const bool callerWaits = !m_streamComplete && !m_call.isEnded();
+            co_await m_state.origins.noteEnd(m_stream, m_streamComplete, callerWaits);
             co_return decode_outcome::Ended;
         }
         if (!result.answer) {
@@ -849,6 +853,7 @@
     bool m_isOriginTold = false; ///< By this request.
     bool m_isTrial = false; ///< The request may be sent once although it has crashes, see request_quarantine.
     bool m_confirms = false; ///< The instance of the reserved engine is confirmed before the decode.
+    bool m_isInstanceNamed = false; ///< By that engine itself.
     bool m_changedVersion = false; ///< Since this request has told it.
     prompt_facts m_prompt;
     std::optional<reservation> m_reserved;
--- a/tests/process_stream_version_test.cpp
+++ b/tests/process_stream_version_test.cpp
@@ -208,3 +208,92 @@
         EXPECT_GE(goneOn * 2, takenUp) << takenUp << " streams taken up, the last refused as " << groups.back()->lastRefusal();
     });
 }
+
+namespace
+{
+
+/// One stream of a caller, which takes it up at other entries when it is broken off.
+asio::awaitable<void> readStream(relay_site &site, std::size_t entry, int &broken, int &open)
+{
+    constexpr int kMaxRetries = 3;
+    std::string first;
+    std::uint32_t lastEvent = 0;
+    bool isWhole = false;
+    for (int retry = 0; retry <= kMaxRetries && !isWhole; ++retry) {
+        caller_request request;
+        request.path = kStreamPath;
+        request.timeLeft = seconds(8);
+        request.resumes = first;
+        request.lastEvent = lastEvent;
+        const caller_result result = co_await site.call((entry + static_cast<std::size_t>(retry)) % site.entryCount(), std::move(request));
+        isWhole = result.isComplete && result.status == 200;
+        broken += !isWhole && result.lastEvent > 0 && first.empty() ? 1 : 0;
+        first = first.empty() && result.lastEvent > 0 ? result.id : first;
+        lastEvent = std::max(lastEvent, result.lastEvent);
+        co_await pauseFor(milliseconds(100));
+    }
+    --open;
+}
+
+} // namespace
+
+// Load pattern: the only version is replaced under the ids of the engines one by one, and the last restart breaks off streams of the old version.
+// Entries that didn't remember them took the new version for the only one that had served, and went on there.
+TEST(ProcessStreamVersion, StreamsOfAVersionThatRestartsHaveReplacedAreNotJoined)
+{
+    relay_site_settings settings;
+    settings.entries = 6;
+    settings.prefillEngines = 1;
+    settings.decodeEngines = 2;
+    settings.services = 0;
+    settings.eventInterval = milliseconds(150);
+    settings.upstreamDownTime = milliseconds(300);
+    runOnSite(settings, [](relay_site &site) -> asio::awaitable<void> {
+        stream_callers callers(site, 40, milliseconds(40));
+        callers.start(co_await asio::this_coro::executor);
+        co_await pauseFor(seconds(16)); // Until one version is known to have served for as long as a stream can last.
+        for (const auto &upstream : site.upstreams()) {
+            upstream->release("v2", true);
+            co_await pauseFor(seconds(3));
+        }
+        co_await pauseFor(seconds(5));
+        co_await callers.stop();
+        EXPECT_EQ(mixedStreams(site.upstreamLog()), 0);
+        EXPECT_GE(callers.resumeAttempts(), 3U);
+    });
+}
+
+// Load pattern: an idle engine comes back under its id with a new version, gets streams, and crashes before the entries have read its registration.
+// Its streams were recorded as those of the version before, and went on there.
+TEST(ProcessStreamVersion, StreamsOfAnInstanceThatWasNotYetReadAreNotJoined)
+{
+    relay_site_settings settings;
+    settings.entries = 8;
+    settings.prefillEngines = 2;
+    settings.decodeEngines = 4;
+    settings.services = 0;
+    settings.eventInterval = milliseconds(100);
+    settings.upstreamDownTime = milliseconds(150);
+    runOnSite(settings, [](relay_site &site) -> asio::awaitable<void> {
+        constexpr int kStreams = 60;
+        co_await pauseFor(seconds(8));
+        const auto &upstreams = site.upstreams();
+        const auto engine = std::find_if(upstreams.begin(), upstreams.end(), [](const auto &one) { return one->id().find("decode") != std::string::npos; });
+        (*engine)->release("v2", true);
+        while ((*engine)->version() != "v2") {
+            co_await pauseFor(milliseconds(5));
+        }
+        int broken = 0;
+        int open = kStreams;
+        for (int i = 0; i < kStreams; ++i) {
+            asio::co_spawn(site.executor(), readStream(site, static_cast<std::size_t>(i), broken, open), asio::detached);
+        }
+        co_await pauseFor(milliseconds(350));
+        (*engine)->crash();
+        while (open > 0) {
+            co_await pauseFor(milliseconds(50));
+        }
+        EXPECT_GE(broken, 1);
+        EXPECT_EQ(mixedStreams(site.upstreamLog()), 0);
+    });
+}
