--- a/src/node/relay_call.cpp
+++ b/src/node/relay_call.cpp
@@ -162,6 +162,12 @@
     return {m_route->kind, m_route->resumable, timeLeft(), maxOutput};
 }
 
+std::uint32_t relay_call::priority() const
+{
+    const team *own = m_routes->findTeam(m_team);
+    return own != nullptr ? own->priority.value_or(m_route->priority) : m_route->priority;
+}
+
 duration relay_call::timeLeft() const
 {
     return std::max(m_deadline - coreNow(), duration::zero());
--- a/src/node/relay_call.h
+++ b/src/node/relay_call.h
@@ -142,6 +142,8 @@
     /// Waits for @p time. The wait ends early under the same conditions as perform().
     boost::asio::awaitable<void> wait(std::chrono::milliseconds time);
 
+    /// Returns the priority of the request's team, or else of its route; 0 is served first. Precondition: begin() was called.
+    std::uint32_t priority() const;
     /// Returns what decides on the team of the request. Precondition: begin() was called.
     access_question accessQuestion() const;
     /// Sets the team that the request belongs to, if any, and what it was charged; finish() returns the charge if the request didn't run.
--- a/src/node/stream_placement.cpp
+++ b/src/node/stream_placement.cpp
@@ -51,7 +51,7 @@
         request.service = m_service;
         request.phase = m_phase;
         request.tokens = m_tokens;
-        request.priority = priority();
+        request.priority = m_call.priority();
         request.maxWaitMs = static_cast<std::uint32_t>(maxWait().count());
         request.refusing = m_refusing;
         const placement_answer answer = co_await placements.place(std::move(request));
@@ -131,11 +131,4 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::max(wait, duration::zero()));
 }
 
-/// The priority of the request; 0 is served first. The priority of its team, once a request knows its team, belongs here and comes before that
-/// of the route.
-std::uint32_t stream_placement::priority() const
-{
-    return m_call.matchedRoute().priority;
-}
-
 } // namespace heatherroute::node
--- a/src/node/stream_placement.h
+++ b/src/node/stream_placement.h
@@ -59,7 +59,6 @@
     std::vector<registration> allowedRuns() const;
     void listUnusable();
     std::chrono::milliseconds maxWait() const;
-    std::uint32_t priority() const;
 
     relay_call &m_call;
     engine_phase m_phase;
