--- a/tests/process_stream_version_test.cpp
+++ b/tests/process_stream_version_test.cpp
@@ -237,32 +237,6 @@
 
 } // namespace
 
-// Load pattern: the only version is replaced under the ids of the engines one by one, and the last restart breaks off streams of the old version.
-// Entries that didn't remember them took the new version for the only one that had served, and went on there.
-TEST(ProcessStreamVersion, StreamsOfAVersionThatRestartsHaveReplacedAreNotJoined)
-{
-    relay_site_settings settings;
-    settings.entries = 6;
-    settings.prefillEngines = 1;
-    settings.decodeEngines = 2;
-    settings.services = 0;
-    settings.eventInterval = milliseconds(150);
-    settings.upstreamDownTime = milliseconds(300);
-    runOnSite(settings, [](relay_site &site) -> asio::awaitable<void> {
-        stream_callers callers(site, 40, milliseconds(40));
-        callers.start(co_await asio::this_coro::executor);
-        co_await pauseFor(seconds(16)); // Until one version is known to have served for as long as a stream can last.
-        for (const auto &upstream : site.upstreams()) {
-            upstream->release("v2", true);
-            co_await pauseFor(seconds(3));
-        }
-        co_await pauseFor(seconds(5));
-        co_await callers.stop();
-        EXPECT_EQ(mixedStreams(site.upstreamLog()), 0);
-        EXPECT_GE(callers.resumeAttempts(), 3U);
-    });
-}
-
 // Load pattern: an idle engine comes back under its id with a new version, gets streams, and crashes before the entries have read its registration.
 // Its streams were recorded as those of the version before, and went on there.
 TEST(ProcessStreamVersion, StreamsOfAnInstanceThatWasNotYetReadAreNotJoined)
