--- a/include/heatherroute/settings.h
+++ b/include/heatherroute/settings.h
@@ -66,8 +66,11 @@
     std::uint32_t maxRequests = 0;
     std::uint32_t maxRequestsPerConnection = 0;
     std::uint64_t maxBufferedBytesPerStream = 0;
+    std::optional<std::uint64_t> memoryMb; ///< Memory of the VM; empty for what the system reports.
+    std::optional<std::uint64_t> maxDescriptors; ///< That the process may open; empty for what the system reports.
     std::chrono::milliseconds headerTimeout{};
     std::chrono::milliseconds bodyTimeout{};
+    std::chrono::milliseconds bodyProgressTimeout{};
     std::chrono::milliseconds idleTimeout{};
 
     bool operator==(const limit_settings &) const = default;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -34,6 +34,7 @@
 constexpr std::size_t kMaxBufferBytes = std::size_t{128} * 1024;
 constexpr unsigned kMaxInterimResponses = 8; ///< Responses with a 1xx status before the final one.
 constexpr std::size_t kMaxBodyGrowthBytes = std::size_t{256} * 1024; ///< Of a collected body at once, beyond what has arrived.
+constexpr std::chrono::milliseconds kMemoryPollInterval{20};
 constexpr std::size_t kBodyChunkBytes = std::size_t{16} * 1024;
 /// TCP keep-alive options. They detect a broken path within seconds, even when the peer may take much longer to respond.
 constexpr int kKeepAliveIdleS = 1;
@@ -52,13 +53,6 @@
         , m_startedAt(std::chrono::steady_clock::now())
     { }
 
-    ~exchange() override
-    {
-        if (m_reservedBytes > 0) {
-            m_call.bodyMemory->release(m_reservedBytes);
-        }
-    }
-
     exchange(const exchange &) = delete;
     exchange &operator=(const exchange &) = delete;
 
@@ -191,7 +185,15 @@
             if (streamed && !m_cancelled && !piece.empty()) {
                 co_await onBody(piece);
             } else if (!streamed) {
-                if (makeRoom(answer.body, piece.size())) {
+                bool fits = makeRoom(answer.body, piece.size());
+                // The request may have run, so its response waits for others to return memory before it is given up.
+                for (unsigned polls = 0; !fits && !m_cancelled && !m_timedOut && polls < m_call.memoryPolls; ++polls) {
+                    asio::steady_timer pause(m_stream.get_executor(), kMemoryPollInterval);
+                    beast::error_code ignored;
+                    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+                    fits = makeRoom(answer.body, piece.size());
+                }
+                if (fits) {
                     answer.body.append(piece);
                 } else {
                     error = http::error::body_limit;
@@ -203,6 +205,7 @@
         }
         m_ended = true;
         close();
+        answer.memory = std::move(m_share);
         co_return http_result{std::move(answer), {}};
     }
 
@@ -211,16 +214,22 @@
     bool makeRoom(std::string &body, std::size_t bytes)
     {
         const std::size_t needed = body.size() + bytes;
-        if (!m_call.bodyMemory || needed <= m_reservedBytes) {
+        if (!m_call.memory || bytes == 0) {
             return true;
         }
-        const std::size_t capacity = std::max(needed, m_reservedBytes + std::min(m_reservedBytes, kMaxBodyGrowthBytes));
-        if (!m_call.bodyMemory->tryReserve(capacity)) {
+        if (!m_share) {
+            m_share = std::make_shared<memory_share>(m_call.memory, memory_use::Answer);
+        }
+        const std::size_t held = m_share->held();
+        if (needed <= held) {
+            return true;
+        }
+        const std::size_t capacity = std::max(needed, held + std::min(held, kMaxBodyGrowthBytes));
+        if (!m_share->tryResize(held + capacity)) {
             return false;
         }
         body.reserve(capacity);
-        m_call.bodyMemory->release(m_reservedBytes);
-        m_reservedBytes = capacity;
+        m_share->resize(capacity);
         return true;
     }
 
@@ -260,7 +269,7 @@
     beast::flat_buffer m_buffer{kMaxBufferBytes};
     http_call m_call;
     std::chrono::steady_clock::time_point m_startedAt;
-    std::size_t m_reservedBytes = 0;
+    std::shared_ptr<memory_share> m_share; ///< Of the collected body.
     bool m_wroteAny = false;
     bool m_cancelled = false;
     bool m_timedOut = false;
@@ -269,25 +278,6 @@
 
 } // namespace
 
-std::shared_ptr<body_memory> body_memory::make(std::size_t limitBytes)
-{
-    return std::shared_ptr<body_memory>(new body_memory(limitBytes));
-}
-
-bool body_memory::tryReserve(std::size_t bytes) noexcept
-{
-    if (bytes > m_limit - m_used) {
-        return false;
-    }
-    m_used += bytes;
-    return true;
-}
-
-void body_memory::release(std::size_t bytes) noexcept
-{
-    m_used -= bytes;
-}
-
 std::shared_ptr<http_exchange> http_exchange::make(const asio::any_io_executor &executor, http_call call)
 {
     return std::make_shared<exchange>(executor, std::move(call));
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -13,40 +13,11 @@
 
 #include "heatherroute/verdict.h"
 #include "net/http_server.h"
+#include "net/memory_budget.h"
 
 namespace heatherroute::net
 {
 
-/**
- * A limit on the memory of response bodies that several calls collect at the same time.
- *
- * A body of any size may come from a faulty upstream, and many of them at once. Not thread safe: the calls that share it must
- * run on one thread.
- */
-class body_memory
-{
-public:
-    static std::shared_ptr<body_memory> make(std::size_t limitBytes);
-
-    /// Reserves @p bytes; returns false when the limit would be exceeded.
-    bool tryReserve(std::size_t bytes) noexcept;
-    /// Releases reserved bytes. Precondition: at least @p bytes are reserved.
-    void release(std::size_t bytes) noexcept;
-    /// Returns the reserved bytes.
-    std::size_t used() const noexcept
-    {
-        return m_used;
-    }
-
-private:
-    explicit body_memory(std::size_t limitBytes)
-        : m_limit(limitBytes)
-    { }
-
-    std::size_t m_limit;
-    std::size_t m_used = 0;
-};
-
 /// A request to another system, such as an upstream or a platform service.
 struct http_call
 {
@@ -62,8 +33,9 @@
     std::chrono::milliseconds progressTimeout{5'000};
     /// Timeout of the whole call, however much progress it makes; none when zero.
     std::chrono::milliseconds totalTimeout{0};
-    /// Shared limit for the collected body; none when null. Held until the call ends. A growing body counts twice while it moves.
-    std::shared_ptr<body_memory> bodyMemory;
+    /// Budget for the collected body; none when null. Held until the response is destroyed. A growing body counts twice while it moves.
+    std::shared_ptr<memory_budget> memory;
+    unsigned memoryPolls = 25; ///< How often, 20 ms apart, a body that doesn't fit waits for others to return memory.
     std::size_t maxAnswerBytes = std::size_t{16} * 1024 * 1024; ///< Maximum size of the response body, even when a hook receives it.
     std::function<void()> onConnected; ///< Called when the connection has been established; may be empty.
 };
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -14,8 +14,9 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iterator>
+#include <list>
 #include <optional>
-#include <set>
 
 namespace heatherroute::net
 {
@@ -34,22 +35,26 @@
     return std::equal(a.begin(), a.end(), b.begin(), b.end(), [&](char x, char y) { return lower(x) == lower(y); });
 }
 
-/// Maps a read error to the status of the response; 0 when the peer can no longer receive one.
-unsigned statusOfReadError(const beast::error_code &error) noexcept
+/// Why a request was not read, and the status of the response; 0 when the peer can no longer receive one.
+struct read_failure
+{
+    unsigned status = 0;
+    std::optional<refusal_reason> reason;
+    std::string text;
+};
+
+read_failure failureOf(const beast::error_code &error)
 {
     if (error == http::error::header_limit) {
-        return 431;
+        return {431, refusal_reason::HeadTooLarge, error.message()};
     }
     if (error == http::error::body_limit) {
-        return 413;
-    }
-    if (error == beast::error::timeout) {
-        return 408;
+        return {413, refusal_reason::BodyTooLarge, error.message()};
     }
     if (error == http::error::end_of_stream || error == asio::error::connection_reset || error == asio::error::operation_aborted) {
-        return 0;
+        return {0, std::nullopt, error.message()};
     }
-    return 400;
+    return {400, refusal_reason::Malformed, error.message()};
 }
 
 http_request makeRequest(http::request<http::string_body> &&message, const std::string &remoteAddress)
@@ -58,10 +63,13 @@
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     request.remoteAddress = remoteAddress;
+    request.fields.reserve(static_cast<std::size_t>(std::distance(message.begin(), message.end())));
     for (const auto &field : message) {
         request.fields.push_back({std::string(field.name_string()), std::string(field.value())});
     }
     request.body = std::move(message.body());
+    // The message lives as long as its request is served, and its fields cost more than their copies.
+    message.clear();
     return request;
 }
 
@@ -87,9 +95,31 @@
 constexpr unsigned kFirstVersionWithChunks = 11; ///< HTTP/1.1, as Beast counts versions.
 constexpr unsigned kTooManyConnectionsStatus = 503;
 constexpr std::size_t kMaxConcurrentRefusals = 64; ///< Connections over the limit that get a 503 response concurrently; further ones are closed without one.
+constexpr std::size_t kMinConcurrentRefusals = 16; ///< Where few connections are allowed.
 /// Limit of received bytes that aren't parsed yet, beyond a header. Without it, an endless line in a chunked body would be kept until the timeout.
 constexpr std::size_t kMaxUnparsedBytes = std::size_t{128} * 1024;
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{256} * 1024;
+constexpr std::size_t kMaxBodyReadBytes = std::size_t{64} * 1024;
+/// Counted for each connection: its coroutines, timers and socket, the first read and the response's head.
+constexpr std::size_t kConnectionBytes = std::size_t{12} * 1024;
+/// Counted for a field in addition to its characters, while a request is read: a node of the parser's message and the block around it.
+constexpr std::size_t kParsedFieldBytes = 96;
+/// As above, while a request is served: a field of http_request, its copy for the upstream, and a node of the message that is sent there.
+constexpr std::size_t kServedFieldBytes = 2 * sizeof(http_field) + kParsedFieldBytes;
+/// Counted for a request that is served: its coroutines, the connection to an upstream and the piece of the response that is passed on.
+constexpr std::size_t kServedRequestBytes = std::size_t{32} * 1024;
+constexpr std::size_t kServedCopies = 4; ///< Of the characters of a head: in the request, for the upstream, in the message to it and for decisions.
+constexpr std::size_t kReservationStepBytes = std::size_t{64} * 1024;
+/// How long a request waits for others to return memory, and how often it looks.
+constexpr std::chrono::milliseconds kMaxMemoryWait{1'000};
+constexpr std::chrono::milliseconds kMemoryPollInterval{20};
+/// Pause after a failed accept, which usually fails again until a descriptor has been closed.
+constexpr std::chrono::milliseconds kAcceptPause{50};
+/// An idle connection without any request so far makes room for a new one after this time.
+constexpr std::chrono::milliseconds kMinIdleTime{200};
+constexpr unsigned kNoMemoryStatus = 503;
+constexpr unsigned kTimeoutStatus = 408;
+constexpr const char *kRetryAfterS = "1";
 constexpr std::chrono::milliseconds kLingerTimeout{500};
 
 /// Cancels a read after a timeout but leaves the connection open, so that an error response can be sent.
@@ -112,7 +142,12 @@
 
     void arm(std::chrono::milliseconds timeout)
     {
-        m_timer.expires_after(timeout);
+        armUntil(std::chrono::steady_clock::now() + timeout);
+    }
+
+    void armUntil(std::chrono::steady_clock::time_point until)
+    {
+        m_timer.expires_at(until);
         m_timer.async_wait([socket = &m_socket, armed = std::weak_ptr<bool>(m_passed)](const beast::error_code &error) {
             const auto passed = armed.lock();
             if (error || !passed) {
@@ -384,6 +419,33 @@
     return "";
 }
 
+std::string_view toString(refusal_reason reason) noexcept
+{
+    switch (reason) {
+    case refusal_reason::HeadTooLarge:
+        return "head_too_large";
+    case refusal_reason::BodyTooLarge:
+        return "body_too_large";
+    case refusal_reason::Malformed:
+        return "malformed";
+    case refusal_reason::Timeout:
+        return "timeout";
+    case refusal_reason::NoProgress:
+        return "no_progress";
+    case refusal_reason::NoMemory:
+        return "no_memory";
+    case refusal_reason::TooManyConnections:
+        return "too_many_connections";
+    case refusal_reason::Idle:
+        return "idle";
+    case refusal_reason::AcceptFailed:
+        return "accept_failed";
+    case refusal_reason::Failed:
+        return "failed";
+    }
+    return "";
+}
+
 asio::awaitable<bool> http_responder::beginStream(http_answer head)
 {
     return beginStream(std::move(head), body_framing::Chunks);
@@ -478,28 +540,88 @@
     void drain()
     {
         m_draining = true;
-        for (tcp::socket *socket : m_idle) {
+        for (connection *link : m_idle) {
             // A request that has arrived is answered first, and its answer announces the end of the connection.
-            if (!hasUnreadBytes(*socket)) {
+            tcp::socket &socket = link->stream.socket();
+            if (!hasUnreadBytes(socket)) {
                 beast::error_code ignored;
-                socket->cancel(ignored);
+                socket.cancel(ignored);
             }
         }
     }
 
+    void guard(std::shared_ptr<memory_budget> budget, refusal_hook onRefused)
+    {
+        m_budget = std::move(budget);
+        m_onRefused = std::move(onRefused);
+    }
+
 private:
+    using request_parser = http::request_parser<http::string_body>;
+
+    /// A connection and what is held for it.
+    struct connection
+    {
+        connection(tcp::socket socket, std::string address, std::size_t bufferBytes)
+            : stream(std::move(socket))
+            , buffer(bufferBytes)
+            , remoteAddress(std::move(address))
+        { }
+
+        /// Asks to refuse the request that is being read, because its memory is needed.
+        void evict()
+        {
+            if (isReading) {
+                isEvicted = true;
+                beast::error_code ignored;
+                stream.socket().cancel(ignored);
+            }
+        }
+
+        beast::tcp_stream stream;
+        beast::flat_buffer buffer;
+        std::string remoteAddress;
+        std::optional<memory_share> memory; ///< Set as long as the connection is served.
+        std::chrono::steady_clock::time_point idleSince{};
+        bool hasServed = false;
+        bool isReading = false; ///< The request is incomplete.
+        bool isEvicted = false;
+        bool isClosing = false; ///< Closed while idle, to make room.
+    };
+
+    /// The size of the request that is being read.
+    struct request_size
+    {
+        std::size_t lines = 0; ///< Lines of the head.
+        std::size_t headBytes = 0;
+    };
+
+    void noteRefusal(refusal_reason reason, const std::string &remoteAddress) const
+    {
+        if (m_onRefused) {
+            m_onRefused(reason, remoteAddress);
+        }
+    }
+
     static asio::awaitable<void> accept(std::shared_ptr<impl> self)
     {
+        asio::steady_timer pause(self->m_context);
         while (self->m_acceptor.is_open()) {
             beast::error_code error;
             tcp::socket socket = co_await self->m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
             if (error) {
+                if (self->m_acceptor.is_open() && error != asio::error::connection_aborted) {
+                    self->noteRefusal(refusal_reason::AcceptFailed, {});
+                    pause.expires_after(kAcceptPause);
+                    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+                }
                 continue;
             }
             socket.set_option(tcp::no_delay(true), error);
             socket.set_option(asio::socket_base::send_buffer_size(static_cast<int>(self->m_limits.sendBufferBytes)), error);
-            if (self->m_connections >= self->m_limits.maxConnections) {
-                if (self->m_refusals < kMaxConcurrentRefusals) {
+            if (self->m_connections >= self->m_limits.maxConnections && !self->closeIdleConnection()) {
+                self->noteRefusal(refusal_reason::TooManyConnections, {});
+                if (self->m_refusals < std::clamp(self->m_limits.maxConnections / 4, kMinConcurrentRefusals, kMaxConcurrentRefusals)) {
                     asio::co_spawn(self->m_context, refuseConnection(self, std::move(socket)), asio::detached);
                 }
                 continue;
@@ -508,6 +630,22 @@
         }
     }
 
+    /// Closes the connection that has waited longest for its first request. Returns false if there is none, or none that has waited long enough.
+    bool closeIdleConnection()
+    {
+        const auto found = std::find_if(m_idle.begin(), m_idle.end(), [](const connection *link) { return !link->hasServed && !link->isClosing; });
+        if (found == m_idle.end() || std::chrono::steady_clock::now() - (*found)->idleSince < kMinIdleTime) {
+            return false;
+        }
+        connection &link = **found;
+        m_idle.erase(found);
+        link.isClosing = true;
+        beast::error_code ignored;
+        link.stream.socket().close(ignored);
+        noteRefusal(refusal_reason::Idle, link.remoteAddress);
+        return true;
+    }
+
     static asio::awaitable<void> refuseConnection(std::shared_ptr<impl> self, tcp::socket socket)
     {
         ++self->m_refusals;
@@ -536,54 +674,276 @@
         ++self->m_connections;
         beast::error_code error;
         const tcp::endpoint remote = socket.remote_endpoint(error);
-        const std::string remoteAddress = error ? std::string{} : remote.address().to_string();
-        beast::tcp_stream stream(std::move(socket));
-        beast::flat_buffer buffer(self->m_limits.maxHeaderBytes + kMaxUnparsedBytes);
+        std::string remoteAddress = error ? std::string{} : remote.address().to_string();
+        const auto link = std::make_shared<connection>(std::move(socket), std::move(remoteAddress), self->m_limits.maxHeaderBytes + kMaxUnparsedBytes);
+        link->memory.emplace(self->m_budget, memory_use::Request, self->evictionHook(link));
         std::size_t requestsLeft = self->m_limits.maxRequestsPerConnection;
         bool keepOpen = requestsLeft > 0;
-        while (keepOpen && self->m_acceptor.is_open()) {
-            --requestsLeft;
-            keepOpen = co_await self->serveOne(stream, buffer, remoteAddress, requestsLeft > 0);
+        try {
+            if (keepOpen && !link->memory->tryResize(kConnectionBytes)) {
+                keepOpen = false;
+                self->noteRefusal(refusal_reason::NoMemory, link->remoteAddress);
+                std::string text = memoryFailure().text;
+                co_await self->sendRefusal(link->stream, kNoMemoryStatus, std::move(text));
+            }
+            while (keepOpen && self->m_acceptor.is_open()) {
+                --requestsLeft;
+                keepOpen = co_await self->serveOne(*link, requestsLeft > 0);
+            }
+            if (!link->isClosing) {
+                co_await lingeringClose(link->stream);
+            }
+        } catch (const std::exception &) {
+            self->noteRefusal(refusal_reason::Failed, link->remoteAddress);
         }
-        co_await lingeringClose(stream);
+        self->m_idle.remove(link.get());
+        link->memory.reset();
         --self->m_connections;
     }
 
-    asio::awaitable<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer, const std::string &remoteAddress, bool mayKeepAlive)
+    /// Passes the wish of the budget, on any thread, to the connection's executor.
+    std::function<void()> evictionHook(const std::shared_ptr<connection> &link)
     {
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
-        parser.body_limit(m_limits.maxBodyBytes);
-        beast::error_code error;
-        read_deadline deadline(stream.socket());
-        if (buffer.size() == 0) {
-            deadline.arm(m_limits.idleTimeout);
-            m_idle.insert(&stream.socket());
-            const std::size_t count = co_await stream.async_read_some(buffer.prepare(kFirstReadBytes), asio::redirect_error(asio::use_awaitable, error));
-            m_idle.erase(&stream.socket());
-            buffer.commit(count);
-            if (error) {
+        if (!m_budget) {
+            return {};
+        }
+        return [executor = m_context.get_executor(), weak = std::weak_ptr<connection>(link)] {
+            asio::post(executor, [weak] {
+                if (const auto locked = weak.lock()) {
+                    locked->evict();
+                }
+            });
+        };
+    }
+
+    asio::awaitable<bool> serveOne(connection &link, bool mayKeepAlive)
+    {
+        std::optional<request_parser> parser(std::in_place);
+        parser->header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
+        parser->body_limit(m_limits.maxBodyBytes);
+        read_deadline deadline(link.stream.socket());
+        if (link.buffer.size() == 0) {
+            const bool isAwake = co_await waitForRequest(link, deadline);
+            if (!isAwake) {
                 co_return false;
             }
         }
-        deadline.arm(m_limits.headerTimeout);
-        co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        if (!error && hasAmbiguousLength(parser)) {
-            error = http::error::bad_transfer_encoding;
+        link.isReading = true;
+        link.memory->setIncomplete(true);
+        std::optional<read_failure> failure = co_await readRequest(link, *parser, deadline);
+        deadline.disarm();
+        link.isReading = false;
+        link.memory->setIncomplete(false);
+        if (failure) {
+            parser.reset();
+            link.buffer.clear();
+            link.buffer.shrink_to_fit();
+            link.memory->resize(kConnectionBytes);
+            if (failure->reason) {
+                noteRefusal(*failure->reason, link.remoteAddress);
+            }
+            if (failure->status != 0 && link.stream.socket().is_open()) {
+                co_await sendRefusal(link.stream, failure->status, std::move(failure->text));
+            }
+            co_return false;
         }
-        if (!error) {
-            co_await acceptExpectation(stream, parser, error);
+        link.hasServed = true;
+        http::request<http::string_body> message = parser->release();
+        parser.reset();
+        if (link.buffer.size() == 0 && link.buffer.capacity() > kFirstReadBytes) {
+            link.buffer.shrink_to_fit();
         }
-        if (!error) {
-            deadline.arm(m_limits.bodyTimeout);
-            co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        const bool keepOpen = co_await answer(link.stream, std::move(message), link.remoteAddress, mayKeepAlive);
+        link.memory->resize(kConnectionBytes);
+        co_return keepOpen;
+    }
+
+    /// Waits for the first bytes of a request. Returns false when the connection has ended instead.
+    asio::awaitable<bool> waitForRequest(connection &link, read_deadline &deadline)
+    {
+        beast::error_code error;
+        deadline.arm(m_limits.idleTimeout);
+        link.idleSince = std::chrono::steady_clock::now();
+        const auto position = m_idle.insert(m_idle.end(), &link);
+        const std::size_t count = co_await link.stream.async_read_some(link.buffer.prepare(kFirstReadBytes), asio::redirect_error(asio::use_awaitable, error));
+        if (!link.isClosing) {
+            m_idle.erase(position);
+        }
+        link.buffer.commit(count);
+        co_return !error;
+    }
+
+    /// Reads a request in steps, each of which the memory budget allows before. Returns why it was not read; empty on success.
+    asio::awaitable<std::optional<read_failure>> readRequest(connection &link, request_parser &parser, read_deadline &deadline)
+    {
+        const auto headUntil = std::chrono::steady_clock::now() + m_limits.headerTimeout;
+        request_size size;
+        while (!parser.is_header_done()) {
+            const std::size_t lines = size.lines + countLines(link.buffer, link.buffer.size());
+            const std::size_t cost = link.buffer.capacity() + lines * kParsedFieldBytes + size.headBytes + link.buffer.size();
+            bool fits = tryMakeRoom(link, cost);
+            if (!fits) {
+                fits = co_await waitForRoom(link, cost);
+            }
+            if (!fits) {
+                co_return memoryFailure();
+            }
+            beast::error_code error;
+            const std::size_t used = parser.put(link.buffer.data(), error);
+            size.lines += countLines(link.buffer, used);
+            size.headBytes += used;
+            link.buffer.consume(used);
+            if (error && error != http::error::need_more) {
+                co_return failureOf(error);
+            }
+            if (!parser.is_header_done()) {
+                if (link.buffer.size() >= m_limits.maxHeaderBytes) {
+                    co_return failureOf(http::error::header_limit);
+                }
+                std::optional<read_failure> failure = co_await readMore(link, kFirstReadBytes, deadline, headUntil, headUntil);
+                if (failure) {
+                    co_return failure;
+                }
+            }
+        }
+        if (hasAmbiguousLength(parser)) {
+            co_return failureOf(http::error::bad_transfer_encoding);
+        }
+        beast::error_code expectationError;
+        co_await acceptExpectation(link.stream, parser, expectationError);
+        if (expectationError) {
+            co_return failureOf(expectationError);
+        }
+        if (!parser.is_done()) {
+            std::optional<read_failure> failure = co_await readBody(link, parser, size, deadline);
+            if (failure) {
+                co_return failure;
+            }
+        }
+        // From here on the request may run: what it needs is held before.
+        const std::size_t served = kServedRequestBytes + size.lines * kServedFieldBytes + size.headBytes * kServedCopies + 2 * parser.get().body().size();
+        bool fits = tryMakeRoom(link, served);
+        if (!fits) {
+            fits = co_await waitForRoom(link, served);
+        }
+        if (!fits) {
+            co_return memoryFailure();
+        }
+        co_return std::nullopt;
+    }
+
+    asio::awaitable<std::optional<read_failure>> readBody(connection &link, request_parser &parser, request_size size, read_deadline &deadline)
+    {
+        const auto bodyUntil = std::chrono::steady_clock::now() + m_limits.bodyTimeout;
+        const std::size_t headCost = size.lines * kParsedFieldBytes + size.headBytes;
+        parser.eager(true);
+        while (true) {
+            // The parser allocates a body of known length at once, and a kernel may make all of it resident. One without moves as it grows, and both
+            // places count.
+            const std::size_t received = parser.get().body().size() + link.buffer.size();
+            const std::size_t bodyCapacity = received > 0 ? static_cast<std::size_t>(parser.content_length().value_or(received)) : 0;
+            const std::size_t cost = headCost + (parser.chunked() ? 2 * received : bodyCapacity) + link.buffer.capacity();
+            bool fits = tryMakeRoom(link, cost);
+            if (!fits) {
+                fits = co_await waitForRoom(link, cost);
+            }
+            if (!fits) {
+                co_return memoryFailure();
+            }
+            if (link.buffer.size() > 0) {
+                beast::error_code error;
+                const std::size_t used = parser.put(link.buffer.data(), error);
+                link.buffer.consume(used);
+                if (error && error != http::error::need_more) {
+                    co_return failureOf(error);
+                }
+            }
+            if (parser.is_done()) {
+                co_return std::nullopt;
+            }
+            // What remains is a chunk's header or the trailer, whose lines cost as much as those of a head.
+            if (link.buffer.size() > m_limits.maxHeaderBytes) {
+                co_return failureOf(http::error::buffer_overflow);
+            }
+            const std::uint64_t expected = parser.content_length_remaining().value_or(parser.get().body().size());
+            const std::size_t wanted =
+                std::clamp(static_cast<std::size_t>(std::min<std::uint64_t>(expected, kMaxBodyReadBytes)), kFirstReadBytes, kMaxBodyReadBytes);
+            const auto progressUntil = std::chrono::steady_clock::now() + m_limits.bodyProgressTimeout;
+            std::optional<read_failure> failure = co_await readMore(link, wanted, deadline, std::min(bodyUntil, progressUntil), bodyUntil);
+            if (failure) {
+                co_return failure;
+            }
+            link.memory->noteProgress();
+        }
+    }
+
+    /// Reads at most @p bytes until @p until. @p totalUntil: when the whole part of the request is late.
+    asio::awaitable<std::optional<read_failure>> readMore(connection &link,
+                                                          std::size_t bytes,
+                                                          read_deadline &deadline,
+                                                          std::chrono::steady_clock::time_point until,
+                                                          std::chrono::steady_clock::time_point totalUntil)
+    {
+        beast::error_code error;
+        deadline.armUntil(until);
+        const std::size_t wanted = std::min(bytes, link.buffer.max_size() - link.buffer.size());
+        const std::size_t count = co_await link.stream.async_read_some(link.buffer.prepare(wanted), asio::redirect_error(asio::use_awaitable, error));
+        link.buffer.commit(count);
+        if (link.isEvicted) {
+            co_return memoryFailure();
+        }
+        if (error && deadline.hasPassed()) {
+            const bool isLate = until >= totalUntil;
+            co_return read_failure{kTimeoutStatus,
+                                   isLate ? refusal_reason::Timeout : refusal_reason::NoProgress,
+                                   isLate ? "the request did not arrive in time" : "the body made no progress"};
         }
-        deadline.disarm();
         if (error) {
-            co_await refuse(stream, deadline.hasPassed() ? beast::error_code(beast::error::timeout) : error);
-            co_return false;
+            co_return failureOf(error == asio::error::eof ? beast::error_code(http::error::partial_message) : error);
+        }
+        co_return std::nullopt;
+    }
+
+    static read_failure memoryFailure()
+    {
+        return {kNoMemoryStatus, refusal_reason::NoMemory, "the memory of this entry is used up"};
+    }
+
+    /// The number of lines that end in the first @p bytes of @p buffer.
+    static std::size_t countLines(const beast::flat_buffer &buffer, std::size_t bytes) noexcept
+    {
+        const auto *begin = static_cast<const char *>(buffer.data().data());
+        return static_cast<std::size_t>(std::count(begin, begin + bytes, '\n'));
+    }
+
+    /// What @p link holds in total for a request that needs @p bytes. Large requests hold memory in steps, which saves calls.
+    static std::size_t heldFor(std::size_t bytes) noexcept
+    {
+        const std::size_t wanted = std::max(kConnectionBytes, bytes + kFirstReadBytes);
+        return wanted <= memory_budget::kSmallBytes ? wanted : (wanted + kReservationStepBytes - 1) / kReservationStepBytes * kReservationStepBytes;
+    }
+
+    /// Makes @p link hold at least @p bytes. Returns false when it doesn't fit now, or when the request has to be refused.
+    static bool tryMakeRoom(connection &link, std::size_t bytes)
+    {
+        const std::size_t wanted = heldFor(bytes);
+        return !link.isEvicted && (wanted <= link.memory->held() || link.memory->tryResize(wanted));
+    }
+
+    /// As above, but waits for others to return memory. Returns false when the request has to be refused.
+    asio::awaitable<bool> waitForRoom(connection &link, std::size_t bytes)
+    {
+        const auto until = std::chrono::steady_clock::now() + kMaxMemoryWait;
+        asio::steady_timer timer(m_context);
+        while (!link.isEvicted && std::chrono::steady_clock::now() < until) {
+            timer.expires_after(kMemoryPollInterval);
+            beast::error_code ignored;
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            if (tryMakeRoom(link, bytes)) {
+                co_return true;
+            }
         }
-        co_return co_await answer(stream, parser.release(), remoteAddress, mayKeepAlive);
+        co_return false;
     }
 
     /// Whether parsers could disagree on the length of the body, which would allow request smuggling.
@@ -594,7 +954,7 @@
     }
 
     /// Sends "100 Continue" when the request expects it before its body.
-    asio::awaitable<void> acceptExpectation(beast::tcp_stream &stream, http::request_parser<http::string_body> &parser, beast::error_code &error)
+    asio::awaitable<void> acceptExpectation(beast::tcp_stream &stream, request_parser &parser, beast::error_code &error)
     {
         if (!equalsIgnoringCase(parser.get()[http::field::expect], "100-continue")) {
             co_return;
@@ -603,20 +963,15 @@
         co_await http::async_write(stream, continueResponse, asio::redirect_error(asio::use_awaitable, error));
     }
 
-    asio::awaitable<void> refuse(beast::tcp_stream &stream, const beast::error_code &error)
-    {
-        const unsigned status = statusOfReadError(error);
-        if (status == 0 || !stream.socket().is_open()) {
-            co_return;
-        }
-        co_await sendRefusal(stream, status, error.message());
-    }
-
     asio::awaitable<void> sendRefusal(beast::tcp_stream &stream, unsigned status, std::string reason)
     {
         auto watch = std::make_shared<close_watch>();
         responder out(stream, m_limits, {}, m_draining, watch);
-        co_await out.send(m_badRequest(status, reason));
+        http_answer refusal = m_badRequest(status, reason);
+        if (status == kNoMemoryStatus && refusal.header("Retry-After").empty()) {
+            refusal.fields.push_back({"Retry-After", kRetryAfterS});
+        }
+        co_await out.send(std::move(refusal));
     }
 
     asio::awaitable<bool> answer(beast::tcp_stream &stream, http::request<http::string_body> message, const std::string &remoteAddress, bool mayKeepAlive)
@@ -640,7 +995,9 @@
     http_limits m_limits;
     http_handler m_handler;
     http_bad_request_handler m_badRequest;
-    std::set<tcp::socket *> m_idle; ///< Sockets of connections that wait for the first byte of a request.
+    std::shared_ptr<memory_budget> m_budget;
+    refusal_hook m_onRefused;
+    std::list<connection *> m_idle; ///< Connections that wait for the first byte of a request, those that wait longest first.
     std::size_t m_connections = 0;
     std::size_t m_refusals = 0;
     bool m_draining = false;
@@ -679,6 +1036,11 @@
     return m_impl->connectionCount();
 }
 
+void http_server::guard(std::shared_ptr<memory_budget> budget, refusal_hook onRefused)
+{
+    m_impl->guard(std::move(budget), std::move(onRefused));
+}
+
 void http_server::stopAccepting()
 {
     m_impl->stopAccepting();
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "heatherroute/last_reason.h"
+#include "net/memory_budget.h"
 
 namespace heatherroute::net
 {
@@ -36,6 +37,7 @@
     std::size_t maxRequestsPerConnection = 1000; ///< The last response announces that the connection will be closed.
     std::chrono::milliseconds headerTimeout{10'000};
     std::chrono::milliseconds bodyTimeout{30'000};
+    std::chrono::milliseconds bodyProgressTimeout{10'000}; ///< Longest time in which nothing arrives of a body.
     std::chrono::milliseconds idleTimeout{60'000};
     std::chrono::milliseconds writeTimeout{10'000};
     bool operator==(const http_limits &) const = default;
@@ -76,6 +78,7 @@
     std::string contentType = "application/json"; ///< Not sent when empty.
     std::vector<http_field> fields; ///< Sent in this order; names may repeat.
     body_framing framing = body_framing::Length; ///< Of a received response. It doesn't determine how a response is sent.
+    std::shared_ptr<const memory_share> memory = nullptr; ///< What a collected body holds of a budget, until the response is destroyed.
     /// The value of header @p name, which is compared case-insensitively; empty when absent.
     std::string_view header(std::string_view name) const noexcept;
     bool operator==(const http_answer &) const = default;
@@ -117,6 +120,26 @@
 /// Creates the response to a request that could not be read, or to a connection over the limit, with HTTP status @p status.
 using http_bad_request_handler = std::function<http_answer(unsigned status, std::string_view reason)>;
 
+/// Why a server refused a request or closed a connection.
+enum class refusal_reason : std::uint8_t {
+    HeadTooLarge,
+    BodyTooLarge,
+    Malformed,
+    Timeout, ///< The head or the whole body did not arrive in time.
+    NoProgress, ///< Nothing arrived of a body for too long.
+    NoMemory, ///< The memory budget of the process is exhausted.
+    TooManyConnections,
+    Idle, ///< An idle connection made room for a new one.
+    AcceptFailed,
+    Failed, ///< An exception ended the connection.
+};
+
+/// The name of @p reason in logs and metrics. Thread safe.
+std::string_view toString(refusal_reason reason) noexcept;
+
+/// Receives each refusal and closing of a server, with the address of the caller, on the server's executor.
+using refusal_hook = std::function<void(refusal_reason reason, const std::string &remoteAddress)>;
+
 /**
  * An HTTP/1.1 server, also for clients that speak HTTP/1.0, with bounded memory and time per connection.
  *
@@ -144,6 +167,9 @@
     boost::asio::ip::tcp::endpoint endpoint() const;
     /// The number of open connections.
     std::size_t connectionCount() const noexcept;
+    /// Lets connections hold memory of @p budget only, and reports refusals to @p onRefused; both may be empty. Precondition: the io_context has not
+    /// run since make().
+    void guard(std::shared_ptr<memory_budget> budget, refusal_hook onRefused);
     /// Stops accepting connections. Requests in progress continue, and their connections close afterwards. An idle connection stays open until
     /// its next request has been served or its idle timeout has passed.
     void stopAccepting();
--- a/src/node/caller_duty.cpp
+++ b/src/node/caller_duty.cpp
@@ -5,6 +5,7 @@
 #include "node/caller_answer.h"
 #include "node/caller_metrics.h"
 #include "node/core_time.h"
+#include "node/refusal_report.h"
 #include "node/service_path.h"
 #include "node/session_table.h"
 
@@ -51,6 +52,11 @@
         : m_sessions(context, kDuty)
         , m_limits(limits)
         , m_toCore(toCore)
+        , m_refusals([this](log_line line) {
+            if (m_log) {
+                m_log(std::move(line));
+            }
+        })
     { }
 
     bool listen(asio::io_context &context, const asio::ip::tcp::endpoint &endpoint, last_reason *reason)
@@ -61,6 +67,12 @@
             return unreadableAnswer(status, why);
         };
         m_server = net::http_server::make(context, endpoint, m_limits.http, handler, unreadable, reason);
+        if (m_server) {
+            m_server->guard(m_limits.memory, [this](net::refusal_reason why, const std::string &remoteAddress) {
+                m_metrics.onRefused(net::toString(why));
+                m_refusals.note(std::chrono::steady_clock::now(), "callers", why, remoteAddress);
+            });
+        }
         return m_server != nullptr;
     }
 
@@ -376,6 +388,7 @@
     channel<core_event> &m_toCore;
     caller_metrics m_metrics;
     std::function<void(log_line)> m_log;
+    refusal_report m_refusals;
     std::unique_ptr<net::http_server> m_server;
 };
 
--- a/src/node/caller_duty.h
+++ b/src/node/caller_duty.h
@@ -22,6 +22,7 @@
 {
     net::http_limits http;
     std::size_t maxBufferedBytes = std::size_t{1024} * 1024; ///< Maximum memory of the actions queued for a caller that reads slowly.
+    std::shared_ptr<net::memory_budget> memory; ///< Of the process; null for no limit.
     bool operator==(const caller_limits &) const = default;
 };
 
--- a/src/node/caller_metrics.cpp
+++ b/src/node/caller_metrics.cpp
@@ -50,6 +50,15 @@
     }
 }
 
+void caller_metrics::onRefused(std::string_view reason)
+{
+    m_registry
+        .counter("heatherroute_connections_refused_total",
+                 "Requests that were refused unread and connections that were closed, by listener and reason.",
+                 {{"listener", "callers"}, {"reason", std::string(reason)}})
+        .value += 1;
+}
+
 metrics_snapshot caller_metrics::snapshot(std::size_t connections, std::size_t requests)
 {
     m_registry.gauge("heatherroute_caller_connections", "Open connections of callers").value = static_cast<double>(connections);
--- a/src/node/caller_metrics.h
+++ b/src/node/caller_metrics.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <string>
+#include <string_view>
 
 #include "heatherroute/log_line.h"
 #include "heatherroute/time.h"
@@ -38,6 +39,8 @@
     void onFirstToken(duration sinceRequest);
     /// Records @p count tokens that arrived @p sinceLast after the previous ones; @p sinceLast is zero for the first tokens.
     void onTokens(duration sinceLast, std::size_t count);
+    /// Records a request that was refused unread or a connection that was closed, because of @p reason, which has few distinct values.
+    void onRefused(std::string_view reason);
     /// A copy of all values, with the current numbers of open @p connections and @p requests.
     metrics_snapshot snapshot(std::size_t connections, std::size_t requests);
 
--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -16,6 +16,7 @@
 #include "node/operator_duty.h"
 #include "node/peer_duty.h"
 #include "node/platform_duty.h"
+#include "node/refusal_report.h"
 #include "node/session_table.h"
 #include "node/upstream_duty.h"
 #include "telemetry/log.h"
@@ -98,6 +99,7 @@
     limits.http.maxBodyBytes = settings.maxBodyBytes;
     limits.http.headerTimeout = settings.headerTimeout;
     limits.http.bodyTimeout = settings.bodyTimeout;
+    limits.http.bodyProgressTimeout = settings.bodyProgressTimeout;
     limits.http.idleTimeout = settings.idleTimeout;
     limits.http.maxRequestsPerConnection = settings.maxRequestsPerConnection;
     limits.http.sendBufferBytes = settings.maxBufferedBytesPerStream;
@@ -188,11 +190,25 @@
             setReason(reason, "listen.callers, listen.operators, listen.peers and platform.log must be IP:port");
             return false;
         }
-        m_callers = node::caller_duty::make(m_callerThread.context(), *callers, callerLimitsOf(settings.limits()), m_fromCallers, reason);
+        constexpr std::uint64_t kMebibyte = 1'048'576;
+        const std::uint64_t memoryBytes = settings.limits().memoryMb ? *settings.limits().memoryMb * kMebibyte : net::systemMemoryBytes();
+        const auto memory = net::memory_budget::make(net::budgetLimitsFor(memoryBytes));
+        const auto connections = net::connectionSharesOf(settings.limits().maxDescriptors.value_or(net::processDescriptorLimit()));
+        node::caller_limits callerLimits = callerLimitsOf(settings.limits());
+        callerLimits.http.maxConnections = connections.callers;
+        callerLimits.memory = memory;
+        m_callers = node::caller_duty::make(m_callerThread.context(), *callers, callerLimits, m_fromCallers, reason);
         if (!m_callers) {
             return false;
         }
-        m_operators = node::operator_duty::make(m_operatorThread.context(), *operators, m_fromOperators, reason);
+        const auto refusals = std::make_shared<node::refusal_report>([this](log_line line) { m_log.post(std::move(line)); });
+        node::operator_limits operatorLimits;
+        operatorLimits.maxConnections = connections.others;
+        operatorLimits.memory = memory;
+        operatorLimits.onRefused = [refusals](net::refusal_reason why, const std::string &remoteAddress) {
+            refusals->note(std::chrono::steady_clock::now(), "operators", why, remoteAddress);
+        };
+        m_operators = node::operator_duty::make(m_operatorThread.context(), *operators, std::move(operatorLimits), m_fromOperators, reason);
         if (!m_operators) {
             return false;
         }
--- a/src/node/operator_duty.cpp
+++ b/src/node/operator_duty.cpp
@@ -57,10 +57,15 @@
         , m_toCore(toCore)
     { }
 
-    bool listen(asio::io_context &context, const asio::ip::tcp::endpoint &endpoint, last_reason *reason)
+    bool listen(asio::io_context &context, const asio::ip::tcp::endpoint &endpoint, operator_limits own, last_reason *reason)
     {
         const auto handler = [this](net::http_request request, net::http_responder &out) { return serve(std::move(request), out); };
-        m_server = net::http_server::make(context, endpoint, net::http_limits{}, handler, unreadableAnswer, reason);
+        net::http_limits limits;
+        limits.maxConnections = own.maxConnections;
+        m_server = net::http_server::make(context, endpoint, limits, handler, unreadableAnswer, reason);
+        if (m_server) {
+            m_server->guard(std::move(own.memory), std::move(own.onRefused));
+        }
         return m_server != nullptr;
     }
 
@@ -189,11 +194,11 @@
     std::unique_ptr<net::http_server> m_server;
 };
 
-std::unique_ptr<operator_duty>
-operator_duty::make(asio::io_context &context, const asio::ip::tcp::endpoint &endpoint, channel<core_event> &toCore, last_reason *reason)
+std::unique_ptr<operator_duty> operator_duty::make(
+    asio::io_context &context, const asio::ip::tcp::endpoint &endpoint, operator_limits limits, channel<core_event> &toCore, last_reason *reason)
 {
     auto implementation = std::make_unique<impl>(context, toCore);
-    if (!implementation->listen(context, endpoint, reason)) {
+    if (!implementation->listen(context, endpoint, std::move(limits), reason)) {
         return nullptr;
     }
     return std::unique_ptr<operator_duty>(new operator_duty(std::move(implementation)));
--- a/src/node/operator_duty.h
+++ b/src/node/operator_duty.h
@@ -17,6 +17,14 @@
 namespace heatherroute::node
 {
 
+/// What the operators' port may use.
+struct operator_limits
+{
+    std::size_t maxConnections = 64;
+    std::shared_ptr<net::memory_budget> memory; ///< Of the process; null for no limit.
+    net::refusal_hook onRefused; ///< Called on the duty's thread; may be empty.
+};
+
 /**
  * Serves the operators' port: metrics, state dump, ownership, log level, graceful shutdown.
  *
@@ -29,8 +37,11 @@
     static constexpr std::uint8_t kDuty = 2;
 
     /// Listens on @p endpoint. On failure returns null and sets @p reason.
-    static std::unique_ptr<operator_duty>
-    make(boost::asio::io_context &context, const boost::asio::ip::tcp::endpoint &endpoint, channel<core_event> &toCore, last_reason *reason);
+    static std::unique_ptr<operator_duty> make(boost::asio::io_context &context,
+                                               const boost::asio::ip::tcp::endpoint &endpoint,
+                                               operator_limits limits,
+                                               channel<core_event> &toCore,
+                                               last_reason *reason);
     ~operator_duty();
     operator_duty(const operator_duty &) = delete;
     operator_duty &operator=(const operator_duty &) = delete;
--- a/src/node/relay_call.cpp
+++ b/src/node/relay_call.cpp
@@ -368,7 +368,7 @@
     call.connectTimeout = std::min(state.timing.connectTimeout, timeout);
     call.progressTimeout = timeout;
     call.totalTimeout = timeout;
-    call.bodyMemory = state.bodyMemory;
+    call.memory = state.memory;
     return call;
 }
 
--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -15,6 +15,7 @@
 #include "node/boot_clock.h"
 #include "node/phase_orders.h"
 #include "node/plain_relay.h"
+#include "node/refusal_report.h"
 #include "node/relay_call.h"
 #include "node/stream_relay.h"
 #include "relay/entry_addresses.h"
@@ -76,7 +77,15 @@
         , m_toStore(toStore)
         , m_tick(context)
         , m_stopTimer(context)
+        , m_refusals([this](log_line line) {
+            if (m_state.writeLog) {
+                m_state.writeLog(std::move(line));
+            }
+        })
     {
+        if (m_settings.memory) {
+            m_state.memory = m_settings.memory;
+        }
         stop_settings stop;
         stop.grace = m_settings.stopGrace;
         m_state.stop = stop_plan::make(stop);
@@ -102,12 +111,19 @@
         };
         m_limits.maxHeaderBytes = kDefaultHeaderBytes;
         m_limits.maxBodyBytes = kDefaultBodyBytes;
+        m_limits.maxConnections = m_settings.connections.callers;
+        m_limits.bodyProgressTimeout = m_settings.bodyProgressTimeout;
+        net::http_limits otherLimits;
+        otherLimits.maxConnections = m_settings.connections.others;
         const auto serveCaller = [this](http_request request, http_responder &responder) { return serve(shared_from_this(), std::move(request), responder); };
         const auto serveReadiness = [this](http_request request, http_responder &responder) { return answerReadiness(std::move(request), responder); };
         const auto serveDirectory = [this](http_request request, http_responder &responder) { return answerDirectory(std::move(request), responder); };
         m_callers = http_server::make(m_context, m_settings.callers, m_limits, serveCaller, makeErrorAnswer, reason);
-        m_readiness = m_callers ? http_server::make(m_context, m_settings.readiness, {}, serveReadiness, makeErrorAnswer, reason) : nullptr;
-        m_directory = m_readiness ? http_server::make(m_context, m_settings.directory, {}, serveDirectory, makeErrorAnswer, reason) : nullptr;
+        m_readiness = m_callers ? http_server::make(m_context, m_settings.readiness, otherLimits, serveReadiness, makeErrorAnswer, reason) : nullptr;
+        m_directory = m_readiness ? http_server::make(m_context, m_settings.directory, otherLimits, serveDirectory, makeErrorAnswer, reason) : nullptr;
+        guard(m_callers, "callers");
+        guard(m_readiness, "readiness");
+        guard(m_directory, "directory");
         if (m_directory == nullptr || !m_settings.entries) {
             return m_directory != nullptr;
         }
@@ -118,6 +134,7 @@
         if (m_entries == nullptr) {
             return false;
         }
+        guard(m_entries, "entries");
         const auto bound = m_entries->endpoint();
         m_state.reach.setAddress(bound.address().to_string() + ":" + std::to_string(bound.port()));
         return true;
@@ -148,6 +165,16 @@
         advanceStop();
     }
 
+    void noteRefusal(const std::string &listener, net::refusal_reason reason, const std::string &remoteAddress)
+    {
+        m_state.metrics
+            .counter("heatherroute_connections_refused_total",
+                     "Requests that were refused unread and connections that were closed, by listener and reason.",
+                     {{"listener", listener}, {"reason", std::string(net::toString(reason))}})
+            .value += 1;
+        m_refusals.note(std::chrono::steady_clock::now(), listener, reason, remoteAddress);
+    }
+
     metrics_snapshot metrics() const
     {
         return m_state.metrics.snapshot();
@@ -161,14 +188,39 @@
 
     // Callers.
 
+    /// Lists a request in flight until it has been served, also if an exception ends it.
+    class listed_call
+    {
+    public:
+        listed_call(impl &duty, relay_call &call)
+            : m_duty(duty)
+            , m_call(call)
+        {
+            m_duty.m_callsInFlight.insert(&m_call);
+            m_duty.m_forwardedInFlight += m_call.isFromEntry() ? 1 : 0;
+        }
+
+        ~listed_call()
+        {
+            m_duty.m_forwardedInFlight -= m_call.isFromEntry() ? 1 : 0;
+            m_duty.m_callsInFlight.erase(&m_call);
+        }
+
+        listed_call(const listed_call &) = delete;
+        listed_call &operator=(const listed_call &) = delete;
+
+    private:
+        impl &m_duty;
+        relay_call &m_call;
+    };
+
     /// Serves one request. @p self keeps the state alive because a request releases its memory on engines on destruction, which may
     /// happen as late as the destruction of the io_context.
     static asio::awaitable<void> serve(std::shared_ptr<impl> self, http_request request, http_responder &responder)
     {
         relay_call call(self->m_state, std::move(request), responder);
-        self->m_callsInFlight.insert(&call);
+        const listed_call listed(*self, call);
         co_await self->route(call);
-        self->m_callsInFlight.erase(&call);
     }
 
     /// Serves a request that another entry has passed on, or declines it.
@@ -176,8 +228,7 @@
     {
         const std::string sender = request.remoteAddress;
         relay_call call(self->m_state, std::move(request), responder, request_sender::Entry);
-        self->m_callsInFlight.insert(&call);
-        self->m_forwardedInFlight += 1;
+        const listed_call listed(*self, call);
         const std::optional<forward_decline> declined = self->declineFor(call);
         self->m_state.log(log_level::Info,
                           "forwarded_request_received",
@@ -187,8 +238,6 @@
         } else {
             co_await self->route(call);
         }
-        self->m_forwardedInFlight -= 1;
-        self->m_callsInFlight.erase(&call);
     }
 
     /// Returns why this entry doesn't serve @p call, which another entry has passed on; empty if it does.
@@ -203,12 +252,23 @@
         return m_state.forwarding.mayAccept(m_forwardedInFlight - 1) ? std::nullopt : std::optional(forward_decline::Busy);
     }
 
+    /// Lets @p server share the memory of the process and report what it refuses.
+    void guard(const std::unique_ptr<http_server> &server, std::string listener)
+    {
+        if (server) {
+            server->guard(m_state.memory, [this, listener = std::move(listener)](net::refusal_reason reason, const std::string &remoteAddress) {
+                noteRefusal(listener, reason, remoteAddress);
+            });
+        }
+    }
+
     /// The limits of callers, with room for the fields that entries add.
     net::http_limits entryLimits() const
     {
         constexpr std::size_t kEntryFieldBytes = 1024;
         net::http_limits limits = m_limits;
         limits.maxHeaderBytes += kEntryFieldBytes;
+        limits.maxConnections = m_settings.connections.entries;
         return limits;
     }
 
@@ -722,6 +782,7 @@
     std::vector<member> m_otherEntries;
     std::set<member_id> m_knownEntries; ///< The runs of other entries that were seen.
     std::size_t m_rank = 0; ///< Number of live entries that precede this one by name.
+    refusal_report m_refusals;
     std::set<relay_call *> m_callsInFlight;
     std::size_t m_aborted = 0;
     std::function<void()> m_onStopped;
@@ -771,6 +832,11 @@
     m_impl->stop(std::move(onStopped));
 }
 
+void relay_duty::noteRefusal(const std::string &listener, net::refusal_reason reason, const std::string &remoteAddress)
+{
+    m_impl->noteRefusal(listener, reason, remoteAddress);
+}
+
 metrics_snapshot relay_duty::metrics() const
 {
     return m_impl->metrics();
--- a/src/node/relay_duty.h
+++ b/src/node/relay_duty.h
@@ -12,6 +12,8 @@
 #include "heatherroute/last_reason.h"
 #include "heatherroute/log_line.h"
 #include "heatherroute/member.h"
+#include "net/http_server.h"
+#include "net/memory_budget.h"
 #include "node/channel.h"
 #include "node/relay_event.h"
 #include "relay/fleet_retry_budget.h"
@@ -41,6 +43,9 @@
     quota_rule quota; ///< How the use of teams is judged.
     std::uint32_t sharedPlacementEntries = 0; ///< Number of entries from which a coordinator assigns engines; 0 for never.
     std::uint64_t seed = 0; ///< Seed of the random number generator.
+    std::shared_ptr<net::memory_budget> memory; ///< Of the process; null for one of what the system reports.
+    net::connection_shares connections = net::connectionSharesOf(net::processDescriptorLimit());
+    std::chrono::milliseconds bodyProgressTimeout{10'000}; ///< Longest time in which nothing arrives of a caller's body.
 };
 
 /**
@@ -71,6 +76,8 @@
     /// Starts a graceful shutdown. Calls @p onStopped when the caller port is closed and no request is in flight or expected any more,
     /// or when the grace period is nearly over. Must be called on this duty's thread.
     void stop(std::function<void()> onStopped);
+    /// Logs and counts a refusal at a listener of the process. Must be called on this duty's thread.
+    void noteRefusal(const std::string &listener, net::refusal_reason reason, const std::string &remoteAddress);
     /// Returns a copy of the metrics. Must be called on this duty's thread.
     metrics_snapshot metrics() const;
 
--- a/src/node/relay_node.cpp
+++ b/src/node/relay_node.cpp
@@ -41,6 +41,7 @@
 }
 
 constexpr double kMillisecondsPerSecond = 1000;
+constexpr std::uint64_t kMebibyte = 1'048'576;
 
 membership_settings membershipOf(const membership_timing &timing)
 {
@@ -103,6 +104,9 @@
         if (!openMembers(settings, *peers, incarnation, seed, log, reason)) {
             return false;
         }
+        const std::uint64_t memoryBytes = settings.limits().memoryMb ? *settings.limits().memoryMb * kMebibyte : net::systemMemoryBytes();
+        const auto memory = net::memory_budget::make(net::budgetLimitsFor(memoryBytes));
+        const auto connections = net::connectionSharesOf(settings.limits().maxDescriptors.value_or(net::processDescriptorLimit()));
         node::relay_duty_settings relay;
         relay.callers = *callers;
         relay.readiness = *readiness;
@@ -122,6 +126,9 @@
         relay.quota.slack = settings.relay().quotaSlack;
         relay.sharedPlacementEntries = settings.relay().sharedPlacementEntries;
         relay.seed = seed;
+        relay.memory = memory;
+        relay.connections = connections;
+        relay.bodyProgressTimeout = settings.limits().bodyProgressTimeout;
         m_relay = node::relay_duty::make(m_relayThread.context(), std::move(relay), std::move(dialect), m_relayToMembers, m_relayToStore, log, reason);
         if (!m_relay) {
             return false;
@@ -132,7 +139,7 @@
         m_store =
             std::make_unique<node::store_duty>(m_storeThread.context(), std::move(storeSettings), std::move(store), m_storeToRelay, m_storeToMembers, log);
         connectChannels();
-        return openMetrics(*operators, reason);
+        return openMetrics(*operators, memory, connections.others, reason);
     }
 
     int run()
@@ -199,15 +206,23 @@
     }
 
     /// Starts the metrics server on the main thread. The relay's metrics are copied on the relay's thread.
-    bool openMetrics(const asio::ip::tcp::endpoint &endpoint, last_reason *reason)
+    bool
+    openMetrics(const asio::ip::tcp::endpoint &endpoint, const std::shared_ptr<net::memory_budget> &memory, std::size_t maxConnections, last_reason *reason)
     {
+        net::http_limits limits;
+        limits.maxConnections = maxConnections;
         const auto handler = [this](net::http_request request, net::http_responder &responder) { return answerMetrics(std::move(request), responder); };
         const auto makeErrorAnswer = [](unsigned status, std::string_view) {
             net::http_answer answer;
             answer.status = status;
             return answer;
         };
-        m_metrics = net::http_server::make(m_mainContext, endpoint, {}, handler, makeErrorAnswer, reason);
+        m_metrics = net::http_server::make(m_mainContext, endpoint, limits, handler, makeErrorAnswer, reason);
+        if (m_metrics) {
+            m_metrics->guard(memory, [this](net::refusal_reason why, const std::string &remoteAddress) {
+                asio::post(m_relayThread.context(), [this, why, remoteAddress] { m_relay->noteRefusal("operators", why, remoteAddress); });
+            });
+        }
         return m_metrics != nullptr;
     }
 
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -21,8 +21,6 @@
 }
 
 constexpr double kPlainLatencyGain = 0.1; ///< Weight of the latest sample in the moving average of plain request latency.
-/// Memory for answers of upstreams that are collected before they are passed on. A VM has 96 MB.
-constexpr std::size_t kBodyMemoryBytes = std::size_t{24} * 1024 * 1024;
 /// For a request that another entry can serve at once; long enough for the caller to leave this one.
 constexpr retry_after_settings kElsewhereRetryAfter{std::chrono::milliseconds(10), std::chrono::milliseconds(50), std::chrono::milliseconds(0), 0.33};
 constexpr double kDefaultPlainSeconds = 0.02; ///< Assumed latency of plain requests before the first sample.
@@ -47,7 +45,7 @@
     , versions(version_history::make({}))
     , retryBudget(fleet_retry_budget::make(limit))
     , scheduler(engine_scheduler::make({}))
-    , bodyMemory(net::body_memory::make(kBodyMemoryBytes))
+    , memory(net::memory_budget::make(net::budgetLimitsFor(net::systemMemoryBytes())))
     , crashes(executor, crashHooks())
     , permits(executor, permitHooks(), entryName, seed)
     , origins(executor, originHooks(), entryName)
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -150,7 +150,7 @@
     engine_scheduler scheduler;
     std::map<std::string, phase_planner> planners; ///< Phase planners by service.
     std::map<std::string, moving_average> plainLatencies; ///< Average latency in seconds, by service.
-    std::shared_ptr<net::body_memory> bodyMemory; ///< Shared by all calls to upstreams.
+    std::shared_ptr<net::memory_budget> memory; ///< Shared by all connections and calls to upstreams.
     std::map<std::string, std::size_t> inFlight; ///< Number of this entry's plain requests in flight, by upstream id.
     metrics_registry metrics;
     crash_monitor crashes;
--- a/src/settings/settings_table.cpp
+++ b/src/settings/settings_table.cpp
@@ -265,8 +265,31 @@
     keys.push_back(seedsKey());
 }
 
+/// An integer whose default comes from the system.
+template<typename Field>
+settings_key systemKey(const std::string &path, const number_range &range, const std::string &unit, Field field, const std::string &doc)
+{
+    settings_key key = numberKey<std::uint64_t>(path, range, unit, field, doc);
+    key.presence = key_presence::Optional;
+    key.defaultText = "what the system reports";
+    return key;
+}
+
 void addLimitKeys(key_list &keys)
 {
+    keys.push_back(systemKey(
+        "limits.memory_mb",
+        {32, 1'048'576, 0},
+        "MiB",
+        [](entry_values & v) -> auto & { return v.limits.memoryMb; },
+        "Memory of the entry's VM. Connections, requests and collected responses together are kept so small that the process stays under three quarters of "
+        "it; what does not fit waits or is refused as not run."));
+    keys.push_back(systemKey(
+        "limits.max_descriptors",
+        {64, 10'000'000, 0},
+        "",
+        [](entry_values & v) -> auto & { return v.limits.maxDescriptors; },
+        "Number of descriptors that the process may open. Half of those that are not kept for files are for connections of callers."));
     keys.push_back(bytesKey(
         "limits.max_body_bytes",
         {1024, 1024 * kMebibyte, 8 * kMebibyte},
@@ -300,6 +323,12 @@
         "Timeout for receiving the header of a request."));
     keys.push_back(millisecondsKey(
         "limits.body_timeout_ms", 10, 20'000, [](entry_values & v) -> auto & { return v.limits.bodyTimeout; }, "Timeout for receiving the body of a request."));
+    keys.push_back(millisecondsKey(
+        "limits.body_progress_timeout_ms",
+        10,
+        10'000,
+        [](entry_values & v) -> auto & { return v.limits.bodyProgressTimeout; },
+        "Time without any further byte of a body after which its request is refused with status 408."));
     keys.push_back(millisecondsKey(
         "limits.idle_timeout_ms",
         10,
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -220,13 +220,14 @@
 TEST(HttpClient, CollectedBodiesShareAMemoryBudget)
 {
     http_call call;
-    call.bodyMemory = net::body_memory::make(150'000);
-    const auto budget = call.bodyMemory;
+    call.memory = net::memory_budget::make(150'000);
+    const auto budget = call.memory;
     const std::string large = "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + std::string(200'000, 'x');
     EXPECT_FALSE(callUpstream({large, false, false}, call).answer);
     EXPECT_EQ(budget->used(), 0U);
     EXPECT_TRUE(callUpstream({"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false, false}, call).answer);
-    ASSERT_TRUE(budget->tryReserve(149'999));
+    net::memory_share other(budget, net::memory_use::Answer);
+    ASSERT_TRUE(other.tryResize(149'999));
     EXPECT_FALSE(callUpstream({"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false, false}, call).answer);
 }
 
@@ -234,13 +235,13 @@
 TEST(HttpClient, BodyThatMovesCountsTwiceMeanwhile)
 {
     http_call call;
-    call.bodyMemory = net::body_memory::make(150'000);
+    call.memory = net::memory_budget::make(150'000);
     const auto responseOf = [](std::size_t bytes) {
         return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'x');
     };
     EXPECT_TRUE(callUpstream({responseOf(60'000)}, call).answer);
     EXPECT_FALSE(callUpstream({responseOf(120'000)}, call).answer);
-    EXPECT_EQ(call.bodyMemory->used(), 0U);
+    EXPECT_EQ(call.memory->used(), 0U);
 }
 
 // Guards against undetected dead connections: after the network path broke, a long poll of the configuration stream kept waiting, and the
--- a/tests/process_untrusted_callers_test.cpp
+++ b/tests/process_untrusted_callers_test.cpp
@@ -188,12 +188,13 @@
     co_return status;
 }
 
-relay_site_settings untrustedSite()
+relay_site_settings untrustedSite(std::size_t maxDescriptors = 2'870)
 {
     relay_site_settings settings;
     settings.entries = 1;
     settings.prefillEngines = 0;
     settings.decodeEngines = 0;
+    settings.furtherSettings = "limits: {memory_mb: 96, max_descriptors: " + std::to_string(maxDescriptors) + "}\n";
     return settings;
 }
 
@@ -359,7 +360,7 @@
 // Load pattern: more idle connections than the entry may open descriptors.
 TEST(ProcessUntrustedCallers, IdleConnectionsLeaveDescriptorsFree)
 {
-    runOnSite(untrustedSite(), [](relay_site &site) -> asio::awaitable<void> {
+    runOnSite(untrustedSite(kMaxDescriptors), [](relay_site &site) -> asio::awaitable<void> {
         co_await publishLimits(site);
         const rlimit limit{kMaxDescriptors, kMaxDescriptors};
         EXPECT_EQ(::prlimit(site.entry(0).pid(), RLIMIT_NOFILE, &limit, nullptr), 0);
--- a/tests/support/relay_site.cpp
+++ b/tests/support/relay_site.cpp
@@ -240,7 +240,8 @@
     }
     file << "relay: {retry_share: 0.2, retry_slack: 100, retry_window_s: 10, stop_grace_s: " << m_settings.stopGraceS
          << ", lease_ms: 3000, thaw_ms: 300}\n"
-            "log: {format: json, output: stdout}\n";
+            "log: {format: json, output: stdout}\n"
+         << m_settings.furtherSettings;
     file.close();
     m_entries.push_back(std::move(entry));
     return restart(index, reason);
--- a/tests/support/relay_site.h
+++ b/tests/support/relay_site.h
@@ -35,6 +35,7 @@
     double stopGraceS = 8; ///< The entries' relay.stop_grace_s: time from the stop signal until the process must have ended.
     std::uint64_t storeEra = 0; ///< The era that the store sends at first; 0 for a store that sends none.
     bool hasOwnLinks = false; ///< Each entry reaches the upstreams at a loopback address of its own, see cutFromUpstreams(). At most 9 entries.
+    std::string furtherSettings; ///< Further lines of the entries' settings files (YAML).
     bool discardStandardError = true; ///< Discards the standard error of the entries. Their log goes to standard output and is always kept.
 };
 
