--- a/tests/support/relay_site.h
+++ b/tests/support/relay_site.h
@@ -38,6 +38,7 @@
     std::uint32_t sharedPlacementEntries = 0; ///< The entries' relay.shared_placement_entries.
     double revokeMs = 0; ///< The entries' relay.revoke_ms: time after which a removed API key must not be served; 0 without a bound.
     std::string teams; ///< The list of teams in the configuration, as JSON; empty for a configuration without one.
+    std::string furtherSettings; ///< Further lines of the entries' settings files (YAML).
     bool discardStandardError = true; ///< Discards the standard error of the entries. Their log goes to standard output and is always kept.
 };
 
