Rename the message placement_request, which has the name of a struct of the core

Cause: engine_placement_message.h and placement.h both define heatherroute::placement_request, so src/core does not compile. Change: the message is called engine_placement_request.

--- a/include/heatherroute/engine_placement_message.h
+++ b/include/heatherroute/engine_placement_message.h
@@ -23,7 +23,7 @@
 inline constexpr std::size_t kMaxReportedPlacements = 10;
 
 /// Asks the coordinator of the pool (service and phase) for an engine.
-struct placement_request
+struct engine_placement_request
 {
     std::uint64_t number = 0; ///< Copied into the reply; identifies the placement, together with the sender.
     std::string service;
@@ -33,7 +33,7 @@
     std::uint32_t maxWaitMs = 0; ///< How long the sender waits for an engine that becomes free.
     std::vector<std::string> refusing; ///< Ids of engines that refused this request, or could not be connected to.
 
-    auto operator<=>(const placement_request &) const = default;
+    auto operator<=>(const engine_placement_request &) const = default;
 
     template<typename Archive>
     void serialize(Archive &archive)
@@ -53,7 +53,7 @@
     }
 };
 
-/// Answers a placement_request.
+/// Answers a engine_placement_request.
 struct placement_reply
 {
     std::uint64_t number = 0;
@@ -108,6 +108,6 @@
 };
 
 /// Any message about placements of engines.
-using engine_placement_message = std::variant<placement_request, placement_reply, placement_report>;
+using engine_placement_message = std::variant<engine_placement_request, placement_reply, placement_report>;
 
 } // namespace heatherroute
--- a/include/heatherroute/peer_message.h
+++ b/include/heatherroute/peer_message.h
@@ -61,7 +61,7 @@
                                quota_refund,
                                config_currency_query,
                                config_currency_reply,
-                               placement_request,
+                               engine_placement_request,
                                placement_reply,
                                placement_report>;
 
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -48,7 +48,7 @@
     return {~std::uint64_t{0}, 1, 14'000, std::string(kMaxOriginTextBytes, 's'), std::string(kMaxOriginTextBytes, 'v')};
 }
 
-placement_request longestPlacementRequest()
+engine_placement_request longestPlacementRequest()
 {
     const std::string text(kMaxPlacementTextBytes, 'e');
     return {7, text, engine_phase::Prefill, 5'000, 1, 600, std::vector<std::string>(kMaxRefusingEngines, text)};
