Team quotas: messages, timers, log lines and counters of an entry

Cause: the ledger needs to be asked by requests and to be reached by other entries. The store duty tells the relay how many entries are recorded, for the shares of the ledger. Nothing calls charge() yet.

--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -80,6 +80,7 @@
         stop_settings stop;
         stop.grace = m_settings.stopGrace;
         m_state.stop = stop_plan::make(stop);
+        m_state.quotas.setRule(m_settings.quota);
         m_state.writeLog = std::move(log);
         m_state.recordCrashes = [this](crash_evidence evidence) { post(m_toStore, store_event(crashes_to_record{std::move(evidence)})); };
         m_state.recordOrigins = [this](const std::vector<stream_origin> &origins) {
@@ -144,6 +145,7 @@
         post(m_toMembers, member_event(leave_membership{}));
         post(m_toStore, store_event(store_stop{}));
         m_state.permits.stop();
+        m_state.quotas.stop();
         m_state.origins.stop();
         advanceStop();
     }
@@ -345,6 +347,7 @@
         m_otherEntries = std::move(event.others);
         m_state.retryBudget.setFleetSize(coreNow(), m_otherEntries.size() + 1);
         m_state.permits.setMembers(m_otherEntries);
+        m_state.quotas.setMembers(m_otherEntries);
         m_state.origins.setMembers(m_otherEntries);
         m_state.forwarding.setMembers(m_otherEntries);
         updateRank();
@@ -413,8 +416,15 @@
         m_state.permits.onMessage(event.from, event.message);
     }
 
-    void on(team_quota_received & /*event*/)
-    { }
+    void on(team_quota_received &event)
+    {
+        m_state.quotas.onMessage(event.from, event.message);
+    }
+
+    void on(recorded_entries_read &event)
+    {
+        m_state.quotas.setRecordedEntries(event.count);
+    }
 
     void on(config_currency_received & /*event*/)
     { }
@@ -596,6 +606,7 @@
         }
         m_state.crashes.advance();
         m_state.reach.advance();
+        m_state.quotas.advance();
         queryRefusingEngines(now);
         m_orders.advance(now);
         updateLeaseCandidacy();
--- a/src/node/relay_event.h
+++ b/src/node/relay_event.h
@@ -124,6 +124,12 @@
     engine_placement_message message;
 };
 
+/// The entries that are recorded in the store have been read.
+struct recorded_entries_read
+{
+    std::size_t count = 0;
+};
+
 /// The store has answered that it holds no configuration newer than @c version.
 struct config_confirmed
 {
@@ -148,7 +154,8 @@
                                  team_quota_received,
                                  config_currency_received,
                                  engine_placement_received,
-                                 config_confirmed>;
+                                 config_confirmed,
+                                 recorded_entries_read>;
 
 /// The peer addresses of entries that are recorded in the store.
 struct entry_addresses
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -50,6 +50,7 @@
     , bodyMemory(net::body_memory::make(kBodyMemoryBytes))
     , crashes(executor, crashHooks())
     , permits(executor, permitHooks(), entryName, seed)
+    , quotas(executor, quotaHooks(), entryName, incarnation)
     , origins(executor, originHooks(), entryName)
     , reach(executor, reachHooks(), incarnation)
     , forwarding(request_forwarding::make({}, std::move(zone)))
@@ -125,6 +126,22 @@
     return hooks;
 }
 
+team_quotas_hooks relay_state::quotaHooks()
+{
+    team_quotas_hooks hooks;
+    hooks.log = [this](log_level level, std::string event, std::vector<log_field> fields) { log(level, std::move(event), std::move(fields)); };
+    hooks.send = [this](const team_quota_message &message, std::string peerAddress) {
+        if (sendToEntries) {
+            sendToEntries(bodyOf(message), std::move(peerAddress));
+        }
+    };
+    hooks.count = [this](const std::string &team, const std::string &outcome) {
+        metrics.counter("heatherroute_quota_total", "Requests charged to the quotas of teams, by team and outcome.", {{"team", team}, {"outcome", outcome}})
+            .value += 1;
+    };
+    return hooks;
+}
+
 crash_monitor_hooks relay_state::crashHooks()
 {
     crash_monitor_hooks hooks;
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -17,6 +17,7 @@
 #include "node/crash_monitor.h"
 #include "node/reach_monitor.h"
 #include "node/stream_origins.h"
+#include "node/team_quotas.h"
 #include "node/upstream_permits.h"
 #include "relay/call_time_estimate.h"
 #include "relay/engine_scheduler.h"
@@ -155,6 +156,7 @@
     metrics_registry metrics;
     crash_monitor crashes;
     upstream_permits permits;
+    team_quotas quotas;
     stream_origins origins;
     reach_monitor reach;
     request_forwarding forwarding;
@@ -164,6 +166,7 @@
     void logMalformedPause(const registration &run, const std::string &value);
     crash_monitor_hooks crashHooks();
     upstream_permits_hooks permitHooks();
+    team_quotas_hooks quotaHooks();
     stream_origins_hooks originHooks();
     reach_monitor_hooks reachHooks();
 
--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -481,8 +481,10 @@
         for (const auto &[name, address] : m_entryAddresses) {
             known.addresses.push_back(address);
         }
+        relay_event recorded = recorded_entries_read{known.addresses.size()};
         member_event event = std::move(known);
         co_await m_toMembers.push(std::move(event));
+        co_await m_toRelay.push(std::move(recorded));
     }
 
     /// Appends @p record to the entries' stream, in place of an earlier one of its key that hasn't been appended yet.
