--- a/src/relay/team_quota_ledger.cpp
+++ b/src/relay/team_quota_ledger.cpp
@@ -24,6 +24,9 @@
 /// Of the slack of a window, the part that the reserve may use, and of the rate, the part that it may use in addition.
 constexpr double kReserveOfSlack = 0.5;
 constexpr double kReserveOfOver = 0.05;
+/// A share rises after this time: longer than the membership takes to notice a loss, since an entry that has moved to another part of the fleet
+/// knows the entries of both for that time.
+constexpr duration kShareRiseDelay = std::chrono::seconds(4);
 constexpr double kMaxWaitSeconds = 60.0;
 constexpr double kRounding = 1e-6; ///< In units.
 
@@ -216,14 +219,15 @@
     // The parts of the fleet together may exceed the rate by half of what the rule allows.
     const double share = std::min(1.0, present / total * (1.0 + m_settings.rule.over / 2));
     m_wantedShare = share;
-    if (share <= m_share) {
+    // Until it coordinates, an entry that starts grants nothing.
+    if (share <= m_share || now - m_startedAt < m_settings.startDelay) {
         settleAll();
         m_share = share;
         m_shareRisesAt.reset();
         return;
     }
     if (!m_shareRisesAt) {
-        m_shareRisesAt = now + m_settings.startDelay;
+        m_shareRisesAt = now + kShareRiseDelay;
         m_nextShare = share;
     }
     m_nextShare = std::min(m_nextShare, share);
