--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -100,6 +100,7 @@
         stop_settings stop;
         stop.grace = m_settings.stopGrace;
         m_state.stop = stop_plan::make(stop);
+        m_state.quotas.setRule(m_settings.quota);
         m_state.writeLog = std::move(log);
         m_state.recordCrashes = [this](crash_evidence evidence) { post(m_toStore, store_event(crashes_to_record{std::move(evidence)})); };
         m_state.recordOrigins = [this](const std::vector<stream_origin> &origins) {
@@ -173,6 +174,7 @@
         post(m_toMembers, member_event(leave_membership{}));
         post(m_toStore, store_event(store_stop{}));
         m_state.permits.stop();
+        m_state.quotas.stop();
         m_state.origins.stop();
         m_state.placements.stop();
         advanceStop();
@@ -204,13 +206,14 @@
         return hooks;
     }
 
-    /// Quotas aren't charged yet: the hooks for that keep their defaults, which grant every request.
     team_access_hooks accessHooks()
     {
         team_access_hooks hooks;
         hooks.isConfigCurrent = [this] { return m_currency.isCurrent(); };
         hooks.isConfigOutdated = [this] { return m_currency.isOutdated(); };
         hooks.configAge = [this] { return m_currency.age(); };
+        hooks.charge = [this](const team &caller, std::uint32_t cost, std::uint64_t version) { return m_state.quotas.charge(caller, cost, version); };
+        hooks.refund = [this](const team &caller, std::uint32_t cost, std::uint32_t number) { m_state.quotas.refund(caller, cost, number); };
         return hooks;
     }
 
@@ -446,6 +449,7 @@
         m_otherEntries = std::move(event.others);
         m_state.retryBudget.setFleetSize(coreNow(), m_otherEntries.size() + 1);
         m_state.permits.setMembers(m_otherEntries);
+        m_state.quotas.setMembers(m_otherEntries);
         m_state.origins.setMembers(m_otherEntries);
         m_state.placements.setMembers(m_otherEntries);
         m_state.forwarding.setMembers(m_otherEntries);
@@ -526,8 +530,15 @@
         m_state.permits.onMessage(event.from, event.message);
     }
 
-    void on(team_quota_received & /*event*/)
-    { }
+    void on(team_quota_received &event)
+    {
+        m_state.quotas.onMessage(event.from, event.message);
+    }
+
+    void on(recorded_entries_read &event)
+    {
+        m_state.quotas.setRecordedEntries(event.count);
+    }
 
     void on(config_currency_received &event)
     {
@@ -717,6 +728,7 @@
         }
         m_state.crashes.advance();
         m_state.reach.advance();
+        m_state.quotas.advance();
         queryRefusingEngines(now);
         m_orders.advance(now);
         updateLeaseCandidacy();
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -19,6 +19,7 @@
 #include "node/reach_monitor.h"
 #include "node/stream_origins.h"
 #include "node/team_access.h"
+#include "node/team_quotas.h"
 #include "node/upstream_permits.h"
 #include "relay/call_time_estimate.h"
 #include "relay/engine_scheduler.h"
@@ -166,6 +167,7 @@
     team_access access;
     crash_monitor crashes;
     upstream_permits permits;
+    team_quotas quotas;
     stream_origins origins;
     engine_placements placements;
     reach_monitor reach;
@@ -176,6 +178,7 @@
     void logMalformedPause(const registration &run, const std::string &value);
     crash_monitor_hooks crashHooks();
     upstream_permits_hooks permitHooks();
+    team_quotas_hooks quotaHooks();
     stream_origins_hooks originHooks();
     engine_placements_hooks placementHooks();
     reach_monitor_hooks reachHooks();
