--- a/include/heatherroute/team.h
+++ b/include/heatherroute/team.h
@@ -40,19 +40,6 @@
     auto operator<=>(const quota_rule &) const = default;
 };
 
-/// The outcome of charging a request to the quota of its team.
-enum class quota_outcome : std::uint8_t { Granted, Exceeded, Unknown }; // Unknown: no coordinator replied
-
-/// Result of charging a request to the quota of its team.
-struct quota_verdict
-{
-    quota_outcome outcome = quota_outcome::Granted;
-    duration wait{}; ///< If not granted: after which the caller should retry.
-    std::uint32_t number = 0; ///< For a refund; 0 if nothing was charged.
-
-    auto operator<=>(const quota_verdict &) const = default;
-};
-
 /// Returns the units that a request costs. Thread safe.
 inline std::uint32_t costOf(const team_quota &quota, const std::optional<prompt_facts> &prompt)
 {
@@ -88,7 +75,7 @@
 struct quota_verdict
 {
     quota_outcome outcome = quota_outcome::Granted;
-    duration wait{}; ///< If exceeded: time until the request would fit.
+    duration wait{}; ///< If not granted: after which the caller should retry.
     std::uint32_t number = 0; ///< Of the charge, for its refund.
 
     auto operator<=>(const quota_verdict &) const = default;
