--- a/src/relay/route_table.cpp
+++ b/src/relay/route_table.cpp
@@ -34,10 +34,11 @@
         table.m_services.insert_or_assign(std::move(name), std::move(spec));
     }
     table.m_requiresKeys = teams.has_value();
-    for (team &one : teams.value_or(std::vector<team>{})) {
-        const auto [place, isNew] = table.m_teams.try_emplace(one.name, one);
-        for (const key_digest &key : isNew ? one.keys : std::vector<key_digest>{}) {
-            table.m_teamByKey.try_emplace(key, one.name);
+    std::vector<team> listed = std::move(teams).value_or(std::vector<team>{});
+    for (team &one : listed) {
+        const auto [place, isNew] = table.m_teams.try_emplace(one.name, std::move(one));
+        for (const key_digest &key : isNew ? place->second.keys : std::vector<key_digest>{}) {
+            table.m_teamByKey.try_emplace(key, place->first);
         }
     }
     return table;
--- a/tests/coordinator_choice_test.cpp
+++ b/tests/coordinator_choice_test.cpp
@@ -19,6 +19,7 @@
 std::vector<std::string> namesOf(const std::vector<coordinator> &coordinators)
 {
     std::vector<std::string> names;
+    names.reserve(coordinators.size());
     for (const coordinator &one : coordinators) {
         names.push_back(one.name);
     }
--- a/tests/process_stream_version_test.cpp
+++ b/tests/process_stream_version_test.cpp
@@ -264,9 +264,12 @@
         }
         co_await pauseFor(milliseconds(350));
         (*engine)->crash();
-        while (open > 0) {
+        // The streams refer to the counters, so all must have ended; the deadline of their callers is much shorter than this.
+        constexpr int kMaxWaits = 600;
+        for (int waits = 0; open > 0 && waits < kMaxWaits; ++waits) {
             co_await pauseFor(milliseconds(50));
         }
+        EXPECT_EQ(open, 0);
         EXPECT_GE(broken, 1);
         EXPECT_EQ(mixedStreams(site.upstreamLog()), 0);
     });
