--- a/tests/team_quota_ledger_test.cpp
+++ b/tests/team_quota_ledger_test.cpp
@@ -47,6 +47,7 @@
     void setMembers(const std::vector<std::string> &names)
     {
         std::vector<member> others;
+        others.reserve(names.size());
         for (const std::string &name : names) {
             others.push_back(makeMember(name));
         }
--- a/tests/team_quotas_test.cpp
+++ b/tests/team_quotas_test.cpp
@@ -37,7 +37,7 @@
     team_quotas_hooks hooks()
     {
         team_quotas_hooks result;
-        result.log = [this](log_level, std::string event, std::vector<log_field>) { events[event] += 1; };
+        result.log = [this](log_level, const std::string &event, const std::vector<log_field> &) { events[event] += 1; };
         result.send = [this](const team_quota_message &message, const std::string &peerAddress) {
             sent.emplace_back(message, peerAddress);
             if (const auto *request = std::get_if<quota_request>(&message); request != nullptr && reply) {
