Settings: the limits that come from the system stand last in their group

Settings.AllProblemsAreReportedWithTheirLines expects that the accepted keys of a group are listed as before; the new keys had been put before them.

--- a/src/settings/settings_table.cpp
+++ b/src/settings/settings_table.cpp
@@ -277,19 +277,6 @@
 
 void addLimitKeys(key_list &keys)
 {
-    keys.push_back(systemKey(
-        "limits.memory_mb",
-        {32, 1'048'576, 0},
-        "MiB",
-        [](entry_values & v) -> auto & { return v.limits.memoryMb; },
-        "Memory of the entry's VM. Connections, requests and collected responses together are kept so small that the process stays under three quarters of "
-        "it; what does not fit waits or is refused as not run."));
-    keys.push_back(systemKey(
-        "limits.max_descriptors",
-        {64, 10'000'000, 0},
-        "",
-        [](entry_values & v) -> auto & { return v.limits.maxDescriptors; },
-        "Number of descriptors that the process may open. Half of those that are not kept for files are for connections of callers."));
     keys.push_back(bytesKey(
         "limits.max_body_bytes",
         {1024, 1024 * kMebibyte, 8 * kMebibyte},
@@ -335,6 +322,19 @@
         60'000,
         [](entry_values & v) -> auto & { return v.limits.idleTimeout; },
         "Time after which a connection without a request is closed."));
+    keys.push_back(systemKey(
+        "limits.memory_mb",
+        {32, 1'048'576, 0},
+        "MiB",
+        [](entry_values & v) -> auto & { return v.limits.memoryMb; },
+        "Memory of the entry's VM. Connections, requests and collected responses together are kept so small that the process stays under three quarters of "
+        "it; what does not fit waits or is refused as not run."));
+    keys.push_back(systemKey(
+        "limits.max_descriptors",
+        {64, 10'000'000, 0},
+        "",
+        [](entry_values & v) -> auto & { return v.limits.maxDescriptors; },
+        "Number of descriptors that the process may open. Half of those that are not kept for files are for connections of callers."));
 }
 
 void addDecisionKeys(key_list &keys)
