Log failed reads of the store, and which read ends an outage

Cause: the log said when the store was lost and regained, but not which reads hung meanwhile and for how long, so the hypotheses couldn't be told apart. Change: store_read_failed with the stream and the time waited; store_regained names the stream and the length of the silence.

--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -132,6 +132,7 @@
     {
         const std::optional<std::uint64_t> from = cursor.position.begin(m_era);
         isSnapshot = !from.has_value();
+        const instant sentAt = coreNow();
         keyed_page page;
         if (isSnapshot) {
             page = co_await m_store.readNewest(cursor.stream, snapshotTimeout(cursor));
@@ -143,13 +144,13 @@
         }
         if (page.outcome == store_outcome::Done) {
             cursor.failures = 0;
-            co_await noteReachable();
+            co_await noteReachable(cursor.stream);
         } else if (page.outcome == store_outcome::HistoryGone) {
             log(log_level::Info, "store_history_gone", {{"stream", nameOf(cursor.stream)}, {"from", std::to_string(from.value_or(0))}});
             cursor.position.reset();
         } else {
             cursor.failures += 1;
-            co_await noteFailed(cursor, page.reason);
+            co_await noteFailed(cursor, page.reason, coreNow() - sentAt);
         }
         co_return page;
     }
@@ -232,20 +233,26 @@
         return "unknown";
     }
 
-    asio::awaitable<void> noteReachable()
+    asio::awaitable<void> noteReachable(store_stream stream)
     {
-        m_lastAnswer = coreNow();
+        const duration silence = coreNow() - std::exchange(m_lastAnswer, coreNow());
         if (!m_reachable) {
             m_reachable = true;
             wake(store_stream::Configuration);
-            log(log_level::Info, "store_regained", {});
+            log(log_level::Info, "store_regained", {{"stream", nameOf(stream)}, {"silent_ms", std::to_string(silence.count() / 1000)}});
             relay_event event = store_reachability{true};
             co_await m_toRelay.push(std::move(event));
         }
     }
 
-    asio::awaitable<void> noteFailed(const stream_cursor &cursor, const std::string &reason)
+    asio::awaitable<void> noteFailed(const stream_cursor &cursor, const std::string &reason, duration waited)
     {
+        log(log_level::Info,
+            "store_read_failed",
+            {{"stream", nameOf(cursor.stream)},
+             {"reason", reason},
+             {"waited_ms", std::to_string(waited.count() / 1000)},
+             {"failures", std::to_string(cursor.failures)}});
         const duration silence = coreNow() - m_lastAnswer;
         if (m_reachable && silence >= m_settings.lostAfter) {
             m_reachable = false;
