Give up reads that a silent store has lost, and probe it meanwhile

Cause: a read that gets no answer waited for a timeout made for a store that is busy with many entries, up to 6 s, though the store answered new calls at once. Evidence: store_read_failed with waited_ms of 4,800 and 6,004 around the return. Change: store_read_watch gives a read up when the store has answered a call that was sent later; timeouts still grow with reads that fail beside such answers. A read isn't asked to wait at a store that was lost. A reader that isn't sure of its list tells a newer configuration at once. Why it works: the first answer to any call shows which pending reads are lost, and the probe bounds the time until there is one.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -168,6 +168,9 @@
             if (error) {
                 co_return makeFailure(m_wroteAny ? verdict::MayHaveRun : verdict::NotRun, "read head", error);
             }
+            if (m_call.onAnswered) {
+                m_call.onAnswered();
+            }
         }
         http::response_parser<http::buffer_body> &parser = *parsed;
         http_answer answer = headOf(parser);
@@ -298,11 +301,20 @@
     static_cast<void>(::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &kMaxUnacknowledgedMs, sizeof(kMaxUnacknowledgedMs)));
 }
 
-asio::awaitable<http_result> performCall(http_call call)
+asio::awaitable<http_result> performCall(http_call call, asio::cancellation_slot cancel)
 {
     const auto executor = co_await asio::this_coro::executor;
     const auto exchange = http_exchange::make(executor, std::move(call));
-    co_return co_await exchange->run(http_exchange::body_hook{});
+    if (cancel.is_connected()) {
+        cancel.assign([weak = std::weak_ptr<http_exchange>(exchange)](asio::cancellation_type) {
+            if (const auto running = weak.lock()) {
+                running->cancel();
+            }
+        });
+    }
+    http_result result = co_await exchange->run(http_exchange::body_hook{});
+    cancel.clear();
+    co_return result;
 }
 
 std::optional<tcp::endpoint> parseEndpoint(std::string_view text)
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include <chrono>
@@ -38,6 +39,7 @@
     unsigned memoryPolls = 25; ///< How often, 20 ms apart, a body that doesn't fit waits for others to return memory.
     std::size_t maxAnswerBytes = std::size_t{16} * 1024 * 1024; ///< Maximum size of the response body, even when a hook receives it.
     std::function<void()> onConnected; ///< Called when the connection has been established; may be empty.
+    std::function<void()> onAnswered; ///< Called when the response header has arrived, also that of an interim response; may be empty.
     std::function<bool()> maySend; ///< Called right before the request is written; if it returns false, the call fails and has not run. May be empty.
 };
 
@@ -91,8 +93,9 @@
     virtual void cancel() = 0;
 };
 
-/// Performs @p call and returns its result. For calls that are never cancelled.
-boost::asio::awaitable<http_result> performCall(http_call call);
+/// Performs @p call and returns its result. A signal of @p cancel, if it is connected, cancels the call. Precondition: the signal is emitted on
+/// the executor of the caller and outlives the call.
+boost::asio::awaitable<http_result> performCall(http_call call, boost::asio::cancellation_slot cancel = {});
 
 /// Enables TCP keep-alive probes and limits the time of unacknowledged bytes on @p socket, so that a dead connection fails within seconds
 /// although the peer may take longer than that to respond.
--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -16,6 +16,7 @@
 #include "heatherroute/request_quarantine.h"
 #include "node/boot_clock.h"
 #include "node/core_time.h"
+#include "node/store_reads.h"
 #include "relay/origin_record.h"
 #include "relay/quarantine_record.h"
 #include "relay/store_era.h"
@@ -59,6 +60,7 @@
         , m_toRelay(toRelay)
         , m_toMembers(toMembers)
         , m_log(std::move(log))
+        , m_reads(context, m_store, m_settings.readWatch, m_log)
         , m_schedule(store_read_schedule::make(m_settings.reads, coreNow()))
         , m_random(std::random_device{}())
     { }
@@ -105,6 +107,7 @@
     {
         const auto minRetryDelay = std::chrono::duration_cast<std::chrono::milliseconds>(polling.minRetryDelay);
         const bool mayRetrySooner = minRetryDelay < std::exchange(m_minRetryDelay, minRetryDelay);
+        m_reads.setMinProbeInterval(minRetryDelay);
         if (polling.frequent == m_pollsFrequently) {
             if (mayRetrySooner && !m_reachable) {
                 wake(store_stream::Registrations);
@@ -133,23 +136,24 @@
         const std::optional<std::uint64_t> from = cursor.position.begin(m_era);
         isSnapshot = !from.has_value();
         const instant sentAt = coreNow();
+        const std::uint32_t failuresBefore = cursor.failures;
         keyed_page page;
         if (isSnapshot) {
-            page = co_await m_store.readNewest(cursor.stream, snapshotTimeout(cursor));
+            page = co_await m_reads.readNewest(cursor.stream);
         } else {
-            page = co_await m_store.readFrom(cursor.stream, *from, wait);
+            page = co_await m_reads.readFrom(cursor.stream, *from, wait);
         }
+        cursor.failures = m_reads.failures(cursor.stream);
         if (page.outcome == store_outcome::Done) {
             co_await placeAnswer(cursor, page);
+            cursor.failures = page.outcome == store_outcome::Unavailable ? failuresBefore + 1 : 0;
         }
         if (page.outcome == store_outcome::Done) {
-            cursor.failures = 0;
             co_await noteReachable(cursor.stream);
         } else if (page.outcome == store_outcome::HistoryGone) {
-            log(log_level::Info, "store_history_gone", {{"stream", nameOf(cursor.stream)}, {"from", std::to_string(from.value_or(0))}});
+            log(log_level::Info, "store_history_gone", {{"stream", toString(cursor.stream)}, {"from", std::to_string(from.value_or(0))}});
             cursor.position.reset();
         } else {
-            cursor.failures += 1;
             co_await noteFailed(cursor, page.reason, coreNow() - sentAt);
         }
         co_return page;
@@ -218,38 +222,33 @@
         self->wake(stream);
     }
 
-    static std::string nameOf(store_stream stream)
-    {
-        switch (stream) {
-        case store_stream::Configuration:
-            return "configuration";
-        case store_stream::Registrations:
-            return "registrations";
-        case store_stream::Entries:
-            return "entries";
-        case store_stream::Origins:
-            return "origins";
-        }
-        return "unknown";
-    }
-
     asio::awaitable<void> noteReachable(store_stream stream)
     {
         const duration silence = coreNow() - std::exchange(m_lastAnswer, coreNow());
         if (!m_reachable) {
             m_reachable = true;
             wake(store_stream::Configuration);
-            log(log_level::Info, "store_regained", {{"stream", nameOf(stream)}, {"silent_ms", std::to_string(silence.count() / 1000)}});
+            log(log_level::Info, "store_regained", {{"stream", toString(stream)}, {"silent_ms", std::to_string(silence.count() / 1000)}});
             relay_event event = store_reachability{true};
             co_await m_toRelay.push(std::move(event));
         }
     }
 
+    asio::awaitable<append_answer> append(store_stream stream, keyed_record record)
+    {
+        const instant sentAt = coreNow();
+        append_answer answer = co_await m_store.append(stream, std::move(record));
+        if (answer.outcome == store_outcome::Done) {
+            m_reads.noteAnswer(sentAt);
+        }
+        co_return answer;
+    }
+
     asio::awaitable<void> noteFailed(const stream_cursor &cursor, const std::string &reason, duration waited)
     {
         log(log_level::Info,
             "store_read_failed",
-            {{"stream", nameOf(cursor.stream)},
+            {{"stream", toString(cursor.stream)},
              {"reason", reason},
              {"waited_ms", std::to_string(waited.count() / 1000)},
              {"failures", std::to_string(cursor.failures)}});
@@ -258,7 +257,7 @@
             m_reachable = false;
             log(log_level::Warning,
                 "store_lost",
-                {{"stream", nameOf(cursor.stream)}, {"reason", reason}, {"silent_ms", std::to_string(silence.count() / 1000)}});
+                {{"stream", toString(cursor.stream)}, {"reason", reason}, {"silent_ms", std::to_string(silence.count() / 1000)}});
             relay_event event = store_reachability{false};
             co_await m_toRelay.push(std::move(event));
         }
@@ -313,22 +312,14 @@
         return m_schedule.retryDelay(cursor.failures, minDelay, m_random);
     }
 
-    /// Returns the timeout for reading a snapshot. It grows with each failure: when many entries start together, their reads queue at the
-    /// store, and a read that times out has to queue again.
-    std::chrono::milliseconds snapshotTimeout(const stream_cursor &cursor) const
-    {
-        constexpr std::uint32_t kMaxDoublings = 4;
-        const auto grown = m_settings.minSnapshotTimeout * (1U << std::min(cursor.failures, kMaxDoublings));
-        return std::min<std::chrono::milliseconds>(grown, m_settings.maxSnapshotTimeout);
-    }
-
     static asio::awaitable<void> followConfiguration(std::shared_ptr<impl> self)
     {
         stream_cursor cursor;
         cursor.stream = store_stream::Configuration;
         while (!self->m_stopping) {
             bool isSnapshot = false;
-            const bool waits = self->m_pollsFrequently || self->m_configVersion == 0;
+            // A store that was lost may have lost this read as well, which would be noticed only after the wait.
+            const bool waits = (self->m_pollsFrequently || self->m_configVersion == 0) && self->m_reachable;
             const std::chrono::milliseconds wait = waits ? self->m_settings.configWait : std::chrono::milliseconds(0);
             const bool isOutdated = std::exchange(self->m_configOutdated, false);
             const std::int64_t askedAtMs = bootMilliseconds();
@@ -466,7 +457,7 @@
         while (!self->m_stopping) {
             if (!self->m_published) {
                 keyed_record record{self->m_settings.entryName, self->m_settings.peerAddress};
-                const append_answer answer = co_await self->m_store.append(store_stream::Entries, std::move(record));
+                const append_answer answer = co_await self->append(store_stream::Entries, std::move(record));
                 const bool done = answer.outcome == store_outcome::Done;
                 era_verdict verdict = era_verdict::Current;
                 if (done) {
@@ -525,7 +516,7 @@
         cursor.stream = store_stream::Entries;
         while (cursor.failures < kMaxAppends) {
             keyed_record record = self->m_entriesRecords.at(key);
-            const append_answer answer = co_await self->m_store.append(store_stream::Entries, record);
+            const append_answer answer = co_await self->append(store_stream::Entries, record);
             if (answer.outcome != store_outcome::Done) {
                 cursor.failures += 1;
                 co_await self->pause(self->backoffDelay(cursor));
@@ -556,7 +547,7 @@
         cursor.stream = store_stream::Origins;
         while (!self->m_originRecords.empty()) {
             keyed_record record{self->m_settings.entryName, self->m_originRecords.front()};
-            const append_answer answer = co_await self->m_store.append(store_stream::Origins, std::move(record));
+            const append_answer answer = co_await self->append(store_stream::Origins, std::move(record));
             if (answer.outcome == store_outcome::Done) {
                 cursor.failures = 0;
                 self->m_originRecords.pop_front();
@@ -585,7 +576,7 @@
         bool isEnd = false;
         for (std::size_t pages = 0; pages < kMaxOriginPages && !isEnd && !self->m_stopping; ++pages) {
             const std::uint64_t from = self->m_originsRead;
-            keyed_page page = co_await self->m_store.readFrom(store_stream::Origins, from, std::chrono::milliseconds(0));
+            keyed_page page = co_await self->m_reads.readFrom(store_stream::Origins, from, std::chrono::milliseconds(0));
             era_verdict verdict = era_verdict::Current;
             if (page.outcome != store_outcome::Unavailable) {
                 verdict = co_await self->judgeEra(page.era);
@@ -672,7 +663,11 @@
     {
         lease_request request{m_settings.entryName, m_lease.settings().lifetime, m_lease.generation()};
         const std::int64_t sentAt = bootMilliseconds();
+        const instant sentInstant = coreNow();
         lease_answer answer = co_await m_store.joinLease(std::move(request));
+        if (answer.outcome == store_outcome::Done) {
+            m_reads.noteAnswer(sentInstant);
+        }
         era_verdict verdict = era_verdict::Current;
         if (answer.outcome != store_outcome::Unavailable) {
             verdict = co_await judgeEra(answer.era);
@@ -715,6 +710,7 @@
     channel<relay_event> &m_toRelay;
     channel<member_event> &m_toMembers;
     std::function<void(log_line)> m_log;
+    store_reads m_reads;
     store_read_schedule m_schedule;
     std::mt19937_64 m_random;
     instant m_lastAnswer{};
--- a/src/node/store_duty.h
+++ b/src/node/store_duty.h
@@ -12,6 +12,7 @@
 #include "node/relay_event.h"
 #include "relay/platform_store.h"
 #include "relay/store_read_schedule.h"
+#include "relay/store_read_watch.h"
 
 namespace heatherroute::node
 {
@@ -32,10 +33,7 @@
     std::chrono::milliseconds maxOutdatedReadDelay{600};
     /// Maximum delay of the reads and writes that follow when the store comes back from an older copy.
     std::chrono::milliseconds maxRestoredReadDelay{600};
-    /// Timeout for reading a snapshot: initially short, so that a lost connection is detected early, and doubled with each failure up
-    /// to the maximum, which suffices when hundreds of entries read at once.
-    std::chrono::milliseconds minSnapshotTimeout{1'200};
-    std::chrono::milliseconds maxSnapshotTimeout{6'000};
+    store_read_watch_settings readWatch; ///< Timeouts for reading snapshots; probes of a silent store.
     std::chrono::milliseconds lostAfter{1'500}; ///< Time without an answer after which the store counts as unreachable.
     std::chrono::milliseconds leaseInterval{450}; ///< Between two renewals of the lease.
 };
--- a/src/relay/platform_store.h
+++ b/src/relay/platform_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 
 #include <chrono>
 #include <compare>
@@ -27,6 +28,9 @@
     Origins, ///< Written by some entries: which software versions began streams. A plain log: old records expire, and there are no newest ones.
 };
 
+/// The name used in logs. Thread safe.
+const char *toString(store_stream stream) noexcept;
+
 /// A change of one key; without a value, the key was deleted.
 struct keyed_record
 {
@@ -83,6 +87,14 @@
     auto operator<=>(const append_answer &) const = default;
 };
 
+/// Follows a read of the store and may end it.
+struct store_read_control
+{
+    boost::asio::cancellation_slot cancel; ///< Ends the read, which then returns Unavailable.
+    std::function<void()> onSent; ///< Called when the read, or a further part of it, is about to be sent; may be empty.
+    std::function<void()> onAnswering; ///< Called when the store has begun to answer what was sent; may be empty.
+};
+
 /// A team of a configuration that is left out, since it is invalid.
 struct invalid_team
 {
@@ -100,9 +112,11 @@
 struct platform_store
 {
     /// Reads the newest record of each key; the second argument is the maximum time without data from the store.
-    std::function<boost::asio::awaitable<keyed_page>(store_stream, std::chrono::milliseconds)> readNewest;
+    std::function<boost::asio::awaitable<keyed_page>(store_stream, std::chrono::milliseconds, store_read_control)> readNewest;
     /// Reads the records from an offset on; if there are none yet, the store may delay its answer by the given wait.
-    std::function<boost::asio::awaitable<keyed_page>(store_stream, std::uint64_t from, std::chrono::milliseconds wait)> readFrom;
+    std::function<boost::asio::awaitable<keyed_page>(store_stream, std::uint64_t from, std::chrono::milliseconds wait, store_read_control)> readFrom;
+    /// Makes a call whose answer is small; returns whether the store answered it.
+    std::function<boost::asio::awaitable<bool>()> probe;
     std::function<boost::asio::awaitable<append_answer>(store_stream, keyed_record)> append;
     std::function<boost::asio::awaitable<lease_answer>(lease_request)> joinLease;
     std::function<boost::asio::awaitable<void>(std::string member)> leaveLease;
--- a/src/relay/store_gossip.cpp
+++ b/src/relay/store_gossip.cpp
@@ -119,11 +119,13 @@
     const bool reads = maySend() && shouldRead(now) && fresh;
     const bool isUncertain = m_rank < m_settings.readers && !fresh;
     const auto isNew = [&](const noted_change &known) { return now - known.notedAt <= m_settings.resendFor; };
-    const bool tellsEarly = isUncertain && std::any_of(m_changes.begin(), m_changes.end(), isNew);
+    const bool hasNews = configVersion > m_toldConfigVersion || std::any_of(m_changes.begin(), m_changes.end(), isNew);
+    const bool tellsEarly = isUncertain && hasNews;
     if ((!reads && !tellsEarly && m_lease == lease_claim::None) || !isDue) {
         return {};
     }
     m_sentAt = now;
+    m_toldConfigVersion = configVersion;
     m_hasUnsentRead = false;
     std::vector<store_update> messages(1);
     for (noted_change &known : m_changes) {
--- a/src/relay/store_gossip.h
+++ b/src/relay/store_gossip.h
@@ -51,7 +51,7 @@
  * Load pattern: if a hundred entries each read every report of the upstreams, they pay for a hundred times the calls, and
  * queue at the store when it recovers. Therefore a few entries read for all. If they are lost or the store refuses them, a few others take over;
  * only if these send nothing either, all entries read the store themselves, and if that fails, they retry the less often the more they are.
- * A reader that isn't sure of its list, after an outage, tells new changes at once, without the claim
+ * A reader that isn't sure of its list, after an outage, tells new changes and a newer configuration at once, without the claim
  * to read for others, and again once it is sure. Pure; not thread safe. Instants must not decrease.
  */
 class store_gossip
@@ -106,6 +106,7 @@
     std::optional<instant> m_readAt;
     std::optional<instant> m_peerReadAt; ///< Time of the newest read by another entry.
     std::optional<instant> m_sentAt;
+    std::uint64_t m_toldConfigVersion = 0;
     bool m_hasUnsentRead = false; ///< The store was read since the last message.
     std::deque<noted_change> m_changes;
 };
--- a/tests/standins/site_store.cpp
+++ b/tests/standins/site_store.cpp
@@ -152,6 +152,8 @@
         answer = join(request);
     } else if (request.path() == "/v1/log-leave") {
         answer = leave(request);
+    } else if (request.path() == "/v1/log-owners") {
+        answer = owners(request);
     } else {
         answer.status = 404;
     }
@@ -233,13 +235,23 @@
     } else if (isNew) {
         ++m_generation;
     }
+    m_leaseTopic = body.at("Topics").at(0).as_string();
     json::array parts;
     if (m_leaseHolder == member) {
-        parts.push_back(json::array{body.at("Topics").at(0), 0, 0});
+        parts.push_back(json::array{m_leaseTopic, 0, 0});
     }
     return jsonAnswer(json::object{{"Generation", m_generation}, {"TtlMs", body.at("TtlMs")}, {"parts", std::move(parts)}});
 }
 
+http_answer site_store::owners(const http_request &request)
+{
+    json::array rows;
+    if (!m_leaseHolder.empty() && !m_leaseTopic.empty()) {
+        rows.push_back(json::array{m_leaseTopic, 0, m_leaseHolder, 0});
+    }
+    return jsonAnswer(json::object{{"group", request.query("group")}, {"rows", std::move(rows)}});
+}
+
 http_answer site_store::leave(const http_request &request)
 {
     const std::string member(json::parse(request.body).at("Member").as_string());
--- a/tests/standins/site_store.h
+++ b/tests/standins/site_store.h
@@ -69,6 +69,7 @@
     net::http_answer append(const net::http_request &request);
     net::http_answer join(const net::http_request &request);
     net::http_answer leave(const net::http_request &request);
+    net::http_answer owners(const net::http_request &request);
     boost::asio::awaitable<void> sendAnswer(net::http_answer answer, net::http_responder &responder);
     boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds time);
 
@@ -78,6 +79,7 @@
     store_faults m_faults;
     std::map<std::string, std::chrono::steady_clock::time_point> m_members; ///< Time at which each membership expires unless the member joins again.
     std::string m_leaseHolder;
+    std::string m_leaseTopic; ///< The topic that its group shares.
     std::uint64_t m_generation = 0;
 };
 
--- a/tests/store_gossip_test.cpp
+++ b/tests/store_gossip_test.cpp
@@ -206,6 +206,21 @@
     EXPECT_FALSE(messages.front().readsStore);
 }
 
+// Load pattern: the store comes back and the configuration changes soon after. Entries that don't read for others learned of it only when the
+// readers were sure of their lists again, seconds later.
+TEST(StoreGossip, NewerConfigurationIsToldWhileTheListOfAReaderIsUncertain)
+{
+    store_gossip gossip = store_gossip::make({});
+    gossip.noteRead(instant{});
+    EXPECT_FALSE(gossip.dueMessages(instant{} + milliseconds(500), 7).empty());
+    EXPECT_TRUE(gossip.dueMessages(instant{} + seconds(9), 7).empty());
+    const auto messages = gossip.dueMessages(instant{} + seconds(10), 8);
+    ASSERT_EQ(messages.size(), 1U);
+    EXPECT_EQ(messages.front().configVersion, 8U);
+    EXPECT_FALSE(messages.front().readsStore);
+    EXPECT_TRUE(gossip.dueMessages(instant{} + seconds(11), 8).empty()) << "a version is told once";
+}
+
 TEST(StoreGossip, EntryThatIsNoReaderForgetsChanges)
 {
     store_gossip gossip = store_gossip::make({});
