Log which origins of streams were recorded and read, and why one isn't known

Cause: nothing told whether the records lacked the streams, weren't found, or whether the history of versions was too short.

--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -592,7 +592,11 @@
             if (page.outcome == store_outcome::Done && verdict == era_verdict::Current) {
                 self->m_originsRead = page.next;
                 isEnd = page.next >= page.end || page.next == from;
-                relay_event event = self->decodeOrigins(page);
+                recorded_origins_read read = self->decodeOrigins(page);
+                self->log(log_level::Info,
+                          "stream_origins_read",
+                          {{"records", std::to_string(page.records.size())}, {"streams", std::to_string(read.origins.size())}});
+                relay_event event = std::move(read);
                 co_await self->m_toRelay.push(std::move(event));
             } else {
                 self->log(log_level::Warning, "stream_origins_not_read", {{"reason", page.reason}, {"era", toString(verdict)}});
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -268,6 +268,7 @@
         const bool isUsable = m_origin && !m_origin->version.empty()
                               && std::any_of(targets.begin(), targets.end(), [this](const route_target &one) { return one.service == m_origin->service; });
         if (!isUsable) {
+            logUnknownOrigin(isNamed, window);
             m_reason = kUnknownOriginReason;
             co_return false;
         }
@@ -275,6 +276,19 @@
         co_return true;
     }
 
+    void logUnknownOrigin(bool isNamed, duration window) const
+    {
+        const auto millisecondsOf = [](duration time) { return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()); };
+        m_state.log(log_level::Info,
+                    "stream_origin_not_found",
+                    {requestIdField(m_call.facts().id),
+                     {"named", isNamed ? "true" : "false"},
+                     {"remembered_streams", std::to_string(m_state.origins.size())},
+                     {"versions", std::to_string(m_state.registry.softwareVersions(m_service).size())},
+                     {"history_ms", millisecondsOf(m_state.versions.currentTime(coreNow()))},
+                     {"needed_ms", millisecondsOf(window)}});
+    }
+
     /// Reports to other entries which version will write the stream, while the prompt is computed.
     void tellOrigin(const registration &run)
     {
--- a/src/relay/version_history.cpp
+++ b/src/relay/version_history.cpp
@@ -52,11 +52,18 @@
     m_readBegunAt = std::max(m_readBegunAt.value_or(begunAt), begunAt);
 }
 
+duration version_history::currentTime(instant now) const
+{
+    const bool isCurrent = m_currentAt && now - *m_currentAt <= m_settings.maxListAge;
+    return isCurrent ? now - m_currentSince : duration::zero();
+}
+
 std::optional<std::string>
 version_history::onlyVersion(instant now, instant askedAt, const std::string &service, const std::set<std::string> &present, duration window) const
 {
-    const bool isCurrent = m_currentAt && now - *m_currentAt <= m_settings.maxListAge && m_readBegunAt && *m_readBegunAt >= askedAt;
-    if (!isCurrent || now - m_currentSince < window || window > m_settings.retention) {
+    const bool isRead = m_readBegunAt && *m_readBegunAt >= askedAt;
+    const duration current = currentTime(now);
+    if (!isRead || current == duration::zero() || current < window || window > m_settings.retention) {
         return std::nullopt;
     }
     std::set<std::string> versions = present;
--- a/src/relay/version_history.h
+++ b/src/relay/version_history.h
@@ -51,6 +51,8 @@
     /// a read that began after the question tells which versions had registered before it.
     std::optional<std::string>
     onlyVersion(instant now, instant askedAt, const std::string &service, const std::set<std::string> &present, duration window) const;
+    /// Returns for how long before @p now the list of upstreams has been current without a gap; zero if it isn't current.
+    duration currentTime(instant now) const;
 
 private:
     /// What an upstream serves.
