Let the history of software versions outlast a loss of all entries

Cause: an origin is recorded up to 0.6 s after the first event, longer than such a stream lasts, and the history of versions was lost with the entries. Change: each record of origins has a summary of its writer's history and the offset up to which it has read the registrations. The recorders are the first entries that read the store, as only they know their offset. If the log doesn't reach back, the era has changed or another version shows, the stream is refused as before. Why it works: the log of registrations covers the time between the summary and the entry's own list without a gap, so no version can have served unseen.

--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -105,10 +105,10 @@
         m_state.recordCrashes = [this](crash_evidence evidence) { post(m_toStore, store_event(crashes_to_record{std::move(evidence)})); };
         m_state.recordOrigins = [this](const std::vector<stream_origin> &origins) {
             m_state.log(log_level::Info, "stream_origins_to_record", {{"streams", std::to_string(origins.size())}});
-            post(m_toStore, store_event(origins_to_record{makeOriginRecord(origins)}));
+            post(m_toStore, store_event(origins_to_record{makeOriginRecord(origins, m_state.versions.summary(coreNow()))}));
         };
         m_state.readUpstreams = [this] { post(m_toStore, store_event(registrations_wanted{})); };
-        m_state.readOrigins = [this] { post(m_toStore, store_event(recorded_origins_wanted{})); };
+        m_state.readOrigins = [this](bool withVersions) { post(m_toStore, store_event(recorded_origins_wanted{withVersions})); };
         m_state.access.setHooks(accessHooks());
         m_state.sendToEntries = [this](peer_body body, std::optional<std::string> peerAddress) {
             post(m_toMembers, member_event(message_to_send{std::move(body), std::move(peerAddress)}));
@@ -409,7 +409,7 @@
         if (m_state.registry.isAuthoritative(now)) {
             m_state.gossip.noteRead(now);
             m_state.versions.noteCurrent(now, duration::zero());
-            m_state.versions.noteRead(event.readBegunAt);
+            m_state.versions.noteRead(event.readBegunAt, event.position);
         }
         std::set<std::string> ids(event.unreadable.begin(), event.unreadable.end());
         for (const registration &report : event.reports) {
@@ -571,6 +571,18 @@
         m_state.origins.onRecorded(event.origins, event.isLast);
     }
 
+    void on(recorded_versions_read &event)
+    {
+        const instant now = coreNow();
+        const bool isUsed = m_state.versions.noteSummary(now, event.summary, event.writtenBefore, event.readBegunAt, event.later);
+        m_state.log(log_level::Info,
+                    "version_summary_read",
+                    {{"used", isUsed ? "true" : "false"},
+                     {"current_ms", std::to_string(event.summary.currentMs)},
+                     {"later", std::to_string(event.later.size())},
+                     {"history_ms", std::to_string(m_state.versions.currentTime(now).count() / 1000)}});
+    }
+
     void on(recorded_crashes_read &event)
     {
         m_state.crashes.onRecord(event.evidence, event.isOwn);
--- a/src/node/relay_event.h
+++ b/src/node/relay_event.h
@@ -16,6 +16,7 @@
 #include "heatherroute/time.h"
 #include "relay/lease_term.h"
 #include "relay/platform_store.h"
+#include "relay/version_summary.h"
 
 namespace heatherroute::node
 {
@@ -34,6 +35,7 @@
     std::vector<std::string> unreadable; ///< Keys whose newest record is no registration, which says nothing about an upstream of that id.
     bool isSnapshot = false; ///< The reports are a full snapshot of the store, not an increment.
     instant readBegunAt{};
+    std::optional<registrations_position> position; ///< The end of the read, if it is known.
 };
 
 /// The store has become unreachable, or reachable again.
@@ -90,6 +92,15 @@
     bool isLast = false; ///< The read has ended, whether it found all records or not.
 };
 
+/// A summary of versions was read from the records of the entries, and the registrations from its position on.
+struct recorded_versions_read
+{
+    version_summary summary;
+    instant writtenBefore{}; ///< When the summary was read.
+    instant readBegunAt{}; ///< When the read of the registrations began.
+    std::vector<seen_version> later; ///< The versions of these registrations.
+};
+
 /// Another entry has said which upstreams it reaches.
 struct entry_reach_received
 {
@@ -152,6 +163,7 @@
                                  stream_origin_received,
                                  entry_reach_received,
                                  recorded_origins_read,
+                                 recorded_versions_read,
                                  team_quota_received,
                                  config_currency_received,
                                  engine_placement_received,
@@ -230,7 +242,9 @@
 
 /// The records of the origins of streams are to be read as far as they haven't been.
 struct recorded_origins_wanted
-{ };
+{
+    bool withVersions = false; ///< Also a summary of versions, and the registrations from its position on.
+};
 
 /// The registrations of upstreams are to be read at once.
 struct registrations_wanted
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -140,9 +140,10 @@
             recordOrigins(std::move(origins));
         }
     };
-    hooks.readRecords = [this] {
+    hooks.hasShortHistory = [this](duration window) { return versions.currentTime(coreNow()) < window; };
+    hooks.readRecords = [this](bool withVersions) {
         if (readOrigins) {
-            readOrigins();
+            readOrigins(withVersions);
         }
     };
     return hooks;
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -147,7 +147,7 @@
     std::function<void(crash_evidence)> recordCrashes;
     std::function<void(std::vector<stream_origin>)> recordOrigins; ///< Records origins of streams in the platform's store.
     std::function<void()> readUpstreams; ///< Begins to read the registrations of upstreams.
-    std::function<void()> readOrigins; ///< Begins to read the records of origins.
+    std::function<void(bool withVersions)> readOrigins; ///< Begins to read the records of origins, also with a summary of versions.
     /// Sends a message to the entry with the peer address, or to all other entries if it is empty.
     std::function<void(peer_body, std::optional<std::string> peerAddress)> sendToEntries;
     std::shared_ptr<const route_table> routes; ///< Null before the first configuration.
--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -17,6 +17,7 @@
 #include "node/boot_clock.h"
 #include "node/core_time.h"
 #include "node/store_reads.h"
+#include "node/version_summaries.h"
 #include "relay/origin_record.h"
 #include "relay/quarantine_record.h"
 #include "relay/store_era.h"
@@ -61,6 +62,7 @@
         , m_toMembers(toMembers)
         , m_log(std::move(log))
         , m_reads(context, m_store, m_settings.readWatch, m_log)
+        , m_summaries(m_store, m_log)
         , m_schedule(store_read_schedule::make(m_settings.reads, coreNow()))
         , m_random(std::random_device{}())
     { }
@@ -94,7 +96,8 @@
             if (m_reachable) {
                 wake(store_stream::Registrations);
             }
-        } else if (std::holds_alternative<recorded_origins_wanted>(event)) {
+        } else if (const auto *records = std::get_if<recorded_origins_wanted>(&event)) {
+            m_versionsWanted = m_versionsWanted || records->withVersions;
             readOrigins();
         } else {
             m_leaseWanted = false;
@@ -395,6 +398,9 @@
                 lastRead = coreNow();
                 upstreams_reported reported = self->decode(page, isSnapshot);
                 reported.readBegunAt = begunAt;
+                if (cursor.position.isKnown()) {
+                    reported.position = registrations_position{self->m_era.current(), cursor.position.offset()};
+                }
                 relay_event event = std::move(reported);
                 co_await self->m_toRelay.push(std::move(event));
                 if (self->m_pollsFrequently) {
@@ -593,6 +599,7 @@
                 self->m_originsRead = page.next;
                 isEnd = page.next >= page.end || page.next == from;
                 recorded_origins_read read = self->decodeOrigins(page);
+                self->m_summaries.note(page, self->m_era.current(), coreNow());
                 self->log(log_level::Info,
                           "stream_origins_read",
                           {{"records", std::to_string(page.records.size())}, {"streams", std::to_string(read.origins.size())}});
@@ -602,6 +609,13 @@
                 self->log(log_level::Warning, "stream_origins_not_read", {{"reason", page.reason}, {"era", toString(verdict)}});
             }
         }
+        if (std::exchange(self->m_versionsWanted, false)) {
+            std::optional<recorded_versions_read> versions = co_await self->m_summaries.complete();
+            if (versions) {
+                relay_event event = std::move(*versions);
+                co_await self->m_toRelay.push(std::move(event));
+            }
+        }
         self->m_isReadingOrigins = false;
         relay_event event = recorded_origins_read{{}, true};
         co_await self->m_toRelay.push(std::move(event));
@@ -715,6 +729,7 @@
     channel<member_event> &m_toMembers;
     std::function<void(log_line)> m_log;
     store_reads m_reads;
+    version_summaries m_summaries;
     store_read_schedule m_schedule;
     std::mt19937_64 m_random;
     instant m_lastAnswer{};
@@ -738,6 +753,7 @@
     std::deque<std::string> m_originRecords; ///< That aren't appended yet.
     std::uint64_t m_originsRead = 0; ///< The offset up to which the records of origins were read.
     bool m_isReadingOrigins = false;
+    bool m_versionsWanted = false; ///< Since the last read of the records ended.
 };
 
 store_duty::store_duty(asio::io_context &context,
--- a/src/node/stream_origins.cpp
+++ b/src/node/stream_origins.cpp
@@ -132,8 +132,9 @@
         co_return only;
     }
     std::optional<stream_origin> origin = co_await queryUntilCertain(sought);
-    if (!origin && isNamed) {
-        co_await waitForRecords();
+    const bool needsVersions = !origin && m_hooks.mayBeOnly(sought.service) && m_hooks.hasShortHistory(sought.window);
+    if (!origin && (isNamed || needsVersions)) {
+        co_await waitForRecords(needsVersions);
         origin = m_exchange.find(coreNow(), sought);
     }
     co_return origin;
@@ -200,7 +201,7 @@
     co_return std::nullopt;
 }
 
-asio::awaitable<void> stream_origins::waitForRecords()
+asio::awaitable<void> stream_origins::waitForRecords(bool withVersions)
 {
     const instant now = coreNow();
     const bool isReading = m_readBegunAt && now - *m_readBegunAt < kMaxReadTime;
@@ -209,7 +210,7 @@
     }
     if (!isReading) {
         m_readBegunAt = now;
-        m_hooks.readRecords();
+        m_hooks.readRecords(withVersions);
     }
     asio::steady_timer timer(m_executor, kRecordsTimeout);
     m_recordWaits.insert(&timer);
--- a/src/node/stream_origins.h
+++ b/src/node/stream_origins.h
@@ -31,7 +31,10 @@
     std::function<bool(const std::string &service)> mayBeOnly; ///< Whether all registered upstreams of the service have one version.
     std::function<void()> readUpstreams; ///< Begins to read the registrations, which onlyVersion needs.
     std::function<void(std::vector<stream_origin>)> record; ///< Records origins in the platform's store.
-    std::function<void()> readRecords; ///< Begins to read the records; onRecorded() gets them.
+    /// Whether the versions that have served are known for less than that time, so that onlyVersion can't tell any.
+    std::function<bool(duration window)> hasShortHistory;
+    /// Begins to read the records; onRecorded() gets them. With versions, also what they tell of the versions that have served.
+    std::function<void(bool withVersions)> readRecords;
 };
 
 /**
@@ -103,7 +106,7 @@
     boost::asio::awaitable<std::optional<stream_origin>> query(sought_stream sought);
     /// As query(), but asks again for a short time while the writer of the stream isn't certain.
     boost::asio::awaitable<std::optional<stream_origin>> queryUntilCertain(sought_stream sought);
-    boost::asio::awaitable<void> waitForRecords();
+    boost::asio::awaitable<void> waitForRecords(bool withVersions);
     /// Waits a short time until the registrations have been read since @p sought was asked for. Returns the origin if that tells it.
     boost::asio::awaitable<std::optional<stream_origin>> findOnlyVersion(sought_stream sought);
 
--- a/src/relay/origin_record.cpp
+++ b/src/relay/origin_record.cpp
@@ -61,9 +61,40 @@
     return origin;
 }
 
+json::object objectOf(const version_summary &summary)
+{
+    json::array versions;
+    for (const seen_version &seen : summary.versions) {
+        versions.push_back(json::array{seen.service, seen.version, seen.ageMs});
+    }
+    return {{"era", summary.position.era}, {"offset", summary.position.offset}, {"current_ms", summary.currentMs}, {"versions", std::move(versions)}};
+}
+
+std::optional<std::uint64_t> numberIn(const json::object &object, const char *key)
+{
+    const json::value *value = object.if_contains(key);
+    boost::system::error_code error;
+    const auto number = value != nullptr ? value->to_number<std::uint64_t>(error) : 0;
+    return value != nullptr && !error ? std::optional(number) : std::nullopt;
+}
+
+std::optional<seen_version> seenVersionIn(const json::value &value)
+{
+    const json::array *fields = value.if_array();
+    if (fields == nullptr || fields->size() != 3) {
+        return std::nullopt;
+    }
+    auto version = versionIn(json::array{fields->at(0), fields->at(1)});
+    const auto age = countIn(fields->at(2));
+    if (!version || !age) {
+        return std::nullopt;
+    }
+    return seen_version{std::move(version->first), std::move(version->second), *age};
+}
+
 } // namespace
 
-std::string makeOriginRecord(const std::vector<stream_origin> &origins)
+std::string makeOriginRecord(const std::vector<stream_origin> &origins, const std::optional<version_summary> &summary)
 {
     std::map<std::pair<std::string, std::string>, std::size_t> indices;
     json::array versions;
@@ -75,7 +106,11 @@
         }
         streams.push_back(json::array{fingerprintText(origin.stream), known->second, origin.revision, origin.lifeMs});
     }
-    return json::serialize(json::object{{"versions", std::move(versions)}, {"streams", std::move(streams)}});
+    json::object record{{"versions", std::move(versions)}, {"streams", std::move(streams)}};
+    if (summary) {
+        record["registered"] = objectOf(*summary);
+    }
+    return json::serialize(record);
 }
 
 std::optional<std::vector<stream_origin>> readOriginRecord(std::string_view record, last_reason *reason)
@@ -111,4 +146,35 @@
     return origins;
 }
 
+std::optional<version_summary> readVersionSummary(std::string_view record, last_reason *reason)
+{
+    boost::system::error_code error;
+    const json::value value = json::parse(record, error);
+    const json::object *object = error ? nullptr : value.if_object();
+    const json::value *registered = object != nullptr ? object->if_contains("registered") : nullptr;
+    if (registered == nullptr) {
+        return std::nullopt;
+    }
+    const json::object *fields = registered->if_object();
+    const json::value *versions = fields != nullptr ? fields->if_contains("versions") : nullptr;
+    const auto era = fields != nullptr ? numberIn(*fields, "era") : std::nullopt;
+    const auto offset = fields != nullptr ? numberIn(*fields, "offset") : std::nullopt;
+    const auto current = fields != nullptr ? numberIn(*fields, "current_ms") : std::nullopt;
+    const bool hasVersions = versions != nullptr && versions->is_array() && versions->get_array().size() <= kMaxSummaryVersions;
+    if (!hasVersions || !era || !offset || !current || *current > std::numeric_limits<std::uint32_t>::max()) {
+        setReason(reason, "the summary of versions lacks a field or holds more than is read");
+        return std::nullopt;
+    }
+    version_summary summary{{*era, *offset}, static_cast<std::uint32_t>(*current), {}};
+    for (const json::value &each : versions->get_array()) {
+        auto seen = seenVersionIn(each);
+        if (!seen) {
+            setReason(reason, "a version of the summary lacks its service, name or age");
+            return std::nullopt;
+        }
+        summary.versions.push_back(std::move(*seen));
+    }
+    return summary;
+}
+
 } // namespace heatherroute
--- a/src/relay/origin_recorder.cpp
+++ b/src/relay/origin_recorder.cpp
@@ -3,19 +3,13 @@
 #include <algorithm>
 #include <utility>
 
+#include "heatherroute/ownership.h"
 #include "relay/origin_record.h"
-#include "relay/stream_origin_table.h"
+#include "relay/store_gossip.h"
 
 namespace heatherroute
 {
 
-namespace
-{
-
-constexpr std::uint64_t kRecorderHash = 0x7265636f72646572; ///< Chooses the entries that write records, as the hash of a stream does its keepers.
-
-} // namespace
-
 origin_recorder origin_recorder::make(const origin_recorder_settings &settings, const std::string &entryName)
 {
     return {settings, entryName};
@@ -32,9 +26,12 @@
 {
     std::vector<member> all = others;
     all.push_back(m_self);
+    std::erase_if(all, [](const member &one) { return !canOwn(one.state); });
+    const auto end = all.begin() + static_cast<std::ptrdiff_t>(std::min(m_settings.recorders, all.size()));
+    std::partial_sort(all.begin(), end, all.end(), [](const member &left, const member &right) { return precedesInReading(left.id.name, right.id.name); });
     m_isRecorder = false;
     m_recorders.clear();
-    for (const member *recorder : originKeepers(kRecorderHash, all, m_settings.recorders)) {
+    for (auto recorder = all.begin(); recorder != end; ++recorder) {
         if (recorder->id.name == m_self.id.name) {
             m_isRecorder = true;
         } else {
--- a/src/relay/origin_recorder.h
+++ b/src/relay/origin_recorder.h
@@ -30,9 +30,9 @@
  * Collects the origins of streams that have begun, for records that outlast a restart of all entries.
  *
  * Load pattern: all entries lose power at the same moment while streams of several software versions run, and the callers come back with
- * them. Each entry sends the origins of its streams, once their first event has come, to a few entries by rendezvous hashing, and each of
- * these records all of them a few times a second. What began after the last record is lost; it stays unknown. Pure; not thread safe.
- * Instants must not decrease.
+ * them. Each entry sends the origins of its streams, once their first event has come, to the first of the entries that read the store, and each
+ * of these records all of them a few times a second. What began after the last record is lost; it stays unknown, unless one version only has served
+ * (see version_history). Pure; not thread safe. Instants must not decrease.
  */
 class origin_recorder
 {
--- a/src/relay/version_history.cpp
+++ b/src/relay/version_history.cpp
@@ -6,6 +6,16 @@
 namespace heatherroute
 {
 
+namespace
+{
+
+std::uint32_t millisecondsOf(duration time)
+{
+    return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+} // namespace
+
 version_history version_history::make(const version_history_settings &settings)
 {
     return version_history(settings);
@@ -47,9 +57,59 @@
     m_registered.erase(run.id);
 }
 
-void version_history::noteRead(instant begunAt)
+void version_history::noteRead(instant begunAt, std::optional<registrations_position> position)
 {
     m_readBegunAt = std::max(m_readBegunAt.value_or(begunAt), begunAt);
+    m_position = position;
+}
+
+std::optional<version_summary> version_history::summary(instant now) const
+{
+    const duration current = currentTime(now);
+    if (current == duration::zero() || !m_position || now - *m_readBegunAt > m_settings.maxListAge) {
+        return std::nullopt;
+    }
+    std::map<served_version, duration> ages;
+    for (const auto &[service, versions] : m_lastSeen) {
+        for (const auto &[version, at] : versions) {
+            if (now - at <= m_settings.retention) {
+                ages[{service, version}] = now - at;
+            }
+        }
+    }
+    for (const auto &[id, served] : m_registered) {
+        ages[served] = duration::zero();
+    }
+    if (ages.size() > kMaxSummaryVersions) {
+        return std::nullopt;
+    }
+    version_summary summary;
+    summary.position = *m_position;
+    summary.currentMs = millisecondsOf(std::min(current, m_settings.retention));
+    for (const auto &[served, age] : ages) {
+        summary.versions.push_back({served.service, served.version, millisecondsOf(age)});
+    }
+    return summary;
+}
+
+bool version_history::noteSummary(
+    instant now, const version_summary &summary, instant writtenBefore, instant readBegunAt, const std::vector<seen_version> &later)
+{
+    if (currentTime(now) == duration::zero() || readBegunAt < m_currentSince) {
+        return false;
+    }
+    const auto noteAt = [this](const seen_version &seen, instant at) {
+        instant &lastSeen = m_lastSeen[seen.service].try_emplace(seen.version, at).first->second;
+        lastSeen = std::max(lastSeen, at);
+    };
+    for (const seen_version &seen : summary.versions) {
+        noteAt(seen, writtenBefore - std::chrono::milliseconds(seen.ageMs));
+    }
+    for (const seen_version &seen : later) {
+        noteAt(seen, now);
+    }
+    m_currentSince = std::min(m_currentSince, writtenBefore - std::chrono::milliseconds(summary.currentMs));
+    return true;
 }
 
 duration version_history::currentTime(instant now) const
--- a/tests/origin_recorder_test.cpp
+++ b/tests/origin_recorder_test.cpp
@@ -6,6 +6,7 @@
 
 #include "relay/origin_record.h"
 #include "relay/origin_recorder.h"
+#include "relay/store_gossip.h"
 
 using namespace heatherroute;
 using std::chrono::milliseconds;
@@ -125,6 +126,45 @@
     EXPECT_EQ(readOriginRecord(makeOriginRecord(origins), nullptr), origins);
 }
 
+TEST(OriginRecord, SummaryOfVersionsSurvivesTheRoundTrip)
+{
+    const version_summary summary{{4, ~std::uint64_t{0}}, 90'000, {{"llm", "v1", 0}, {"llm", "v2", 4'500}, {"web", "", 0}}};
+    const std::string record = makeOriginRecord({originOf(1)}, summary);
+    EXPECT_EQ(readVersionSummary(record, nullptr), summary);
+    EXPECT_EQ(readOriginRecord(record, nullptr), std::vector<stream_origin>{originOf(1)});
+    EXPECT_EQ(readVersionSummary(makeOriginRecord({originOf(1)}), nullptr), std::nullopt);
+}
+
+TEST(OriginRecord, InvalidSummariesAreRejected)
+{
+    for (const char *summary : {"7",
+                                "{}",
+                                R"({"era":0,"offset":1,"current_ms":1})",
+                                R"({"era":0,"offset":-1,"current_ms":1,"versions":[]})",
+                                R"({"era":0,"offset":1,"current_ms":4294967296,"versions":[]})",
+                                R"({"era":0,"offset":1,"current_ms":1,"versions":[["llm","v1"]]})",
+                                R"({"era":0,"offset":1,"current_ms":1,"versions":[["llm",7,0]]})",
+                                R"({"era":"4","offset":1,"current_ms":1,"versions":[]})"}) {
+        last_reason reason;
+        EXPECT_FALSE(readVersionSummary(std::string(R"({"versions":[],"streams":[],"registered":)") + summary + "}", &reason)) << summary;
+        EXPECT_NE(reason.text(), "") << summary;
+    }
+}
+
+// Only an entry that reads the store itself knows up to where it knows the registrations.
+TEST(OriginRecorder, EntriesThatReadTheStoreRecord)
+{
+    recording_fleet fleet(40);
+    for (std::size_t i = 0; i < fleet.entries.size(); ++i) {
+        std::size_t rank = 0;
+        for (std::size_t other = 0; other < fleet.entries.size(); ++other) {
+            rank += precedesInReading("entry-" + std::to_string(other), "entry-" + std::to_string(i)) ? 1 : 0;
+        }
+        fleet.entries[i].add(originOf(i));
+        EXPECT_EQ(fleet.entries[i].dueRecord(instant(seconds(1))).empty(), rank >= 2) << "rank " << rank;
+    }
+}
+
 TEST(OriginRecord, LargestRecordFitsTheStore)
 {
     constexpr std::size_t kMaxRecordBytes = 262'144;
--- a/tests/process_stream_version_test.cpp
+++ b/tests/process_stream_version_test.cpp
@@ -209,6 +209,42 @@
     });
 }
 
+// Regression test: streams that had been too short to be recorded before all entries were killed were refused afterwards, though one version only
+// had served all the time.
+TEST(ProcessStreamVersion, ShortStreamsOfTheOnlyVersionGoOnAfterAllEntriesWereKilled)
+{
+    relay_site_settings settings;
+    settings.entries = 6;
+    settings.decodeEngines = 3;
+    settings.services = 0;
+    settings.eventInterval = milliseconds(30);
+    runOnSite(settings, [](relay_site &site) -> asio::awaitable<void> {
+        // A stream may have begun so long ago that the entries must have known the versions for some time.
+        co_await pauseFor(seconds(20));
+        std::vector<std::unique_ptr<stream_callers>> groups;
+        for (int group = 0; group < 10; ++group) {
+            groups.push_back(std::make_unique<stream_callers>(site, 4, milliseconds(40)));
+            groups.back()->start(co_await asio::this_coro::executor);
+            co_await pauseFor(milliseconds(57));
+        }
+        co_await pauseFor(seconds(3));
+        killGroup(site, 0, site.entryCount());
+        co_await restartGroup(site, 0, site.entryCount());
+        co_await pauseFor(seconds(10));
+        std::size_t takenUp = 0;
+        std::size_t goneOn = 0;
+        for (const auto &group : groups) {
+            co_await group->stop();
+            takenUp += group->streamsTakenUp();
+            goneOn += group->streamsGoneOn();
+            EXPECT_EQ(group->fault(), "");
+        }
+        EXPECT_EQ(mixedStreams(site.upstreamLog()), 0);
+        EXPECT_GE(takenUp, 12U);
+        EXPECT_GE(goneOn * 2, takenUp) << takenUp << " streams taken up, " << goneOn << " gone on, the last refused as " << groups.back()->lastRefusal();
+    });
+}
+
 namespace
 {
 
--- a/tests/stream_origin_test.cpp
+++ b/tests/stream_origin_test.cpp
@@ -299,3 +299,87 @@
     history.noteRead(kStart + milliseconds(32'300));
     EXPECT_EQ(history.onlyVersion(kStart + milliseconds(32'400), kStart + milliseconds(32'300), "llm", {"v1"}, seconds(19)), "v1");
 }
+
+namespace
+{
+
+constexpr registrations_position kPosition{0, 500};
+
+/// The history of an entry that has known one version for @p time until @p now.
+version_history historyOf(instant now, duration time, const std::string &version)
+{
+    auto history = version_history::make({});
+    for (instant at = now - time; at <= now; at += milliseconds(500)) {
+        history.noteCurrent(at, {});
+        history.noteRead(at, kPosition);
+    }
+    registration run;
+    run.id = "a";
+    run.service = "llm";
+    run.softwareVersion = version;
+    history.noteRegistered(now - time, run);
+    return history;
+}
+
+} // namespace
+
+// Regression test: all entries lost power, and streams that had been too short to be recorded were refused, though one version only had served.
+TEST(VersionHistory, SummaryOfAnEntryThatIsGoneExtendsTheHistory)
+{
+    const instant lostAt = kStart + seconds(60);
+    const auto summary = historyOf(lostAt, seconds(17), "v1").summary(lostAt);
+    ASSERT_TRUE(summary);
+    EXPECT_EQ(summary->position, kPosition);
+    const instant startedAt = lostAt + seconds(1);
+    const instant now = startedAt + seconds(4);
+    version_history history = historyOf(now, seconds(4), "v1");
+    EXPECT_EQ(history.onlyVersion(now, now, "llm", {"v1"}, seconds(19)), std::nullopt);
+    EXPECT_TRUE(history.noteSummary(now, *summary, startedAt, now, {{"llm", "v1", 0}}));
+    EXPECT_EQ(history.onlyVersion(now, now, "llm", {"v1"}, seconds(17)), "v1");
+    EXPECT_EQ(history.onlyVersion(now, now, "llm", {"v1"}, seconds(19)), "v1");
+    EXPECT_EQ(history.onlyVersion(now, now, "llm", {"v1"}, seconds(22)), std::nullopt) << "nobody knows what served that long ago";
+}
+
+// A stream of two versions is worse than one that is refused.
+TEST(VersionHistory, VersionsOfASummaryOrRegisteredSinceCountAsServed)
+{
+    const instant lostAt = kStart + seconds(60);
+    const instant now = lostAt + seconds(5);
+    version_history before = historyOf(lostAt, seconds(30), "v1");
+    before.note(lostAt - seconds(10), "llm", "v0");
+    version_history history = historyOf(now, seconds(4), "v1");
+    EXPECT_TRUE(history.noteSummary(now, before.summary(lostAt).value_or(version_summary{}), now - seconds(4), now, {}));
+    EXPECT_EQ(history.onlyVersion(now, now, "llm", {"v1"}, seconds(19)), std::nullopt) << "v0 served before the loss";
+    EXPECT_EQ(history.onlyVersion(now, now, "llm", {"v1"}, seconds(13)), "v1");
+
+    history = historyOf(now, seconds(4), "v1");
+    const auto summary = historyOf(lostAt, seconds(30), "v1").summary(lostAt);
+    EXPECT_TRUE(history.noteSummary(now, summary.value_or(version_summary{}), now - seconds(4), now, {{"llm", "v1", 0}, {"llm", "v2", 0}}));
+    EXPECT_EQ(history.onlyVersion(now, now, "llm", {"v1"}, seconds(19)), std::nullopt) << "v2 was registered around the loss";
+}
+
+TEST(VersionHistory, SummaryIsNotUsedWithAGapAfterIt)
+{
+    const instant lostAt = kStart + seconds(60);
+    const instant now = lostAt + seconds(5);
+    const auto summary = historyOf(lostAt, seconds(30), "v1").summary(lostAt);
+    ASSERT_TRUE(summary);
+    version_history history = historyOf(now, seconds(4), "v1");
+    EXPECT_FALSE(history.noteSummary(now, *summary, now - milliseconds(4'500), now - milliseconds(4'400), {})) << "the log was read before the list";
+    EXPECT_EQ(history.onlyVersion(now, now, "llm", {"v1"}, seconds(19)), std::nullopt);
+    version_history unread = version_history::make({});
+    EXPECT_FALSE(unread.noteSummary(now, *summary, now, now, {})) << "this entry has no list";
+}
+
+TEST(VersionHistory, EntryThatHasNotReadTheListLatelySummarizesNothing)
+{
+    version_history history = historyOf(kStart + seconds(60), seconds(30), "v1");
+    EXPECT_TRUE(history.summary(kStart + seconds(62)));
+    history.noteCurrent(kStart + seconds(64), {});
+    EXPECT_FALSE(history.summary(kStart + seconds(64))) << "its position in the log is old";
+    version_history crowded = historyOf(kStart + seconds(60), seconds(30), "v1");
+    for (std::size_t i = 0; i < kMaxSummaryVersions; ++i) {
+        crowded.note(kStart + seconds(60), "llm", "w" + std::to_string(i));
+    }
+    EXPECT_FALSE(crowded.summary(kStart + seconds(60)));
+}
