An answer without a length is incomplete if the request can't be written

What callers could see: a part of an answer as a complete 200, when the upstream answered a long request at once and reset the connection. Cause: a socket reports a reset once. The write of the request got it and dropped it; the read saw an end of the connection, which is how a body without a length ends. Change: such a body is complete only if the request has been written without an error; the call waits until that is known, within its timeouts. Why it works: it holds whichever of the write and the read ends first.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -150,6 +150,25 @@
             const std::size_t count = co_await http::async_write_some(m_stream, serializer, asio::redirect_error(asio::use_awaitable, error));
             m_wroteAny = m_wroteAny || count > 0;
         }
+        m_writeError = error;
+        m_writeEnded = true;
+        if (m_writeWait != nullptr) {
+            m_writeWait->cancel();
+        }
+    }
+
+    /// Returns whether the request has been written; waits until that is known. A connection that was reset while the request was being written
+    /// may look as if it had ended in order, since the system reports the reset once, to the write.
+    asio::awaitable<bool> isRequestWritten()
+    {
+        if (!m_writeEnded) {
+            asio::steady_timer wait(m_stream.get_executor(), asio::steady_timer::time_point::max());
+            m_writeWait = &wait;
+            beast::error_code ignored;
+            co_await wait.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            m_writeWait = nullptr;
+        }
+        co_return !m_writeError;
     }
 
     asio::awaitable<http_result> readAnswer(const head_hook &onHead, const body_hook &onBody)
@@ -174,6 +193,7 @@
         }
         http::response_parser<http::buffer_body> &parser = *parsed;
         http_answer answer = headOf(parser);
+        const bool endsWithConnection = parser.need_eof();
         arm(m_call.progressTimeout);
         const bool streamed = co_await onHead(answer);
         while (!parser.is_done()) {
@@ -209,6 +229,12 @@
                 co_return makeFailure(verdict::MayHaveRun, "read body", error);
             }
         }
+        if (endsWithConnection) {
+            const bool isWritten = co_await isRequestWritten();
+            if (!isWritten || m_cancelled || m_timedOut) {
+                co_return makeFailure(verdict::MayHaveRun, "write request", m_writeError);
+            }
+        }
         m_ended = true;
         close();
         answer.memory = std::move(m_share);
@@ -277,6 +303,9 @@
     std::chrono::steady_clock::time_point m_startedAt;
     std::shared_ptr<memory_share> m_share; ///< Of the collected body.
     bool m_wroteAny = false;
+    bool m_writeEnded = false; ///< The write of the request has ended, with m_writeError.
+    beast::error_code m_writeError;
+    asio::steady_timer *m_writeWait = nullptr; ///< Waits for the end of the write.
     bool m_cancelled = false;
     bool m_timedOut = false;
     bool m_ended = false;
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
@@ -32,6 +33,8 @@
     bool hang = false; ///< Keep the connection open without sending anything more.
     std::string repeated = {}; ///< Sent again and again after the answer, until the client closes the connection.
     milliseconds interval{0}; ///< Between two of them.
+    milliseconds delay{0}; ///< Between the answer and the end of the connection.
+    bool readsOn = false; ///< After the delay ends its side of the connection and reads the rest of the request.
 };
 
 asio::awaitable<void> serveOnce(tcp::acceptor &acceptor, upstream_script script)
@@ -51,20 +54,40 @@
         asio::steady_timer timer(acceptor.get_executor(), std::chrono::hours(1));
         co_await timer.async_wait(asio::use_awaitable);
     }
+    if (script.delay.count() > 0) {
+        asio::steady_timer timer(acceptor.get_executor(), script.delay);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    if (script.readsOn) {
+        socket.shutdown(tcp::socket::shutdown_send);
+        boost::system::error_code error;
+        while (!error) {
+            co_await socket.async_read_some(asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+        }
+    }
     if (script.reset) {
         socket.set_option(asio::socket_base::linger(true, 0));
         socket.close();
     }
 }
 
-http_result callUpstream(upstream_script script, http_call call = {})
+asio::awaitable<http_result> performStreamed(http_call call)
+{
+    const auto exchange = net::http_exchange::make(co_await asio::this_coro::executor, std::move(call));
+    const net::http_exchange::body_hook onBody = [](std::string_view) -> asio::awaitable<void> { co_return; };
+    http_result result = co_await exchange->run(onBody);
+    co_return result;
+}
+
+http_result callUpstream(upstream_script script, http_call call = {}, bool isStreamed = false)
 {
     asio::io_context context(1);
     tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
     call.endpoint = acceptor.local_endpoint();
     asio::co_spawn(context, serveOnce(acceptor, std::move(script)), asio::detached);
     std::optional<http_result> result;
-    asio::co_spawn(context, net::performCall(std::move(call)), [&](const std::exception_ptr &, http_result got) {
+    auto performed = isStreamed ? performStreamed(std::move(call)) : net::performCall(std::move(call));
+    asio::co_spawn(context, std::move(performed), [&](const std::exception_ptr &, http_result got) {
         result = std::move(got);
         context.stop();
     });
@@ -99,6 +122,42 @@
     EXPECT_EQ(result.failure.outcome, verdict::MayHaveRun);
 }
 
+// Regression test: an upstream answered a long request without a length and reset the connection while the request was being written. The write
+// got the error and dropped it, the read saw an end of the connection, and the part of the body that had come counted as all of it.
+TEST(HttpClient, ResponseWithoutLengthIsIncompleteWhenTheRequestCannotBeWritten)
+{
+    for (const std::string version : {"HTTP/1.1", "HTTP/1.0"}) {
+        for (const bool isReset : {true, false}) {
+            for (const bool isStreamed : {true, false}) {
+                for (int i = 0; i < 10; ++i) {
+                    upstream_script script;
+                    script.answer = version + " 200 OK\r\n\r\npartial";
+                    script.reset = isReset; // Otherwise the system resets the connection, since bytes of the request are unread.
+                    script.delay = milliseconds(i % 2 == 0 ? 5 : 0);
+                    http_call call;
+                    call.body = std::string(std::size_t{4} * 1024 * 1024, 'x');
+                    const http_result result = callUpstream(script, std::move(call), isStreamed);
+                    EXPECT_FALSE(result.answer) << version << ", reset " << isReset << ", streamed " << isStreamed;
+                    EXPECT_EQ(result.failure.outcome, verdict::MayHaveRun);
+                }
+            }
+        }
+    }
+}
+
+TEST(HttpClient, ResponseWithoutLengthIsCompleteWhenTheRequestIsReadAfterIt)
+{
+    upstream_script script;
+    script.answer = "HTTP/1.1 200 OK\r\n\r\nhello";
+    script.delay = milliseconds(50);
+    script.readsOn = true;
+    http_call call;
+    call.body = std::string(std::size_t{4} * 1024 * 1024, 'x');
+    const http_result result = callUpstream(script, std::move(call));
+    ASSERT_TRUE(result.answer) << result.failure.reason;
+    EXPECT_EQ(result.answer->body, "hello");
+}
+
 TEST(HttpClient, ResponseShorterThanItsLengthIsIncomplete)
 {
     const http_result result = callUpstream({"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhel", false, false});
