Reject answers whose status isn't one

What callers could see: an answer with the status 600 or 999; and after one of 000 to 099, or 101, whatever the upstream sent next as its answer. Cause: a status below 200 counted as an interim response, and none was checked against the range of the protocol. Change: a status outside 100 to 599, or 101, ends the call as one that may have run. Result: HttpClient.ResponseWithAnInvalidStatusIsNoAnswer fails on the client of the commit before, and passes now.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -190,6 +190,11 @@
             if (m_call.onAnswered) {
                 m_call.onAnswered();
             }
+            const unsigned code = parsed->get().result_int();
+            // No request asks for another protocol.
+            if (code < status::kFirst || code > status::kLast || code == status::kSwitchingProtocols) {
+                co_return makeFailure(verdict::MayHaveRun, "status " + std::to_string(code), http::error::bad_status);
+            }
         }
         http::response_parser<http::buffer_body> &parser = *parsed;
         http_answer answer = headOf(parser);
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -236,6 +236,25 @@
     EXPECT_EQ(result.answer->body, "ok");
 }
 
+// Regression test: a status like 600 was passed on as an answer, and one below 100 was taken for an interim response, so that whatever followed
+// became the answer.
+TEST(HttpClient, ResponseWithAnInvalidStatusIsNoAnswer)
+{
+    for (const std::string status : {"000", "001", "099", "101", "600", "999"}) {
+        for (const std::string rest : {"\r\n\r\nbody", "\r\nContent-Length: 4\r\n\r\nbody", "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}) {
+            for (const bool isStreamed : {true, false}) {
+                std::string answer = "HTTP/1.1 ";
+                answer.append(status).append(" Odd").append(rest);
+                const http_result result = callUpstream({answer}, {}, isStreamed);
+                EXPECT_FALSE(result.answer) << status << rest;
+                EXPECT_EQ(result.failure.outcome, verdict::MayHaveRun) << status;
+                EXPECT_NE(result.failure.reason.find("status"), std::string::npos) << result.failure.reason;
+            }
+        }
+    }
+    EXPECT_EQ(callUpstream({"HTTP/1.1 599 Odd\r\nContent-Length: 0\r\n\r\n"}).answer.value_or(net::http_answer{}).status, 599U);
+}
+
 TEST(HttpClient, EndlessBytesThatAreNoResponseEndTheCall)
 {
     const std::string block(1'000, 'x');
