Bound what upstreams send to the product's own interface

What callers could see: an entry that runs out of memory, and their requests with it, while an upstream sends bytes without end. Cause: calls of the own interface had no budget, 16 MB for each; a decode stream kept a line or an event that didn't end, and was read on when it was malformed. Change: 64 KB for answers to calls of the router itself, the budget of the process for those of services; a malformed decode stream is ended.

--- a/src/node/entry_node.cpp
+++ b/src/node/entry_node.cpp
@@ -226,7 +226,7 @@
         platform.configStream = settings.platform().configStream;
         platform.pollWait = settings.config().pollWait;
         platform.vms = net::parseEndpoint(settings.platform().vms);
-        m_upstreams = std::make_unique<node::upstream_duty>(m_upstreamThread.context(), m_fromUpstreams);
+        m_upstreams = std::make_unique<node::upstream_duty>(m_upstreamThread.context(), m_fromUpstreams, memory);
         m_platform = std::make_unique<node::platform_duty>(m_platformThread.context(), std::move(platform), m_fromPlatform);
         m_core = std::make_unique<node::core_duty>(m_coreThread.context(), std::move(core));
         connectChannels();
--- a/src/node/upstream_duty.cpp
+++ b/src/node/upstream_duty.cpp
@@ -23,6 +23,8 @@
 {
 
 constexpr std::size_t kMaxEventBytes = std::size_t{64} * 1024;
+constexpr std::size_t kMaxCallAnswerBytes = std::size_t{64} * 1024; ///< Of the answer to a call of the router itself: a prefill, a load report or a cancel.
+constexpr std::size_t kMaxTrailingBytes = std::size_t{64} * 1024; ///< Of a decode stream after its last event.
 constexpr std::chrono::milliseconds kSilenceTimeout{60'000};
 constexpr std::chrono::milliseconds kCancelTimeout{2'000};
 constexpr std::chrono::milliseconds kPollTimeout{1'000};
@@ -53,9 +55,17 @@
         if (m_end && !m_endSent) {
             m_endSent = true;
             co_await m_toCore.push(*m_end);
+        } else if (m_endSent) {
+            m_trailingBytes += chunk.size();
         }
     }
 
+    /// Whether nothing that the engine still sends is of use.
+    bool isUseless() const noexcept
+    {
+        return m_malformed || m_trailingBytes > kMaxTrailingBytes;
+    }
+
     /// The error code with which the engine ended the stream; empty when there is none.
     const std::string &errorCode() const noexcept
     {
@@ -98,6 +108,7 @@
     net::event_stream_parser m_parser;
     std::optional<decode_finished> m_end;
     std::string m_errorCode;
+    std::size_t m_trailingBytes = 0;
     bool m_endSent = false;
     bool m_malformed = false;
 };
@@ -117,14 +128,17 @@
 class upstream_duty::impl
 {
 public:
-    impl(asio::io_context &context, channel<core_event> &toCore)
+    impl(asio::io_context &context, channel<core_event> &toCore, std::shared_ptr<net::memory_budget> memory)
         : m_context(context)
         , m_toCore(toCore)
+        , m_memory(std::move(memory))
     { }
 
     void perform(const start_prefill &action)
     {
-        start(action, makeCall({}, "/v1/prefill", prefillBody(action)), &impl::runPrefill);
+        net::http_call call = makeCall({}, "/v1/prefill", prefillBody(action));
+        call.maxAnswerBytes = kMaxCallAnswerBytes;
+        start(action, std::move(call), &impl::runPrefill);
     }
 
     void perform(const start_decode &action)
@@ -140,6 +154,7 @@
     void perform(const start_service_call &action)
     {
         net::http_call call = makeCall({}, action.path, action.body);
+        call.memory = m_memory;
         call.method = action.method;
         if (!action.contentType.empty()) {
             call.contentType = action.contentType;
@@ -168,6 +183,7 @@
         net::http_call call = makeCall(*endpoint, "/v1/cancel", cancelBody(action));
         call.progressTimeout = kCancelTimeout;
         call.totalTimeout = kCancelTimeout;
+        call.maxAnswerBytes = kMaxCallAnswerBytes;
         asio::co_spawn(m_context, runCancel(action.attempt, std::move(call)), asio::detached);
     }
 
@@ -220,7 +236,13 @@
     asio::awaitable<void> runDecode(attempt_id attempt, exchange_ptr exchange)
     {
         decode_reader reader(attempt, m_toCore);
-        const net::http_result result = co_await exchange->run([&reader](std::string_view chunk) { return reader.feed(chunk); });
+        const net::http_exchange::body_hook onBody = [&reader, &exchange](std::string_view chunk) -> asio::awaitable<void> {
+            co_await reader.feed(chunk);
+            if (reader.isUseless()) {
+                exchange->cancel();
+            }
+        };
+        const net::http_result result = co_await exchange->run(onBody);
         m_openExchanges.erase(attempt);
         if (reader.endSent()) {
             co_return;
@@ -264,6 +286,7 @@
             call.method = "GET";
             call.progressTimeout = kPollTimeout;
             call.totalTimeout = kPollTimeout;
+            call.maxAnswerBytes = kMaxCallAnswerBytes;
             const net::http_result result = co_await net::performCall(std::move(call));
             const bool ok = result.answer && result.answer->status < net::status::kFirstRedirect;
             report.load = ok ? parseLoad(result.answer->body) : std::nullopt;
@@ -291,11 +314,12 @@
 
     asio::io_context &m_context;
     channel<core_event> &m_toCore;
+    std::shared_ptr<net::memory_budget> m_memory;
     std::map<attempt_id, exchange_ptr> m_openExchanges;
 };
 
-upstream_duty::upstream_duty(asio::io_context &context, channel<core_event> &toCore)
-    : m_impl(std::make_unique<impl>(context, toCore))
+upstream_duty::upstream_duty(asio::io_context &context, channel<core_event> &toCore, std::shared_ptr<net::memory_budget> memory)
+    : m_impl(std::make_unique<impl>(context, toCore, std::move(memory)))
 { }
 
 upstream_duty::~upstream_duty() = default;
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -262,6 +262,8 @@
                                endless("HTTP/1.1 200 OK\r\nX-Field: ", block),
                                endless("HTTP/1.1 200 OK\r\n", "X-Field: a\r\n"),
                                endless("", "HTTP/1.1 100 Continue\r\n\r\n"),
+                               endless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Field: a\r\n"),
+                               endless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Field: ", block),
                                endless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", block)}) {
         http_call call;
         call.progressTimeout = std::chrono::seconds(15);
