Report every instance in the log of registrations, not only the newest

Cause: a read used the newest record of each key, and entries told each other only the newest change of an id. Change: changesIn() keeps each instance, in order; so do the messages between entries. A removed or earlier instance counts for the origins of streams as well.

--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -481,12 +481,15 @@
             m_leaseCandidate.noteReleased(now);
         }
         for (const upstream_update &change : event.update.changes) {
+            const registration *known = m_state.registry.find(change.run.id);
+            const bool isEarlier = known != nullptr && known->startedAt > change.run.startedAt;
+            // An instance that was removed or replaced may have had another version than this entry knows under its id. Entries of earlier builds
+            // don't send it.
+            if ((change.gone || isEarlier) && !change.run.softwareVersion.empty()) {
+                m_state.versions.note(now, change.run.service, change.run.softwareVersion);
+                m_state.origins.noteInstance(change.run);
+            }
             if (change.gone) {
-                // The instance that was removed may have another version than the one that this entry knows under its id. Entries of earlier
-                // builds don't send it.
-                if (!change.run.softwareVersion.empty()) {
-                    m_state.versions.note(now, change.run.service, change.run.softwareVersion);
-                }
                 m_state.registry.onRemovalReceived(now, change.run);
             } else {
                 m_state.registry.onReport(change.run);
--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -20,6 +20,7 @@
 #include "node/version_summaries.h"
 #include "relay/origin_record.h"
 #include "relay/quarantine_record.h"
+#include "relay/registration_changes.h"
 #include "relay/store_era.h"
 
 namespace heatherroute::node
@@ -425,24 +426,14 @@
 
     upstreams_reported decode(const keyed_page &page, bool isSnapshot)
     {
-        // Only the newest record of each key is used.
-        std::map<std::string, const keyed_record *> newest;
-        for (const keyed_record &record : page.records) {
-            newest[record.key] = &record;
-        }
+        registration_changes changes = changesIn(page.records, m_store.decodeRegistration);
         upstreams_reported reported;
         reported.isSnapshot = isSnapshot;
-        for (const auto &[key, record] : newest) {
-            last_reason reason;
-            auto report = record->value ? m_store.decodeRegistration(*record, &reason) : std::nullopt;
-            if (report) {
-                reported.reports.push_back(std::move(*report));
-            } else if (record->value) {
-                reported.unreadable.push_back(key);
-                logUnreadableRegistration(key, reason.text());
-            } else {
-                reported.removed.push_back(key);
-            }
+        reported.reports = std::move(changes.reports);
+        reported.removed = std::move(changes.removed);
+        for (const auto &[key, reason] : changes.unreadable) {
+            reported.unreadable.push_back(key);
+            logUnreadableRegistration(key, reason);
         }
         return reported;
     }
--- a/src/relay/store_gossip.cpp
+++ b/src/relay/store_gossip.cpp
@@ -58,7 +58,9 @@
 
 void store_gossip::noteChange(instant now, upstream_update change)
 {
-    std::erase_if(m_changes, [&change](const noted_change &known) { return known.change.run.id == change.run.id; });
+    // What an earlier instance was is told as well: it may have written streams.
+    std::erase_if(m_changes,
+                  [&change](const noted_change &known) { return known.change.run.id == change.run.id && known.change.run.startedAt == change.run.startedAt; });
     m_changes.push_back({now, std::nullopt, std::move(change)});
     if (m_changes.size() > m_settings.maxChanges) {
         m_changes.pop_front();
--- a/tests/store_gossip_test.cpp
+++ b/tests/store_gossip_test.cpp
@@ -286,6 +286,26 @@
     EXPECT_TRUE(gossip.dueMessages(instant{} + seconds(3), 1).empty()) << "the other entries must then read the store themselves";
 }
 
+// An engine may come back twice between two messages, and the entries that don't read the store must learn of the version in between.
+TEST(StoreGossip, ChangesOfEachInstanceAreSentInOrder)
+{
+    store_gossip gossip = store_gossip::make({});
+    gossip.noteRead(instant{});
+    for (const std::uint64_t startedAt : {1U, 2U, 3U, 3U}) {
+        upstream_update update = updateOf("a");
+        update.run.startedAt = startedAt;
+        gossip.noteChange(instant{}, update);
+    }
+    const auto messages = gossip.dueMessages(instant{}, 1);
+    std::vector<std::uint64_t> starts;
+    for (const store_update &message : messages) {
+        for (const upstream_update &change : message.changes) {
+            starts.push_back(change.run.startedAt);
+        }
+    }
+    EXPECT_EQ(starts, (std::vector<std::uint64_t>{1, 2, 3}));
+}
+
 TEST(StoreGossip, OnlyTheNewestChangeOfAnUpstreamIsSent)
 {
     store_gossip gossip = store_gossip::make({});
