Look only for named streams in the log of registrations

What callers saw: an attempt to take up a stream without naming it waited for reads of the store before it was refused, in the first seconds of every fleet. Cause: such attempts also read the records and the registrations, though the records of a fleet that has just started reach back no farther than its entries. Change: they are refused as before; the streams of callers that name them are looked for.

--- a/src/node/stream_origins.cpp
+++ b/src/node/stream_origins.cpp
@@ -132,8 +132,8 @@
         co_return only;
     }
     std::optional<stream_origin> origin = co_await queryUntilCertain(sought);
-    const bool needsVersions = !origin && m_hooks.mayBeOnly(sought.service) && m_hooks.hasShortHistory(sought.window);
-    if (!origin && (isNamed || needsVersions)) {
+    if (!origin && isNamed) {
+        const bool needsVersions = m_hooks.mayBeOnly(sought.service) && m_hooks.hasShortHistory(sought.window);
         co_await waitForRecords(needsVersions);
         origin = m_exchange.find(coreNow(), sought);
     }
