Log how long origins of streams wait for their record, and when streams begin

A caller whose stream was broken off by the loss of all entries is refused as stream_origin_unknown while two software versions serve. The log told that origins were recorded and how many were read, but not when the streams had begun, so it couldn't show whether their records came too late, weren't taken by the store or weren't found.

stream_origins_to_record now has waited_ms, the time that the first origin of the record has waited at the recorder. At debug level, stream_origins_recorded tells how long the store took, and stream_begun when the first event of a stream came.

--- a/src/node/relay_duty.cpp
+++ b/src/node/relay_duty.cpp
@@ -103,8 +103,10 @@
         m_state.quotas.setRule(m_settings.quota);
         m_state.writeLog = std::move(log);
         m_state.recordCrashes = [this](crash_evidence evidence) { post(m_toStore, store_event(crashes_to_record{std::move(evidence)})); };
-        m_state.recordOrigins = [this](const std::vector<stream_origin> &origins) {
-            m_state.log(log_level::Info, "stream_origins_to_record", {{"streams", std::to_string(origins.size())}});
+        m_state.recordOrigins = [this](const std::vector<stream_origin> &origins, duration waited) {
+            m_state.log(log_level::Info,
+                        "stream_origins_to_record",
+                        {{"streams", std::to_string(origins.size())}, {"waited_ms", std::to_string(waited.count() / 1000)}});
             post(m_toStore, store_event(origins_to_record{makeOriginRecord(origins, m_state.versions.summary(coreNow()))}));
         };
         m_state.readUpstreams = [this] { post(m_toStore, store_event(registrations_wanted{})); };
--- a/src/node/relay_state.cpp
+++ b/src/node/relay_state.cpp
@@ -135,9 +135,9 @@
             readUpstreams();
         }
     };
-    hooks.record = [this](std::vector<stream_origin> origins) {
+    hooks.record = [this](std::vector<stream_origin> origins, duration waited) {
         if (recordOrigins) {
-            recordOrigins(std::move(origins));
+            recordOrigins(std::move(origins), waited);
         }
     };
     hooks.hasShortHistory = [this](duration window) { return versions.currentTime(coreNow()) < window; };
--- a/src/node/relay_state.h
+++ b/src/node/relay_state.h
@@ -145,7 +145,8 @@
     std::function<void(log_line)> writeLog;
     /// Records what this entry has observed of crashes in the platform's store; deletes the record when there is nothing.
     std::function<void(crash_evidence)> recordCrashes;
-    std::function<void(std::vector<stream_origin>)> recordOrigins; ///< Records origins of streams in the platform's store.
+    /// Records origins of streams in the platform's store. @p waited: how long the first of them has waited at this entry.
+    std::function<void(std::vector<stream_origin>, duration waited)> recordOrigins;
     std::function<void()> readUpstreams; ///< Begins to read the registrations of upstreams.
     std::function<void(bool withVersions)> readOrigins; ///< Begins to read the records of origins, also with a summary of versions.
     /// Sends a message to the entry with the peer address, or to all other entries if it is empty.
--- a/src/node/store_duty.cpp
+++ b/src/node/store_duty.cpp
@@ -544,8 +544,10 @@
         cursor.stream = store_stream::Origins;
         while (!self->m_originRecords.empty()) {
             keyed_record record{self->m_settings.entryName, self->m_originRecords.front()};
+            const instant sentAt = coreNow();
             const append_answer answer = co_await self->append(store_stream::Origins, std::move(record));
             if (answer.outcome == store_outcome::Done) {
+                self->log(log_level::Debug, "stream_origins_recorded", {{"took_ms", std::to_string((coreNow() - sentAt).count() / 1000)}});
                 cursor.failures = 0;
                 self->m_originRecords.pop_front();
                 continue;
--- a/src/node/stream_origins.cpp
+++ b/src/node/stream_origins.cpp
@@ -76,7 +76,9 @@
 
 void stream_origins::notePart(std::uint64_t stream)
 {
-    if (const auto origin = m_writers.notePart(coreNow(), stream)) {
+    const instant now = coreNow();
+    if (const auto origin = m_writers.notePart(now, stream)) {
+        m_unrecordedSince = m_unrecordedSince.value_or(now);
         m_recorder.add(*origin);
     }
 }
@@ -250,6 +252,7 @@
 void stream_origins::onMessage(const std::string &from, const stream_origin_message &message)
 {
     if (const auto *batch = std::get_if<stream_origin_batch>(&message)) {
+        m_unrecordedSince = m_unrecordedSince.value_or(coreNow());
         m_recorder.onBatch(*batch);
         return;
     }
@@ -269,8 +272,15 @@
     }
     carryOut(m_exchange.advance(coreNow()));
     send(m_recorder.dueMessages());
-    if (std::vector<stream_origin> due = m_recorder.dueRecord(coreNow()); !due.empty()) {
-        m_hooks.record(std::move(due));
+    recordDue();
+}
+
+void stream_origins::recordDue()
+{
+    const instant now = coreNow();
+    if (std::vector<stream_origin> due = m_recorder.dueRecord(now); !due.empty()) {
+        const instant since = std::exchange(m_unrecordedSince, std::nullopt).value_or(now);
+        m_hooks.record(std::move(due), now - since);
     }
 }
 
--- a/src/node/stream_origins.h
+++ b/src/node/stream_origins.h
@@ -30,7 +30,8 @@
     stream_origin_exchange::only_version_hook onlyVersion;
     std::function<bool(const std::string &service)> mayBeOnly; ///< Whether all registered upstreams of the service have one version.
     std::function<void()> readUpstreams; ///< Begins to read the registrations, which onlyVersion needs.
-    std::function<void(std::vector<stream_origin>)> record; ///< Records origins in the platform's store.
+    /// Records origins in the platform's store. @p waited: how long the first of them has waited at this entry.
+    std::function<void(std::vector<stream_origin>, duration waited)> record;
     /// Whether the versions that have served are known for less than that time, so that onlyVersion can't tell any.
     std::function<bool(duration window)> hasShortHistory;
     /// Begins to read the records; onRecorded() gets them. With versions, also what they tell of the versions that have served.
@@ -97,6 +98,8 @@
     };
 
     void send(std::vector<addressed_origin_message> messages);
+    /// Records the origins that are due at this entry.
+    void recordDue();
     void carryOut(origin_effects effects);
     /// Reports and records the origin of a stream that has begun.
     void tellChanged(const stream_origin &origin);
@@ -115,6 +118,7 @@
     stream_origin_exchange m_exchange;
     stream_writers m_writers;
     origin_recorder m_recorder;
+    std::optional<instant> m_unrecordedSince; ///< When the first of the origins that aren't recorded yet was added.
     std::map<std::uint32_t, waiting_query> m_queries; ///< By number.
     std::set<boost::asio::steady_timer *> m_keptWaits; ///< The timers of waitUntilKept().
     std::set<boost::asio::steady_timer *> m_recordWaits; ///< The timers of waitForRecords().
--- a/src/node/stream_relay.cpp
+++ b/src/node/stream_relay.cpp
@@ -750,6 +750,7 @@
             m_firstAt = coreNow();
             const duration computing = m_prefill ? duration::zero() : 2 * m_state.scheduler.computeTime(m_prompt.promptTokens);
             m_state.health.noteSuccess(*m_firstAt, m_upstream, *m_firstAt - m_sentAt, kExpectedFirstEventTime + computing);
+            m_state.log(log_level::Debug, "stream_begun", {requestIdField(m_call.facts().id), upstreamField(m_upstream), {"software_version", m_version}});
         }
         m_state.origins.notePart(m_stream);
         m_call.noteProgress();
