Soak: streams are resumable with the seeds that lose power

Callers of the soak take streams up, which the users' pages allow on resumable routes only; first events wait for their records only there. With the other seeds the routes stay as they were, since planned stops treat resumable streams differently.

--- a/bench/heatherbench_soak.cpp
+++ b/bench/heatherbench_soak.cpp
@@ -663,6 +663,7 @@
         soakOptions.site.prefillEngines = engines - soakOptions.site.decodeEngines;
         soakOptions.site.decodeVersions = {"v1", "v1.1"};
         soakOptions.site.hasOwnLinks = cutsLinks(soakOptions.seed);
+        soakOptions.site.hasResumableStreams = losesPower(soakOptions.seed);
         // Streams last longer than the time between two records of their origins.
         soakOptions.site.eventInterval = losesPower(soakOptions.seed) ? milliseconds(200) : milliseconds(10);
         failedSeeds += runSeed(soakOptions, out) ? 0 : 1;
