Bound the cost of telling whether several versions serve; record in a batch what can't be requested

The history of versions went through all registered upstreams for each stream that begins. It counts the upstreams of each version now.

Measured: unit tests of these classes pass.

--- a/src/node/origin_records.cpp
+++ b/src/node/origin_records.cpp
@@ -60,7 +60,9 @@
 
 void origin_records::request(const stream_origin &origin)
 {
-    m_requests.add(origin);
+    if (!m_requests.add(origin)) {
+        addToBatch(origin);
+    }
     sendRequests();
 }
 
--- a/src/relay/origin_record_requests.cpp
+++ b/src/relay/origin_record_requests.cpp
@@ -21,15 +21,16 @@
     : m_settings(settings)
 { }
 
-void origin_record_requests::add(const stream_origin &origin)
+bool origin_record_requests::add(const stream_origin &origin)
 {
     if (m_open.size() >= m_settings.maxOpen) {
-        return;
+        return false;
     }
     open_request open;
     open.request = {++m_lastNumber, origin};
     m_open.emplace(m_lastNumber, std::move(open));
     m_numbers.insert_or_assign(origin.stream, m_lastNumber);
+    return true;
 }
 
 std::vector<due_record_request> origin_record_requests::dueRequests(instant now)
--- a/src/relay/origin_record_requests.h
+++ b/src/relay/origin_record_requests.h
@@ -44,8 +44,8 @@
 public:
     static origin_record_requests make(const origin_record_request_settings &settings);
 
-    /// Makes a request for the record of @p origin. dueRequests() returns it.
-    void add(const stream_origin &origin);
+    /// Makes a request for the record of @p origin, which dueRequests() returns. Returns false if there are too many.
+    bool add(const stream_origin &origin);
     /// Returns the requests to be sent to each recorder now: new ones, and those that weren't acknowledged in time.
     std::vector<due_record_request> dueRequests(instant now);
     /// Lets dueRequests() return all open requests, since other entries have become recorders.
--- a/src/relay/version_history.h
+++ b/src/relay/version_history.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
@@ -77,6 +78,8 @@
     };
 
     explicit version_history(const version_history_settings &settings);
+    void count(const served_version &served);
+    void discount(const served_version &served);
 
     version_history_settings m_settings;
     std::optional<instant> m_readBegunAt; ///< Of the last read.
@@ -85,6 +88,7 @@
     instant m_currentSince{}; ///< The list has been current from then on, without a gap.
     std::map<std::string, std::map<std::string, instant>> m_lastSeen; ///< When each version was last registered, by service.
     std::map<std::string, served_version> m_registered; ///< By id of the upstream.
+    std::map<served_version, std::size_t> m_registeredCounts; ///< Upstreams in m_registered.
 };
 
 } // namespace heatherroute
